--- /dev/null
+++ b/src/bin/peridotspread/main.rs
@@ -0,0 +1,2 @@
+//! The command-line tool peridotspread.
+fn main() {}
--- /dev/null
+++ b/src/bin/peridotspreadd/main.rs
@@ -0,0 +1,2 @@
+//! The daemon peridotspreadd.
+fn main() {}
--- /dev/null
+++ b/src/coordination/member.rs
@@ -0,0 +1,41 @@
+//! Membership: which daemons live, as this one sees it.
+//!
+//! Views of different daemons may differ; nothing that the fleet promises depends on their agreeing.
+
+use std::collections::BTreeMap;
+use std::net;
+
+use crate::state::ids;
+
+/// Whether a member is fit to be a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Liveness {
+    /// It answers.
+    Alive,
+    /// It has not answered of late.
+    Suspect,
+    /// It said that it leaves.
+    Leaving,
+}
+
+/// One daemon, as this one sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its address for peers.
+    pub peer: net::SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Which run of the daemon.
+    pub incarnation: ids::Incarnation,
+    /// Whether it is fit to be a home.
+    pub liveness: Liveness,
+    /// The bundle's version that it last told of.
+    pub version: u64,
+}
+
+/// All daemons that are not dead, by name, this one among them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// The members by name.
+    pub members: BTreeMap<String, Member>,
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,7 @@
+//! The decisions, as state machines without I/O: events with times go in, actions come out.
+//!
+//! Actors in [`crate::daemon`] carry the events and actions, and the replay of recorded traces drives the same code.
+
+pub mod cell;
+pub mod homes;
+pub mod member;
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,1 @@
+//! The operations of the command-line tool, as free functions with one options struct each.
--- /dev/null
+++ b/src/protocol/peer.rs
@@ -0,0 +1,158 @@
+//! Messages between daemons, encoded by `postcard`.
+//!
+//! A request travels on a QUIC stream of its own: the entry sends [`ToHome`], the home answers with [`FromHome`].
+//! Non-idempotent work takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
+//! after [`ToHome::Go`]. Everything else between daemons is a [`Note`].
+
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::refusal;
+use crate::state::clock;
+use crate::state::ids;
+use crate::state::timeline;
+
+/// A header field as bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Field {
+    /// The name, in lower case.
+    pub name: String,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+/// A request's head, as the entry sends it to a cell's home.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// The request.
+    pub request: ids::RequestId,
+    /// The sender's clock.
+    pub stamp: timeline::Stamp,
+    /// The cell that is to serve it.
+    pub cell: ids::CellId,
+    /// The version of the bundle that the entry decided by.
+    pub bundle: u64,
+    /// The caller's tier; 0 is served first.
+    pub tier: u8,
+    /// The time that is left until the deadline.
+    pub left: clock::Millis,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// What the request does, for the quarantine.
+    pub fingerprint: ids::Fingerprint,
+    /// The method.
+    pub method: String,
+    /// The path and query.
+    pub uri: String,
+    /// The header fields, without those that concern one connection.
+    pub fields: Vec<Field>,
+    /// Whether a body follows.
+    pub body: bool,
+    /// The load and evidence of the service's other cells, as the entry last saw them.
+    pub peers: Vec<Summary>,
+}
+
+/// What one cell's home tells about its cell, along with each answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The cell.
+    pub cell: ids::CellId,
+    /// Slots of targets that take work.
+    pub slots: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Requests in the queue.
+    pub queued: u32,
+    /// The wait that a new request of the last tier would have.
+    pub wait: clock::Millis,
+    /// The median time of good answers; zero while there is no evidence.
+    pub median: clock::Millis,
+    /// The share of failed or slow requests, from 0 to 1.
+    pub bad: f32,
+    /// The number of recent requests behind `median` and `bad`.
+    pub seen: u32,
+    /// How old the summary was when it was sent on.
+    pub age: clock::Millis,
+}
+
+/// What the entry sends on a request's stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToHome {
+    /// The request's head; always first.
+    Head(Head),
+    /// Allows the home to dispatch non-idempotent work.
+    Go,
+    /// Ends the body, with its trailers.
+    End(Vec<Field>),
+}
+
+/// What the home sends on a request's stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromHome {
+    /// A slot is held for non-idempotent work, which awaits [`ToHome::Go`].
+    Ready,
+    /// The request is refused; always last.
+    Refused {
+        /// The refusal.
+        refusal: refusal::Refusal,
+        /// The cell's state.
+        summary: Option<Summary>,
+    },
+    /// The head of the target's answer.
+    Answer {
+        /// The HTTP status.
+        status: u16,
+        /// The header fields, without those that concern one connection.
+        fields: Vec<Field>,
+        /// The target that answered.
+        target: String,
+        /// The cell's state.
+        summary: Summary,
+    },
+    /// Ends the answer, with its trailers; an answer without it was cut short.
+    End(Vec<Field>),
+}
+
+/// The first message on a stream, which says what the stream is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// One request of a caller.
+    Request,
+    /// One [`Note`] and its reply.
+    Note,
+}
+
+/// What daemons tell each other besides requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Note {
+    /// Asks for the bundle in force, if it is newer than `have`.
+    AskBundle {
+        /// The version that the asker has in force; 0 for none.
+        have: u64,
+    },
+    /// Brings a bundle that was signed off.
+    Bundle(Box<Signed>),
+    /// Brings a request's fingerprint that crashed targets.
+    Quarantine {
+        /// The fingerprint.
+        fingerprint: ids::Fingerprint,
+        /// How long it stays in quarantine.
+        left: clock::Millis,
+    },
+    /// Nothing to tell; the reply to a note that needs none.
+    Done,
+}
+
+/// A bundle with the signature that makes it worth adopting.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Signed {
+    /// The version.
+    pub version: u64,
+    /// The SHA-256 digest of the text, in hexadecimal.
+    pub digest: String,
+    /// The operator who signed it off.
+    pub signer: String,
+    /// The ed25519 signature over version and digest, in hexadecimal.
+    pub signature: String,
+    /// The bundle's text.
+    pub text: String,
+}
--- /dev/null
+++ b/src/protocol/refusal.rs
@@ -0,0 +1,178 @@
+//! Refusals: the answers that peridotspread gives in place of a target's.
+//!
+//! Each is an RFC 9457 problem with the header `Peridotspread-Outcome`. The entry alone writes them to callers; homes
+//! send the [`Refusal`] over the peer protocol.
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::state::clock;
+
+/// What a refusal says about the request's run at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The request did not run, and will not.
+    NotRun,
+    /// The request may have run, or not.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the header `Peridotspread-Outcome`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[non_exhaustive]
+pub enum Cause {
+    /// No bundle is in force yet.
+    NoBundle,
+    /// No route leads anywhere.
+    NoRoute,
+    /// The caller's credential is not known.
+    UnknownCaller,
+    /// The request is malformed or passes a limit.
+    BadRequest,
+    /// The wait would pass the deadline.
+    DeadlineTooShort,
+    /// The deadline passed while the request waited.
+    DeadlinePassed,
+    /// The queue is full.
+    QueueFull,
+    /// A request of a higher tier took the place in the queue.
+    Displaced,
+    /// No target of the service takes work.
+    NoTarget,
+    /// No home of the cells could be reached.
+    NoHome,
+    /// The daemon is shutting down.
+    Draining,
+    /// The request is quarantined because it crashed targets.
+    Quarantined,
+    /// The platform can't record the claim.
+    ClaimUnavailable,
+    /// The key was claimed before, and its run has no recorded outcome.
+    AlreadyClaimed,
+    /// The same key came with a different request.
+    KeyReused,
+    /// The connection to the target failed before the request was sent.
+    ConnectFailed,
+    /// The target broke the connection during the request.
+    TargetBroke,
+    /// The target did not answer before the deadline.
+    TargetTimeout,
+    /// The home was lost after the request was handed to it.
+    HomeLost,
+}
+
+/// A refusal, as homes send it and callers read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// What is known about the run.
+    pub outcome: Outcome,
+    /// Why.
+    pub cause: Cause,
+    /// When to come back; absent when coming back does not help.
+    pub retry_after: Option<clock::Millis>,
+}
+
+impl Refusal {
+    /// Refuses a request that did not run.
+    pub fn not_run(cause: Cause, retry_after: Option<clock::Millis>) -> Refusal {
+        Refusal {
+            outcome: Outcome::NotRun,
+            cause,
+            retry_after,
+        }
+    }
+
+    /// Gives up on a request that may have run.
+    pub fn unknown(cause: Cause) -> Refusal {
+        Refusal {
+            outcome: Outcome::Unknown,
+            cause,
+            retry_after: None,
+        }
+    }
+}
+
+impl Cause {
+    /// Every cause, in the order of the reference page.
+    pub const ALL: [Cause; 19] = [
+        Cause::NoBundle,
+        Cause::NoRoute,
+        Cause::UnknownCaller,
+        Cause::BadRequest,
+        Cause::DeadlineTooShort,
+        Cause::DeadlinePassed,
+        Cause::QueueFull,
+        Cause::Displaced,
+        Cause::NoTarget,
+        Cause::NoHome,
+        Cause::Draining,
+        Cause::Quarantined,
+        Cause::ClaimUnavailable,
+        Cause::AlreadyClaimed,
+        Cause::KeyReused,
+        Cause::ConnectFailed,
+        Cause::TargetBroke,
+        Cause::TargetTimeout,
+        Cause::HomeLost,
+    ];
+
+    /// Returns the name used in problem types, the time line and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::NoBundle => "no-bundle",
+            Cause::NoRoute => "no-route",
+            Cause::UnknownCaller => "unknown-caller",
+            Cause::BadRequest => "bad-request",
+            Cause::DeadlineTooShort => "deadline-too-short",
+            Cause::DeadlinePassed => "deadline-passed",
+            Cause::QueueFull => "queue-full",
+            Cause::Displaced => "displaced",
+            Cause::NoTarget => "no-target",
+            Cause::NoHome => "no-home",
+            Cause::Draining => "draining",
+            Cause::Quarantined => "quarantined",
+            Cause::ClaimUnavailable => "claim-unavailable",
+            Cause::AlreadyClaimed => "already-claimed",
+            Cause::KeyReused => "key-reused",
+            Cause::ConnectFailed => "connect-failed",
+            Cause::TargetBroke => "target-broke",
+            Cause::TargetTimeout => "target-timeout",
+            Cause::HomeLost => "home-lost",
+        }
+    }
+
+    /// Returns the HTTP status that callers see.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Cause::NoRoute => StatusCode::NOT_FOUND,
+            Cause::UnknownCaller => StatusCode::UNAUTHORIZED,
+            Cause::BadRequest => StatusCode::BAD_REQUEST,
+            Cause::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Cause::AlreadyClaimed => StatusCode::CONFLICT,
+            Cause::TargetBroke | Cause::HomeLost => StatusCode::BAD_GATEWAY,
+            Cause::DeadlinePassed | Cause::TargetTimeout => StatusCode::GATEWAY_TIMEOUT,
+            Cause::NoBundle
+            | Cause::DeadlineTooShort
+            | Cause::QueueFull
+            | Cause::Displaced
+            | Cause::NoTarget
+            | Cause::NoHome
+            | Cause::Draining
+            | Cause::Quarantined
+            | Cause::ClaimUnavailable
+            | Cause::ConnectFailed => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
--- /dev/null
+++ b/src/state/bundle/mod.rs
@@ -0,0 +1,214 @@
+//! The versioned bundle: services, routes, targets, tiers, organisations, limits and rules.
+//!
+//! Operators write it in TOML. `check` turns a text into a [`Bundle`] or reports every finding at once; the follower
+//! in [`crate::coordination`] decides which version is in force, and the entry and the cell homes read it from there.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::clock;
+use crate::state::ids;
+
+mod check;
+
+pub use check::parse;
+
+/// A checked bundle.
+///
+/// Every name that it refers to exists in it, and every limit lies within its range.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bundle {
+    /// The version; versions only rise.
+    pub version: u64,
+    /// The tiers by rank: the first is served first.
+    pub tiers: Vec<Tier>,
+    /// What happens to callers without a known credential.
+    #[serde(default)]
+    pub unknown: Unknown,
+    /// The organisations, whose callers are known by their credentials.
+    #[serde(default)]
+    pub organisations: Vec<Organisation>,
+    /// The services with their targets and rules.
+    pub services: Vec<Service>,
+    /// Which requests go to which service.
+    pub routes: Vec<Route>,
+}
+
+/// A rank of callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    /// The tier's name.
+    pub name: String,
+}
+
+/// What happens to callers without a known credential.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "action", deny_unknown_fields)]
+pub enum Unknown {
+    /// They are served in the last tier.
+    #[default]
+    LastTier,
+    /// They are served in the named tier.
+    Tier {
+        /// The tier's name.
+        tier: String,
+    },
+    /// They are refused with status 401.
+    Refuse,
+}
+
+/// An organisation that callers belong to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// The organisation's name.
+    pub name: String,
+    /// The name of its callers' tier.
+    pub tier: String,
+    /// SHA-256 digests of its bearer tokens, in hexadecimal.
+    #[serde(default)]
+    pub credentials: Vec<String>,
+}
+
+/// One service and the rules for its targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// The service's name.
+    pub name: String,
+    /// The number of targets that ejection leaves at least.
+    pub floor: usize,
+    /// The time that a request may take where its caller names none, in milliseconds.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: clock::Millis,
+    /// The requests that may wait in the queue of one cell.
+    #[serde(default = "default_queue")]
+    pub queue: usize,
+    /// How targets are judged.
+    #[serde(default)]
+    pub ejection: Ejection,
+    /// How much is retried.
+    #[serde(default)]
+    pub retry: Retry,
+    /// The targets in all failure domains.
+    pub targets: Vec<Target>,
+}
+
+/// How the targets of a service are judged.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Ejection {
+    /// The log-likelihood ratio from which a target is avoided.
+    pub avoid: f64,
+    /// The log-likelihood ratio from which a target is ejected; higher means fewer false ejections, found later.
+    pub eject: f64,
+    /// How long a granted ejection holds unless it is renewed, in milliseconds.
+    pub lease_ms: clock::Millis,
+}
+
+impl Default for Ejection {
+    fn default() -> Ejection {
+        Ejection {
+            avoid: 2.0,
+            eject: 6.0,
+            lease_ms: clock::Millis(15_000),
+        }
+    }
+}
+
+/// How much idempotent work is retried.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retry {
+    /// Retries as a share of first tries, in percent.
+    pub budget_pct: f64,
+    /// Tries of one request, the first included.
+    pub tries: u32,
+}
+
+impl Default for Retry {
+    fn default() -> Retry {
+        Retry {
+            budget_pct: 10.0,
+            tries: 3,
+        }
+    }
+}
+
+/// One back end of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The target's name, unique within its service.
+    pub name: String,
+    /// Its address as IP and port.
+    pub address: std::net::SocketAddr,
+    /// The failure domain that it stands in.
+    pub domain: String,
+    /// The requests that it works on at a time.
+    pub slots: usize,
+    /// The connections that it takes from the whole fleet.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+    /// Whether operators have told it to leave: it gets no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// Sends the requests under a path prefix to a service; the longest prefix wins, and a named host beats none.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The host that requests name, in lower case and without a port; any where absent.
+    #[serde(default)]
+    pub host: Option<String>,
+    /// The path's prefix, by whole segments.
+    pub prefix: String,
+    /// The service's name.
+    pub service: String,
+    /// Methods that are idempotent here beyond the safe ones (GET, HEAD, OPTIONS and TRACE).
+    #[serde(default)]
+    pub idempotent: Vec<String>,
+}
+
+fn default_deadline() -> clock::Millis {
+    clock::Millis(10_000)
+}
+
+fn default_queue() -> usize {
+    100
+}
+
+fn default_connections() -> usize {
+    400
+}
+
+impl Bundle {
+    /// Finds a service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| s.name == name)
+    }
+
+    /// Returns the rank of the tier called `name`; 0 is served first.
+    pub fn rank(&self, name: &str) -> Option<u8> {
+        let at = self.tiers.iter().position(|t| t.name == name)?;
+        u8::try_from(at).ok()
+    }
+}
+
+impl Service {
+    /// Groups the targets by their cells.
+    pub fn cells(&self) -> BTreeMap<ids::CellId, Vec<&Target>> {
+        let mut cells = BTreeMap::<ids::CellId, Vec<&Target>>::new();
+        for target in &self.targets {
+            cells
+                .entry(ids::CellId::new(&self.name, &target.domain))
+                .or_default()
+                .push(target);
+        }
+        cells
+    }
+}
--- /dev/null
+++ b/src/state/ids.rs
@@ -0,0 +1,71 @@
+//! Identities that cross process borders.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// One service's targets in one failure domain: the unit that has a home.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CellId {
+    /// The service's name in the bundle.
+    pub service: String,
+    /// The failure domain's name in the bundle.
+    pub domain: String,
+}
+
+impl CellId {
+    /// Names the cell of `service` in `domain`.
+    pub fn new(service: &str, domain: &str) -> CellId {
+        CellId {
+            service: service.to_owned(),
+            domain: domain.to_owned(),
+        }
+    }
+}
+
+impl fmt::Display for CellId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.service, self.domain)
+    }
+}
+
+/// One request of a caller, unique over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId(pub u128);
+
+impl RequestId {
+    /// Draws a new identity at random.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system has no source of randomness.
+    pub fn random() -> RequestId {
+        let mut bytes = [0; 16];
+        getrandom::fill(&mut bytes).expect("the system has a source of randomness");
+        RequestId(u128::from_le_bytes(bytes))
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// Tells one run of a daemon from the next; a later start has the higher number.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// One request within a cell's home; unique within one run of the daemon.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Ticket(pub u64);
+
+/// Identifies what a request does, for the quarantine of requests that crash targets.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Fingerprint(pub u64);
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,8 @@
+//! What the daemon knows: time, identities, settings, the bundle and the record of events.
+
+pub mod bundle;
+pub mod clock;
+pub mod findings;
+pub mod ids;
+pub mod settings;
+pub mod timeline;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! The test binary of the library: one module a topic.
+
+mod findings;
