--- /dev/null
+++ b/src/daemon/home.rs
@@ -0,0 +1,464 @@
+//! The home of cells: takes requests from entries, dispatches them to targets, and streams the answers back.
+//!
+//! A request arrives on a stream of its own, from another daemon or from this daemon's own [`super::entry`]. The cell's
+//! actor decides; this module sends to the target and reports how each try ended.
+
+use std::collections::BTreeMap;
+use std::sync;
+use std::sync::atomic;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use ractor::{Actor, ActorRef};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::{sync as tasks, task, time};
+
+use crate::coordination::cell::{Arrival, Outcome};
+use crate::daemon::cell;
+use crate::daemon::cell::{Message, Verdict};
+use crate::protocol::{frame, headers, peer, refusal};
+use crate::state::{bundle, clock, ids, timeline};
+use crate::transport::{body, pool};
+
+/// How long a request may wait before the entry is told that its home is alive.
+const QUEUED_NOTICE: clock::Millis = clock::Millis(20);
+/// When to come back after a target could not be connected to.
+const CONNECT_RETRY: clock::Millis = clock::Millis(1_000);
+
+/// The reading half of a request's stream.
+pub type Reader = Box<dyn AsyncRead + Send + Unpin>;
+/// The writing half of a request's stream.
+pub type Writer = Box<dyn AsyncWrite + Send + Unpin>;
+
+/// What the home works with.
+pub struct Options {
+    /// The daemon's clock.
+    pub clock: clock::Clock,
+    /// The daemon's time line.
+    pub recorder: sync::Arc<timeline::Recorder>,
+    /// The bundle in force.
+    pub bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
+    /// The connections to targets.
+    pub pool: pool::Pool,
+    /// The ejection budget.
+    pub budget: sync::Arc<dyn cell::Budget>,
+    /// The way to the whole fleet.
+    pub spread: sync::Arc<dyn cell::Spread>,
+}
+
+/// The cells that this daemon is or was home of.
+pub struct Home {
+    options: Options,
+    cells: tasks::Mutex<BTreeMap<ids::CellId, Handle>>,
+    tickets: atomic::AtomicU64,
+}
+
+/// A running cell.
+#[derive(Clone)]
+struct Handle {
+    actor: ActorRef<Message>,
+    summary: sync::Arc<sync::RwLock<peer::Summary>>,
+}
+
+impl Handle {
+    fn tell(&self, message: Message) {
+        if let Err(e) = self.actor.send_message(message) {
+            log::error!("a cell does not take messages: {e}");
+        }
+    }
+
+    fn summary(&self) -> Option<peer::Summary> {
+        self.summary.read().ok().map(|s| s.clone())
+    }
+}
+
+impl Home {
+    /// Creates a home without cells; each starts with its first request.
+    pub fn new(options: Options) -> Home {
+        Home { options, cells: tasks::Mutex::default(), tickets: atomic::AtomicU64::default() }
+    }
+
+    /// Passes a new bundle to all cells.
+    pub async fn adopt(&self, bundle: &sync::Arc<bundle::Bundle>) {
+        for handle in self.cells.lock().await.values() {
+            handle.tell(Message::Rules(bundle.clone()));
+        }
+    }
+
+    /// Returns the summaries of all cells here.
+    pub async fn summaries(&self) -> Vec<peer::Summary> {
+        self.cells.lock().await.values().filter_map(Handle::summary).collect()
+    }
+
+    /// Closes connections to targets that have been idle for too long.
+    pub fn sweep(&self) {
+        self.options.pool.sweep();
+    }
+
+    async fn cell(&self, id: &ids::CellId) -> Option<Handle> {
+        let mut cells = self.cells.lock().await;
+        if let Some(handle) = cells.get(id) {
+            return Some(handle.clone());
+        }
+        let bundle = self.options.bundle.borrow().clone();
+        bundle.service(&id.service)?;
+        let summary = sync::Arc::new(sync::RwLock::new(crate::coordination::cell::Cell::new(id).summary(clock::Millis::ZERO)));
+        let options = cell::Options {
+            id: id.clone(),
+            bundle,
+            clock: self.options.clock,
+            recorder: self.options.recorder.clone(),
+            budget: self.options.budget.clone(),
+            spread: self.options.spread.clone(),
+            summary: summary.clone(),
+        };
+        let (actor, _) = Actor::spawn(None, cell::Carrier, options).await.ok()?;
+        let handle = Handle { actor, summary };
+        cells.insert(id.clone(), handle.clone());
+        self.options.recorder.record(timeline::Kind::Home, subject(id, None, None), "this daemon is home of the cell");
+        Some(handle)
+    }
+
+    /// Serves one request that came on a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream breaks; the request is then cancelled.
+    pub async fn serve(&self, mut recv: Reader, mut send: Writer) -> Result<(), frame::Error> {
+        let peer::ToHome::Head(mut head) = frame::receive(&mut recv).await? else {
+            return frame::OutOfOrderSnafu.fail();
+        };
+        self.options.recorder.observe(head.stamp);
+        let Some(handle) = self.cell(&head.cell).await else {
+            let refusal = refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY));
+            return frame::send(&mut send, &peer::FromHome::Refused { refusal, summary: None }).await;
+        };
+        handle.tell(Message::Peers(std::mem::take(&mut head.peers)));
+        let inbound = Inbound::start(recv);
+        let ticket = ids::Ticket(self.tickets.fetch_add(1, atomic::Ordering::Relaxed));
+        let deadline = self.options.clock.now() + head.left;
+        let (verdicts, receiver) = tasks::mpsc::unbounded_channel();
+        let arrival = Arrival {
+            ticket,
+            tier: head.tier,
+            deadline,
+            idempotent: head.idempotent,
+            replayable: !head.more,
+            fingerprint: head.fingerprint,
+        };
+        handle.tell(Message::Arrive { arrival, verdicts });
+        let exchange = Exchange {
+            home: self,
+            held: Held { handle: handle.clone(), ticket, released: false },
+            head,
+            deadline,
+            send,
+            pieces: Some(inbound.pieces),
+            go: Some(inbound.go),
+            verdicts: receiver,
+        };
+        tokio::select! {
+            served = exchange.run() => served,
+            _ = inbound.gone => Ok(()),
+        }
+    }
+}
+
+/// Builds the subject of a time line event about a cell.
+fn subject<'a>(
+    cell: &'a ids::CellId,
+    target: Option<&'a str>,
+    request: Option<ids::RequestId>,
+) -> timeline::Subject<'a> {
+    timeline::Subject { service: Some(&cell.service), target, request }
+}
+
+/// What comes from the entry after the head.
+struct Inbound {
+    pieces: tasks::mpsc::Receiver<body::Piece>,
+    go: tasks::oneshot::Receiver<()>,
+    /// Resolves when the entry has gone.
+    gone: AbortOnDrop,
+}
+
+/// A task that ends with its owner.
+struct AbortOnDrop(task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Future for AbortOnDrop {
+    type Output = ();
+
+    fn poll(mut self: std::pin::Pin<&mut Self>, cx: &mut std::task::Context<'_>) -> std::task::Poll<()> {
+        std::pin::Pin::new(&mut self.0).poll(cx).map(|_| ())
+    }
+}
+
+impl Inbound {
+    fn start(recv: Reader) -> Inbound {
+        let (piece_sender, pieces) = body::channel();
+        let (go_sender, go) = tasks::oneshot::channel();
+        let gone = AbortOnDrop(tokio::spawn(read_inbound(recv, piece_sender, go_sender)));
+        Inbound { pieces, go, gone }
+    }
+}
+
+/// Reads the entry's frames until the entry has gone.
+async fn read_inbound(mut recv: Reader, pieces: tasks::mpsc::Sender<body::Piece>, go: tasks::oneshot::Sender<()>) {
+    let mut go = Some(go);
+    let mut pieces = Some(pieces);
+    while let Ok(frame) = frame::read(&mut recv).await {
+        let piece = match frame {
+            frame::Frame::Data(data) => body::Piece::Data(data),
+            control @ frame::Frame::Control(_) => match frame::decode::<peer::ToHome>(&control) {
+                Ok(peer::ToHome::Go) => {
+                    if let Some(go) = go.take() {
+                        // The exchange may have ended already.
+                        let _ = go.send(());
+                    }
+                    continue;
+                }
+                Ok(peer::ToHome::End(trailers)) => body::Piece::End(headers::from_fields(&trailers)),
+                Ok(peer::ToHome::Head(_)) | Err(_) => return,
+            },
+        };
+        let ends = matches!(piece, body::Piece::End(_));
+        if let Some(sender) = &pieces {
+            // A target that answers early stops reading the body.
+            let _ = sender.send(piece).await;
+        }
+        if ends {
+            pieces = None;
+        }
+    }
+}
+
+/// A request's place in its cell; cancelled when dropped before its release.
+struct Held {
+    handle: Handle,
+    ticket: ids::Ticket,
+    released: bool,
+}
+
+impl Held {
+    fn done(&self, outcome: Outcome) {
+        self.handle.tell(Message::Done { ticket: self.ticket, outcome });
+    }
+
+    fn release(&mut self) {
+        self.released = true;
+        self.handle.tell(Message::Release(self.ticket));
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if !self.released {
+            self.handle.tell(Message::Cancel(self.ticket));
+        }
+    }
+}
+
+/// One request at its home.
+struct Exchange<'a> {
+    home: &'a Home,
+    held: Held,
+    head: peer::Head,
+    deadline: clock::Millis,
+    send: Writer,
+    pieces: Option<tasks::mpsc::Receiver<body::Piece>>,
+    go: Option<tasks::oneshot::Receiver<()>>,
+    verdicts: tasks::mpsc::UnboundedReceiver<Verdict>,
+}
+
+/// What the last try brought, for the caller if no other follows.
+enum Last {
+    /// An answer that counts as a failure.
+    Answer { response: Response<Incoming>, connection: pool::Connection, target: String },
+    /// No answer.
+    Refusal(refusal::Refusal),
+}
+
+impl Exchange<'_> {
+    async fn run(mut self) -> Result<(), frame::Error> {
+        let mut last = None;
+        loop {
+            match self.next_verdict().await? {
+                Verdict::Refuse(refusal) => return self.refuse(refusal).await,
+                Verdict::Grant(target) => {
+                    // A failed answer that is not passed on is dropped with its connection.
+                    drop(last.take());
+                    if !self.await_go().await? {
+                        return Ok(());
+                    }
+                    match self.dispatch(&target).await {
+                        Ok((response, connection)) => {
+                            let outcome = classify(&response);
+                            self.held.done(outcome);
+                            if outcome == Outcome::Answered {
+                                return self.pass_on(response, connection, &target).await;
+                            }
+                            last = Some(Last::Answer { response, connection, target });
+                        }
+                        Err((outcome, refusal)) => {
+                            self.held.done(outcome);
+                            last = Some(Last::Refusal(refusal));
+                        }
+                    }
+                }
+                Verdict::GiveUp => {
+                    return match last {
+                        Some(Last::Answer { response, connection, target }) => {
+                            self.pass_on(response, connection, &target).await
+                        }
+                        Some(Last::Refusal(refusal)) => self.refuse(refusal).await,
+                        None => self.refuse(refusal::Refusal::unknown(refusal::Cause::TargetBroke)).await,
+                    };
+                }
+            }
+        }
+    }
+
+    /// Waits for the cell's verdict, and tells the entry once that the request is queued.
+    async fn next_verdict(&mut self) -> Result<Verdict, frame::Error> {
+        let gone = Verdict::Refuse(refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY)));
+        if let Ok(verdict) = time::timeout(QUEUED_NOTICE.span(), self.verdicts.recv()).await {
+            return Ok(verdict.unwrap_or(gone));
+        }
+        frame::send(&mut self.send, &peer::FromHome::Queued).await?;
+        Ok(self.verdicts.recv().await.unwrap_or(gone))
+    }
+
+    /// Asks the entry to allow the dispatch of non-idempotent work; returns whether it did before the deadline.
+    async fn await_go(&mut self) -> Result<bool, frame::Error> {
+        if self.head.idempotent {
+            return Ok(true);
+        }
+        let Some(go) = self.go.take() else { return Ok(true) };
+        frame::send(&mut self.send, &peer::FromHome::Ready).await?;
+        let at = self.home.options.clock.instant(self.deadline);
+        Ok(matches!(time::timeout_at(at.into(), go).await, Ok(Ok(()))))
+    }
+
+    async fn dispatch(
+        &mut self,
+        name: &str,
+    ) -> Result<(Response<Incoming>, pool::Connection), (Outcome, refusal::Refusal)> {
+        let not_sent = refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(CONNECT_RETRY));
+        self.held.handle.tell(Message::Dispatch(self.held.ticket));
+        let address = self.address(name).ok_or((Outcome::ConnectFailed, not_sent))?;
+        let options = &self.home.options;
+        options.recorder.record(
+            timeline::Kind::Dispatched,
+            subject(&self.head.cell, Some(name), Some(self.head.request)),
+            "",
+        );
+        let mut connection = match options.pool.acquire(address, self.head.idempotent).await {
+            Ok(connection) => connection,
+            Err(e) => {
+                log::debug!("{e}");
+                return Err((Outcome::ConnectFailed, not_sent));
+            }
+        };
+        let Some(request) = self.request() else {
+            return Err((Outcome::ConnectFailed, not_sent));
+        };
+        let at = self.home.options.clock.instant(self.deadline);
+        match time::timeout_at(at.into(), connection.send(request)).await {
+            Ok(Ok(response)) => Ok((response, connection)),
+            Ok(Err(e)) if e.never_sent() => Err((Outcome::ConnectFailed, not_sent)),
+            Ok(Err(_)) => Err((Outcome::Broken, refusal::Refusal::unknown(refusal::Cause::TargetBroke))),
+            Err(_) => Err((Outcome::TimedOut, refusal::Refusal::unknown(refusal::Cause::TargetTimeout))),
+        }
+    }
+
+    fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
+        let bundle = self.home.options.bundle.borrow();
+        let service = bundle.service(&self.head.cell.service)?;
+        service.targets.iter().find(|t| t.name == name).map(|t| t.address)
+    }
+
+    /// Builds the request to the target; absent if it is malformed or its body was sent before.
+    fn request(&mut self) -> Option<Request<body::Body>> {
+        let first = Bytes::from(self.head.body.clone());
+        let body = if self.head.more {
+            body::streamed(first, self.pieces.take()?)
+        } else {
+            body::with_trailers(first, headers::from_fields(&self.head.trailers))
+        };
+        let method = Method::from_bytes(self.head.method.as_bytes()).ok()?;
+        let mut request = Request::new(body);
+        *request.method_mut() = method;
+        *request.uri_mut() = self.head.uri.parse::<Uri>().ok()?;
+        *request.headers_mut() = headers::from_fields(&self.head.fields);
+        let left = self.deadline - self.home.options.clock.now();
+        request.headers_mut().insert(headers::DEADLINE, left.0.into());
+        if let Ok(id) = self.head.request.to_string().parse() {
+            request.headers_mut().insert(headers::REQUEST, id);
+        }
+        Some(request)
+    }
+
+    async fn refuse(mut self, refusal: refusal::Refusal) -> Result<(), frame::Error> {
+        self.held.release();
+        let summary = self.held.handle.summary();
+        frame::send(&mut self.send, &peer::FromHome::Refused { refusal, summary }).await
+    }
+
+    /// Streams an answer to the entry; an answer that the target cuts short ends without [`peer::FromHome::End`].
+    async fn pass_on(
+        mut self,
+        response: Response<Incoming>,
+        connection: pool::Connection,
+        target: &str,
+    ) -> Result<(), frame::Error> {
+        let (parts, mut incoming) = response.into_parts();
+        let Some(summary) = self.held.handle.summary() else { return Ok(()) };
+        let answer = peer::FromHome::Answer {
+            status: parts.status.as_u16(),
+            fields: headers::to_fields(&parts.headers),
+            target: target.to_owned(),
+            summary,
+        };
+        frame::send(&mut self.send, &answer).await?;
+        let mut trailers = HeaderMap::new();
+        let patience = self.patience();
+        loop {
+            let Ok(next) = time::timeout(patience.span(), incoming.frame()).await else { return Ok(()) };
+            let Some(next) = next else { break };
+            let Ok(piece) = next else { return Ok(()) };
+            match piece.into_data() {
+                Ok(data) => frame::send_data(&mut self.send, &data).await?,
+                Err(other) => trailers = other.into_trailers().unwrap_or_default(),
+            }
+        }
+        self.held.release();
+        frame::send(&mut self.send, &peer::FromHome::End(headers::to_fields(&trailers))).await?;
+        self.home.options.pool.put_back(connection).await;
+        Ok(())
+    }
+
+    /// Returns how long the target may take between two pieces of its answer.
+    fn patience(&self) -> clock::Millis {
+        let bundle = self.home.options.bundle.borrow();
+        bundle.service(&self.head.cell.service).map_or(self.head.left, |s| s.deadline_ms)
+    }
+}
+
+/// Tells how a try with an answer ended.
+fn classify(response: &Response<Incoming>) -> Outcome {
+    let sheds = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+    if sheds && response.headers().contains_key(header::RETRY_AFTER) {
+        return Outcome::Shed;
+    }
+    if response.status().is_server_error() {
+        return Outcome::Failed;
+    }
+    Outcome::Answered
+}
--- /dev/null
+++ b/src/daemon/metrics.rs
@@ -0,0 +1,90 @@
+//! Metrics by `opentelemetry`, read at the admin address in the Prometheus format.
+//!
+//! The series are bounded: services and tiers come from the bundle, outcomes and causes from enumerations.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+
+use crate::state::clock;
+
+/// The daemon's instruments.
+pub struct Metrics {
+    registry: prometheus::Registry,
+    provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    duration: Histogram<f64>,
+    refusals: Counter<u64>,
+}
+
+/// Why the instruments could not be made.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(display("the metrics can't be set up"))]
+pub struct Error {
+    source: Box<dyn std::error::Error + Send + Sync>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the exporter can't be built.
+    pub fn new() -> Result<Metrics, Error> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error { source: Box::new(e) })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("peridotspread");
+        Ok(Metrics {
+            requests: meter
+                .u64_counter("peridotspread.entry.requests")
+                .with_description("Requests of callers by service, tier and outcome")
+                .build(),
+            duration: meter
+                .f64_histogram("http.server.request.duration")
+                .with_unit("s")
+                .with_description("Time from a request's head to its answer's head")
+                .build(),
+            refusals: meter
+                .u64_counter("peridotspread.entry.refusals")
+                .with_description("Refused requests by cause and outcome")
+                .build(),
+            registry,
+            provider,
+        })
+    }
+
+    /// Counts a request that was answered by a target, or refused.
+    pub fn request(&self, service: &str, tier: u8, outcome: &'static str, took: clock::Millis) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("tier", i64::from(tier)),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+        self.duration.record(took.0 as f64 / 1_000.0, &labels[..1]);
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, cause: &'static str, outcome: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("cause", cause), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Returns all series in the Prometheus text format.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(e) = prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("the metrics can't be written: {e}");
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+
+    /// Returns the provider, from which other modules take instruments of their own.
+    pub fn provider(&self) -> &SdkMeterProvider {
+        &self.provider
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,1 +1,12 @@
 //! The daemon: actors that carry the state machines of [`crate::coordination`] over [`crate::transport`].
+//!
+//! [`run`] starts them in order: time line, peers, membership, follower of the bundle, cells, entry, admin. An
+//! [`entry`] takes a caller's request and picks a cell and its [`home`]; the home asks its [`cell`] actor for a slot,
+//! sends the request to the target and streams the answer back.
+
+pub mod cell;
+pub mod claims;
+pub mod entry;
+pub mod exchange;
+pub mod home;
+pub mod metrics;
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -18,7 +18,7 @@
 
 /// Returns whether the field concerns one connection only, whatever `Connection` names.
 fn concerns_connection(name: &HeaderName) -> bool {
-    const NAMES: [HeaderName; 9] = [
+    const NAMES: [HeaderName; 8] = [
         header::CONNECTION,
         header::PROXY_AUTHENTICATE,
         header::PROXY_AUTHORIZATION,
@@ -27,18 +27,20 @@
         header::TRANSFER_ENCODING,
         header::UPGRADE,
         header::EXPECT,
-        header::CONTENT_LENGTH,
     ];
     NAMES.contains(name) || name == "keep-alive" || name == "proxy-connection"
 }
 
 /// Returns the fields of `map` that are passed on: all but those that concern one connection.
 ///
-/// `Content-Length` is not among them, because each connection frames the body anew; `Host` is kept.
+/// `Content-Length` is passed on, so that an answer cut short is seen to be short, but never beside
+/// `Transfer-Encoding`, which goes before it.
 pub fn to_fields(map: &HeaderMap) -> Vec<peer::Field> {
     let named = named_by_connection(map);
+    let chunked = map.contains_key(header::TRANSFER_ENCODING);
     map.iter()
         .filter(|(name, _)| !concerns_connection(name) && !named.iter().any(|n| n == name.as_str()))
+        .filter(|(name, _)| !(chunked && **name == header::CONTENT_LENGTH))
         .map(|(name, value)| peer::Field {
             name: name.as_str().to_owned(),
             value: value.as_bytes().to_vec(),
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -4,4 +4,5 @@
 pub mod headers;
 pub mod peer;
 pub mod platform;
+pub mod problem;
 pub mod refusal;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -45,8 +45,12 @@
     pub uri: String,
     /// The header fields, without those that concern one connection.
     pub fields: Vec<Field>,
-    /// Whether a body follows.
-    pub body: bool,
+    /// The body, or its first bytes.
+    pub body: Vec<u8>,
+    /// Whether more of the body follows as pieces; if not, the request can be sent to a target again.
+    pub more: bool,
+    /// The trailers of a body that is here as a whole.
+    pub trailers: Vec<Field>,
     /// The load and evidence of the service's other cells, as the entry last saw them.
     pub peers: Vec<Summary>,
 }
@@ -88,6 +92,8 @@
 /// What the home sends on a request's stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromHome {
+    /// The request waits in the queue; tells the entry that the home is alive.
+    Queued,
     /// A slot is held for non-idempotent work, which awaits [`ToHome::Go`].
     Ready,
     /// The request is refused; always last.
--- /dev/null
+++ b/src/protocol/problem.rs
@@ -0,0 +1,82 @@
+//! Answers that the entry writes itself: RFC 9457 problems, and the recorded outcome of work that ran before.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::headers;
+use crate::protocol::refusal;
+use crate::state::ids;
+use crate::transport::body;
+
+/// The start of every problem type; the rest is the cause's name.
+const TYPE_PREFIX: &str = "urn:peridotspread:refusal:";
+/// The media type of problem bodies.
+const MEDIA_TYPE: &str = "application/problem+json";
+/// Tells a resend that its answer is the recorded outcome of an earlier run.
+pub const REPLAYED: &str = "peridotspread-replayed";
+
+/// The body of a refusal.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    outcome: &'a str,
+    cause: &'a str,
+    request: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// What is kept of an answer to keyed work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The HTTP status.
+    pub status: u16,
+}
+
+/// Returns the answer that tells a caller of a refusal.
+pub fn response(refusal: &refusal::Refusal, id: ids::RequestId) -> Response<body::Body> {
+    let status = refusal.cause.status();
+    let problem = Problem {
+        r#type: format!("{TYPE_PREFIX}{}", refusal.cause.as_str()),
+        title: refusal.cause.title(),
+        status: status.as_u16(),
+        outcome: refusal.outcome.as_str(),
+        cause: refusal.cause.as_str(),
+        request: id.to_string(),
+        retry_after_ms: refusal.retry_after.map(|m| m.0),
+    };
+    let text = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut response = Response::new(body::whole(Bytes::from(text)));
+    *response.status_mut() = status;
+    let map = response.headers_mut();
+    map.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
+    map.insert(headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
+    if let Some(after) = refusal.retry_after {
+        map.insert(header::RETRY_AFTER, HeaderValue::from(after.0.div_ceil(1_000).max(1)));
+    }
+    name_request(map, id);
+    response
+}
+
+/// Puts the request's identity on an answer.
+pub fn name_request(map: &mut HeaderMap, id: ids::RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        map.insert(headers::REQUEST, value);
+    }
+}
+
+/// Returns what is kept of a target's answer to keyed work.
+pub fn record(response: &Response<body::Body>) -> Record {
+    Record { status: response.status().as_u16() }
+}
+
+/// Returns the answer to a resend of keyed work that ran before.
+pub fn recorded(record: &Record) -> Response<body::Body> {
+    let mut response = Response::new(body::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::from_u16(record.status).unwrap_or(StatusCode::OK);
+    response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+}
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -153,6 +153,31 @@
         }
     }
 
+    /// Returns one sentence for a person.
+    pub fn title(self) -> &'static str {
+        match self {
+            Cause::NoBundle => "No bundle is in force yet",
+            Cause::NoRoute => "No route leads to a service",
+            Cause::UnknownCaller => "The credential is not known",
+            Cause::BadRequest => "The request is malformed or passes a limit",
+            Cause::DeadlineTooShort => "The wait would pass the deadline",
+            Cause::DeadlinePassed => "The deadline passed before the request was dispatched",
+            Cause::QueueFull => "The queue is full",
+            Cause::Displaced => "A request of a higher tier took the place in the queue",
+            Cause::NoTarget => "No target of the service takes work",
+            Cause::NoHome => "No home of the service's cells could be reached",
+            Cause::Draining => "The daemon is shutting down",
+            Cause::Quarantined => "The request is quarantined because it crashed targets",
+            Cause::ClaimUnavailable => "The idempotency key can't be claimed now",
+            Cause::AlreadyClaimed => "The idempotency key was claimed before and has no recorded outcome",
+            Cause::KeyReused => "The idempotency key was used for a different request",
+            Cause::ConnectFailed => "No connection to a target was had",
+            Cause::TargetBroke => "The target broke the connection during the request",
+            Cause::TargetTimeout => "The target did not answer before the deadline",
+            Cause::HomeLost => "The daemon that handed the request to a target was lost",
+        }
+    }
+
     /// Returns the HTTP status that callers see.
     pub fn status(self) -> StatusCode {
         match self {
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -200,6 +200,19 @@
 }
 
 impl Service {
+    /// Returns a service as it is after its removal from the bundle: no targets, no waiting requests.
+    pub fn without_targets(name: &str) -> Service {
+        Service {
+            name: name.to_owned(),
+            floor: 0,
+            deadline_ms: default_deadline(),
+            queue: 0,
+            ejection: Ejection::default(),
+            retry: Retry::default(),
+            targets: Vec::new(),
+        }
+    }
+
     /// Groups the targets by their cells.
     pub fn cells(&self) -> BTreeMap<ids::CellId, Vec<&Target>> {
         let mut cells = BTreeMap::<ids::CellId, Vec<&Target>>::new();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,5 +4,6 @@
 pub mod clock;
 pub mod findings;
 pub mod ids;
+pub mod index;
 pub mod settings;
 pub mod timeline;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,1 +1,5 @@
 //! What moves the bytes: QUIC between daemons, HTTP to callers and targets, and the client of the platform.
+
+pub mod body;
+pub mod http;
+pub mod pool;
