--- a/src/coordination/cell.rs
+++ b/src/coordination/cell.rs
@@ -81,6 +81,15 @@
         /// The target.
         target: &'a str,
     },
+    /// A request's fingerprint was quarantined elsewhere in the fleet.
+    Quarantined {
+        /// What the request does.
+        fingerprint: ids::Fingerprint,
+        /// How long it stays in quarantine.
+        span: clock::Millis,
+    },
+    /// The home gives up the cell: what was not dispatched goes back, what runs is finished, nothing new is taken.
+    Drain,
     /// Time passed.
     Tick,
 }
@@ -107,6 +116,12 @@
         /// The request.
         ticket: ids::Ticket,
     },
+    /// The try in flight is given up because its target stalls: the home closes the connection and sends no more events
+    /// about this try. The request is idempotent, and its grant at another target is the next action.
+    Abandon {
+        /// The request.
+        ticket: ids::Ticket,
+    },
     /// A share of the ejection budget is wanted for the target.
     AskEjection {
         /// The target's name.
@@ -176,6 +191,8 @@
             | Event::Peers(_)
             | Event::Granted { .. }
             | Event::Denied { .. }
+            | Event::Quarantined { .. }
+            | Event::Drain
             | Event::Tick => {}
         }
         self.expire(now, &mut actions);
@@ -199,6 +216,11 @@
         }
     }
 
+    /// Returns whether the request runs as a trial at a target that is avoided or ejected.
+    pub fn is_trial(&self, _ticket: ids::Ticket) -> bool {
+        false
+    }
+
     /// Returns when [`Event::Tick`] is due at the latest.
     pub fn wake(&self) -> clock::Millis {
         let waiting = self.queues.values().flatten();
