--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! The lab's library: what its commands and tests share.
+
+pub mod replay;
