--- /dev/null
+++ b/tests/testsuite/quic.rs
@@ -0,0 +1,117 @@
+//! Daemons reach each other over QUIC, and nobody else gets in.
+
+use bytes::Bytes;
+use peridotspread::protocol::peer;
+use peridotspread::transport::keys;
+use peridotspread::transport::quic;
+use tokio::sync::mpsc;
+
+use crate::support::fleet;
+
+fn bind(files: &fleet::Files, name: &str) -> (quic::Peers, mpsc::Receiver<quic::Incoming>) {
+    quic::Peers::bind(&files.settings(name)).unwrap()
+}
+
+#[tokio::test]
+async fn a_stream_and_a_datagram_name_their_sender() {
+    let files = fleet::files("quic-names");
+    let (a, _from_b) = bind(&files, "a");
+    let (b, mut from_a) = bind(&files, "b");
+    let (mut send, mut recv) = a.open("b", b.local(), peer::Purpose::Note).await.unwrap();
+    let Some(quic::Incoming::Stream {
+        from,
+        purpose,
+        send: mut back,
+        ..
+    }) = from_a.recv().await
+    else {
+        panic!("a stream comes first");
+    };
+    assert_eq!((from.as_str(), purpose), ("a", peer::Purpose::Note));
+    back.write_all(b"answer").await.unwrap();
+    back.finish().unwrap();
+    assert_eq!(recv.read_to_end(100).await.unwrap(), b"answer");
+    send.finish().unwrap();
+
+    let sent = Bytes::from_static(b"datagram");
+    a.datagram("b", b.local(), sent.clone()).await.unwrap();
+    let Some(quic::Incoming::Datagram { from, bytes }) = from_a.recv().await else {
+        panic!("a datagram comes next");
+    };
+    assert_eq!((from.as_str(), bytes), ("a", sent));
+}
+
+#[tokio::test]
+async fn a_certificate_of_another_authority_is_refused_in_both_directions() {
+    let files = fleet::files("quic-ours");
+    let others = fleet::files("quic-theirs");
+    let (a, mut at_a) = bind(&files, "a");
+    let (stranger, mut at_stranger) = bind(&others, "b");
+    let from_ours = a.open("b", stranger.local(), peer::Purpose::Note).await;
+    assert!(
+        matches!(from_ours, Err(quic::Error::Handshake { .. })),
+        "{from_ours:?}"
+    );
+
+    // The stranger may trust this fleet's authority and still shows a certificate that the fleet does not know.
+    let mut forged = others.settings("c");
+    forged.keys.authority = files.settings("c").keys.authority;
+    let (forger, _) = quic::Peers::bind(&forged).unwrap();
+    if let Ok((_, mut recv)) = forger.open("a", a.local(), peer::Purpose::Note).await {
+        assert!(recv.read_to_end(100).await.is_err());
+    }
+    assert!(at_a.try_recv().is_err());
+    assert!(at_stranger.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn a_wrong_daemon_behind_an_address_is_refused() {
+    let files = fleet::files("quic-wrong");
+    let (a, _from_b) = bind(&files, "a");
+    let (b, mut from_a) = bind(&files, "b");
+    let opened = a.open("c", b.local(), peer::Purpose::Note).await;
+    assert!(
+        matches!(opened, Err(quic::Error::Handshake { .. })),
+        "{opened:?}"
+    );
+    assert!(from_a.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn a_peer_that_starts_again_is_dialled_again() {
+    let files = fleet::files("quic-again");
+    let (a, _from_b) = bind(&files, "a");
+    let (first, mut from_a) = bind(&files, "b");
+    a.open("b", first.local(), peer::Purpose::Note)
+        .await
+        .unwrap();
+    from_a.recv().await.unwrap();
+    first.close().await;
+    let (second, mut from_a) = bind(&files, "b");
+    a.open("b", second.local(), peer::Purpose::Note)
+        .await
+        .unwrap();
+    from_a.recv().await.unwrap();
+}
+
+#[tokio::test]
+async fn keys_of_another_name_are_refused_at_the_start() {
+    let files = fleet::files("quic-other-name");
+    let mut settings = files.settings("a");
+    settings.name = "b".to_owned();
+    let bound = quic::Peers::bind(&settings);
+    assert!(matches!(bound, Err(quic::Error::Name { .. })), "{bound:?}");
+}
+
+#[test]
+fn an_authority_is_taken_up_again() {
+    let first = keys::authority().unwrap();
+    let again = keys::Authority::load(first.certificate(), &first.key()).unwrap();
+    assert!(again.issue("lahore-1-a").is_ok());
+    let other = keys::authority().unwrap();
+    let mixed = keys::Authority::load(first.certificate(), &other.key());
+    assert!(matches!(mixed, Err(keys::Error::Mismatch)), "{mixed:?}");
+    for name in ["", "A", "a b", "10.0.0.1"] {
+        assert!(first.issue(name).is_err(), "{name}");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,3 @@
+//! What the tests share.
+
+pub(crate) mod fleet;
