--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod body;
 pub mod http;
+pub mod keys;
 pub mod pool;
+pub mod quic;
