--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, load generator, demonstration and measurements for peridotspread; for development only.
+
+pub mod platform;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -4,6 +4,7 @@
 //! Non-idempotent work takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
 //! after [`ToHome::Go`]. Everything else between daemons is a [`Note`].
 
+use futures_util::future;
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::refusal;
@@ -131,6 +132,13 @@
     },
     /// Brings a bundle that was signed off.
     Bundle(Box<Signed>),
+    /// Brings a bundle that was signed off, as its difference from one that the receiver has told of.
+    Change(Box<Change>),
+    /// Tells the version in force; the reply of a daemon that has nothing newer.
+    InForce {
+        /// The version; 0 for none.
+        version: u64,
+    },
     /// Brings a request's fingerprint that crashed targets.
     Quarantine {
         /// The fingerprint.
@@ -156,3 +164,49 @@
     /// The bundle's text.
     pub text: String,
 }
+
+/// A bundle that was signed off, as its difference from an earlier one.
+///
+/// The signature covers the digest of the whole text, so the receiver verifies what it has after applying the edits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version that the edits apply to.
+    pub from: u64,
+    /// The new version.
+    pub version: u64,
+    /// The SHA-256 digest of the new text, in hexadecimal.
+    pub digest: String,
+    /// The operator who signed the new version off.
+    pub signer: String,
+    /// The ed25519 signature over version and digest, in hexadecimal.
+    pub signature: String,
+    /// The edits from the start of the text to its end.
+    pub edits: Vec<Edit>,
+}
+
+/// One step from the lines of an earlier text to the lines of a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Edit {
+    /// Takes over as many lines of the earlier text.
+    Keep(u32),
+    /// Leaves out as many lines of the earlier text.
+    Skip(u32),
+    /// Inserts text.
+    Insert(String),
+}
+
+/// Why a note got no reply.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(visibility(pub), display("no reply from the daemon {to} ({reason})"))]
+pub struct NoReply {
+    /// The daemon that was asked.
+    pub to: String,
+    /// What was seen.
+    pub reason: String,
+}
+
+/// Sends notes to other daemons.
+pub trait NoteSender: Send + Sync {
+    /// Sends `note` to the daemon called `to`, and waits for its reply within a timeout of the implementation's own.
+    fn send<'a>(&'a self, to: &'a str, note: Note) -> future::BoxFuture<'a, Result<Note, NoReply>>;
+}
