--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod keys;
 pub mod pool;
 pub mod quic;
+pub mod platform;
