--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -18,6 +18,17 @@
     Leaving,
 }
 
+impl Liveness {
+    /// Returns the word that reports show.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Liveness::Alive => "alive",
+            Liveness::Suspect => "suspect",
+            Liveness::Leaving => "leaving",
+        }
+    }
+}
+
 /// One daemon, as this one sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -29,6 +29,8 @@
     Refuse(refusal::Refusal),
     /// The failed try is final.
     GiveUp,
+    /// The try in flight is given up; a grant at another target follows.
+    Abandon,
 }
 
 /// What the actor is told.
@@ -65,6 +67,15 @@
         /// When the ejection lapses; absent where it is denied.
         until: Option<clock::Millis>,
     },
+    /// A fingerprint was quarantined elsewhere in the fleet.
+    Quarantined {
+        /// The fingerprint.
+        fingerprint: ids::Fingerprint,
+        /// How long.
+        span: clock::Millis,
+    },
+    /// This daemon gives up the cell.
+    Drain,
     /// Time passed.
     Tick,
 }
@@ -79,7 +90,11 @@
     ) -> futures_util::future::BoxFuture<'a, Option<clock::Millis>>;
 
     /// Gives back the ejection of a target.
-    fn end<'a>(&'a self, service: &'a bundle::Service, target: &'a str) -> futures_util::future::BoxFuture<'a, ()>;
+    fn end<'a>(
+        &'a self,
+        service: &'a bundle::Service,
+        target: &'a str,
+    ) -> futures_util::future::BoxFuture<'a, ()>;
 }
 
 /// Takes what a cell tells the whole fleet.
@@ -124,7 +139,11 @@
     type State = State;
     type Arguments = Options;
 
-    async fn pre_start(&self, myself: ActorRef<Message>, options: Options) -> Result<State, ActorProcessingErr> {
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        options: Options,
+    ) -> Result<State, ActorProcessingErr> {
         let rules = Message::Rules(options.bundle.clone());
         myself.send_message(rules)?;
         Ok(State {
@@ -163,7 +182,9 @@
                 self.cell.handle(now, Event::Arrive(arrival))
             }
             Message::Dispatch(ticket) => self.cell.handle(now, Event::Dispatch(ticket)),
-            Message::Done { ticket, outcome } => self.cell.handle(now, Event::Done { ticket, outcome }),
+            Message::Done { ticket, outcome } => {
+                self.cell.handle(now, Event::Done { ticket, outcome })
+            }
             Message::Release(ticket) => {
                 self.verdicts.remove(&ticket);
                 self.cell.handle(now, Event::Release(ticket))
@@ -175,13 +196,28 @@
             Message::Rules(bundle) => {
                 self.service = bundle.service(&self.options.id.service).cloned();
                 let gone = bundle::Service::without_targets(&self.options.id.service);
-                self.cell.handle(now, Event::Rules(self.service.as_ref().unwrap_or(&gone)))
+                self.cell
+                    .handle(now, Event::Rules(self.service.as_ref().unwrap_or(&gone)))
             }
             Message::Peers(summaries) => self.cell.handle(now, Event::Peers(&summaries)),
-            Message::Ejection { target, until: Some(until) } => {
-                self.cell.handle(now, Event::Granted { target: &target, until })
-            }
-            Message::Ejection { target, until: None } => self.cell.handle(now, Event::Denied { target: &target }),
+            Message::Ejection {
+                target,
+                until: Some(until),
+            } => self.cell.handle(
+                now,
+                Event::Granted {
+                    target: &target,
+                    until,
+                },
+            ),
+            Message::Ejection {
+                target,
+                until: None,
+            } => self.cell.handle(now, Event::Denied { target: &target }),
+            Message::Quarantined { fingerprint, span } => self
+                .cell
+                .handle(now, Event::Quarantined { fingerprint, span }),
+            Message::Drain => self.cell.handle(now, Event::Drain),
             Message::Tick => self.cell.handle(now, Event::Tick),
         }
     }
@@ -194,9 +230,14 @@
                 self.verdicts.remove(&ticket);
             }
             Action::GiveUp { ticket } => self.tell(ticket, Verdict::GiveUp),
+            Action::Abandon { ticket } => self.tell(ticket, Verdict::Abandon),
             Action::AskEjection { target } => self.ask_ejection(myself, target),
             Action::EndEjection { target } => self.end_ejection(target),
-            Action::Record { kind, target, detail } => {
+            Action::Record {
+                kind,
+                target,
+                detail,
+            } => {
                 let subject = timeline::Subject {
                     service: Some(&self.options.id.service),
                     target: Some(&target),
@@ -204,7 +245,9 @@
                 };
                 self.options.recorder.record(kind, subject, &detail);
             }
-            Action::Quarantine { fingerprint, span } => self.options.spread.quarantine(fingerprint, span),
+            Action::Quarantine { fingerprint, span } => {
+                self.options.spread.quarantine(fingerprint, span);
+            }
         }
     }
 
@@ -216,7 +259,9 @@
     }
 
     fn ask_ejection(&self, myself: &ActorRef<Message>, target: String) {
-        let Some(service) = self.service.clone() else { return };
+        let Some(service) = self.service.clone() else {
+            return;
+        };
         let budget = self.options.budget.clone();
         let myself = myself.clone();
         tokio::spawn(async move {
@@ -226,7 +271,9 @@
     }
 
     fn end_ejection(&self, target: String) {
-        let Some(service) = self.service.clone() else { return };
+        let Some(service) = self.service.clone() else {
+            return;
+        };
         let budget = self.options.budget.clone();
         tokio::spawn(async move { budget.end(&service, &target).await });
     }
@@ -247,7 +294,11 @@
         if ticked {
             self.armed = None;
         }
-        let due = self.cell.wake().max(now + clock::Millis(1)).min(now + TICK_SPAN);
+        let due = self
+            .cell
+            .wake()
+            .max(now + clock::Millis(1))
+            .min(now + TICK_SPAN);
         if let Some((at, timer)) = &self.armed {
             if *at <= due {
                 return;
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -53,6 +53,8 @@
     options: Options,
     cells: tasks::Mutex<BTreeMap<ids::CellId, Handle>>,
     tickets: atomic::AtomicU64,
+    /// The requests in flight here.
+    running: tasks::watch::Sender<usize>,
 }
 
 /// A running cell.
@@ -77,7 +79,37 @@
 impl Home {
     /// Creates a home without cells; each starts with its first request.
     pub fn new(options: Options) -> Home {
-        Home { options, cells: tasks::Mutex::default(), tickets: atomic::AtomicU64::default() }
+        Home {
+            options,
+            cells: tasks::Mutex::default(),
+            tickets: atomic::AtomicU64::default(),
+            running: tasks::watch::Sender::default(),
+        }
+    }
+
+    /// Gives up all cells: what was not dispatched goes back to its entries.
+    pub async fn drain(&self) {
+        for handle in self.cells.lock().await.values() {
+            handle.tell(Message::Drain);
+        }
+    }
+
+    /// Waits until no request is in flight here, for at most `patience`.
+    pub async fn finish(&self, patience: clock::Millis) {
+        let mut running = self.running.subscribe();
+        if time::timeout(patience.span(), running.wait_for(|n| *n == 0))
+            .await
+            .is_err()
+        {
+            log::warn!("requests are cut: they took longer than {patience} to finish");
+        }
+    }
+
+    /// Refuses requests with the fingerprint in all cells for a time.
+    pub async fn quarantine(&self, fingerprint: ids::Fingerprint, span: clock::Millis) {
+        for handle in self.cells.lock().await.values() {
+            handle.tell(Message::Quarantined { fingerprint, span });
+        }
     }
 
     /// Passes a new bundle to all cells.
@@ -89,7 +121,12 @@
 
     /// Returns the summaries of all cells here.
     pub async fn summaries(&self) -> Vec<peer::Summary> {
-        self.cells.lock().await.values().filter_map(Handle::summary).collect()
+        self.cells
+            .lock()
+            .await
+            .values()
+            .filter_map(Handle::summary)
+            .collect()
     }
 
     /// Closes connections to targets that have been idle for too long.
@@ -104,7 +141,9 @@
         }
         let bundle = self.options.bundle.borrow().clone();
         bundle.service(&id.service)?;
-        let summary = sync::Arc::new(sync::RwLock::new(crate::coordination::cell::Cell::new(id).summary(clock::Millis::ZERO)));
+        let summary = sync::Arc::new(sync::RwLock::new(
+            crate::coordination::cell::Cell::new(id).summary(clock::Millis::ZERO),
+        ));
         let options = cell::Options {
             id: id.clone(),
             bundle,
@@ -117,7 +156,11 @@
         let (actor, _) = Actor::spawn(None, cell::Carrier, options).await.ok()?;
         let handle = Handle { actor, summary };
         cells.insert(id.clone(), handle.clone());
-        self.options.recorder.record(timeline::Kind::Home, subject(id, None, None), "this daemon is home of the cell");
+        self.options.recorder.record(
+            timeline::Kind::Home,
+            subject(id, None, None),
+            "this daemon is home of the cell",
+        );
         Some(handle)
     }
 
@@ -126,14 +169,26 @@
     /// # Errors
     ///
     /// Returns an error if the stream breaks; the request is then cancelled.
-    pub async fn serve(&self, mut recv: Reader, mut send: Writer) -> Result<(), frame::Error> {
+    pub async fn serve(&self, recv: Reader, send: Writer) -> Result<(), frame::Error> {
+        let _counted = Counted::new(&self.running);
+        self.serve_counted(recv, send).await
+    }
+
+    async fn serve_counted(&self, mut recv: Reader, mut send: Writer) -> Result<(), frame::Error> {
         let peer::ToHome::Head(mut head) = frame::receive(&mut recv).await? else {
             return frame::OutOfOrderSnafu.fail();
         };
         self.options.recorder.observe(head.stamp);
         let Some(handle) = self.cell(&head.cell).await else {
             let refusal = refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY));
-            return frame::send(&mut send, &peer::FromHome::Refused { refusal, summary: None }).await;
+            return frame::send(
+                &mut send,
+                &peer::FromHome::Refused {
+                    refusal,
+                    summary: None,
+                },
+            )
+            .await;
         };
         handle.tell(Message::Peers(std::mem::take(&mut head.peers)));
         let inbound = Inbound::start(recv);
@@ -151,7 +206,11 @@
         handle.tell(Message::Arrive { arrival, verdicts });
         let exchange = Exchange {
             home: self,
-            held: Held { handle: handle.clone(), ticket, released: false },
+            held: Held {
+                handle: handle.clone(),
+                ticket,
+                released: false,
+            },
             head,
             deadline,
             send,
@@ -166,13 +225,33 @@
     }
 }
 
+/// Counts a request in flight while it lives.
+struct Counted<'a>(&'a tasks::watch::Sender<usize>);
+
+impl Counted<'_> {
+    fn new(running: &tasks::watch::Sender<usize>) -> Counted<'_> {
+        running.send_modify(|n| *n += 1);
+        Counted(running)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n -= 1);
+    }
+}
+
 /// Builds the subject of a time line event about a cell.
 fn subject<'a>(
     cell: &'a ids::CellId,
     target: Option<&'a str>,
     request: Option<ids::RequestId>,
 ) -> timeline::Subject<'a> {
-    timeline::Subject { service: Some(&cell.service), target, request }
+    timeline::Subject {
+        service: Some(&cell.service),
+        target,
+        request,
+    }
 }
 
 /// What comes from the entry after the head.
@@ -195,7 +274,10 @@
 impl Future for AbortOnDrop {
     type Output = ();
 
-    fn poll(mut self: std::pin::Pin<&mut Self>, cx: &mut std::task::Context<'_>) -> std::task::Poll<()> {
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<()> {
         std::pin::Pin::new(&mut self.0).poll(cx).map(|_| ())
     }
 }
@@ -210,7 +292,11 @@
 }
 
 /// Reads the entry's frames until the entry has gone.
-async fn read_inbound(mut recv: Reader, pieces: tasks::mpsc::Sender<body::Piece>, go: tasks::oneshot::Sender<()>) {
+async fn read_inbound(
+    mut recv: Reader,
+    pieces: tasks::mpsc::Sender<body::Piece>,
+    go: tasks::oneshot::Sender<()>,
+) {
     let mut go = Some(go);
     let mut pieces = Some(pieces);
     while let Ok(frame) = frame::read(&mut recv).await {
@@ -224,7 +310,9 @@
                     }
                     continue;
                 }
-                Ok(peer::ToHome::End(trailers)) => body::Piece::End(headers::from_fields(&trailers)),
+                Ok(peer::ToHome::End(trailers)) => {
+                    body::Piece::End(headers::from_fields(&trailers))
+                }
                 Ok(peer::ToHome::Head(_)) | Err(_) => return,
             },
         };
@@ -248,7 +336,10 @@
 
 impl Held {
     fn done(&self, outcome: Outcome) {
-        self.handle.tell(Message::Done { ticket: self.ticket, outcome });
+        self.handle.tell(Message::Done {
+            ticket: self.ticket,
+            outcome,
+        });
     }
 
     fn release(&mut self) {
@@ -269,7 +360,7 @@
 struct Exchange<'a> {
     home: &'a Home,
     held: Held,
-    head: peer::Head,
+    head: Box<peer::Head>,
     deadline: clock::Millis,
     send: Writer,
     pieces: Option<tasks::mpsc::Receiver<body::Piece>>,
@@ -280,11 +371,48 @@
 /// What the last try brought, for the caller if no other follows.
 enum Last {
     /// An answer that counts as a failure.
-    Answer { response: Response<Incoming>, connection: pool::Connection, target: String },
+    Answer(Box<Answer>),
     /// No answer.
     Refusal(refusal::Refusal),
 }
 
+/// A target's answer, whose body is still to be read from the connection.
+struct Answer {
+    response: Response<Incoming>,
+    connection: pool::Connection,
+    target: String,
+}
+
+/// How one try at a target ended.
+enum Try {
+    /// The head of an answer came.
+    Answer(Box<Answer>),
+    /// No answer came.
+    Failed {
+        outcome: Outcome,
+        refusal: refusal::Refusal,
+    },
+    /// The cell gave the try up while it was in flight.
+    Abandoned,
+}
+
+impl Try {
+    fn not_sent() -> Try {
+        let refusal = refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(CONNECT_RETRY));
+        Try::Failed {
+            outcome: Outcome::ConnectFailed,
+            refusal,
+        }
+    }
+
+    fn unknown(outcome: Outcome, cause: refusal::Cause) -> Try {
+        Try::Failed {
+            outcome,
+            refusal: refusal::Refusal::unknown(cause),
+        }
+    }
+}
+
 impl Exchange<'_> {
     async fn run(mut self) -> Result<(), frame::Error> {
         let mut last = None;
@@ -298,27 +426,31 @@
                         return Ok(());
                     }
                     match self.dispatch(&target).await {
-                        Ok((response, connection)) => {
-                            let outcome = classify(&response);
+                        Try::Answer(answer) => {
+                            let outcome = classify(&answer.response);
                             self.held.done(outcome);
                             if outcome == Outcome::Answered {
-                                return self.pass_on(response, connection, &target).await;
+                                return self.pass_on(*answer).await;
                             }
-                            last = Some(Last::Answer { response, connection, target });
+                            last = Some(Last::Answer(answer));
                         }
-                        Err((outcome, refusal)) => {
+                        Try::Failed { outcome, refusal } => {
                             self.held.done(outcome);
                             last = Some(Last::Refusal(refusal));
                         }
+                        Try::Abandoned => {}
                     }
                 }
+                // The verdict crossed with the end of its try.
+                Verdict::Abandon => {}
                 Verdict::GiveUp => {
                     return match last {
-                        Some(Last::Answer { response, connection, target }) => {
-                            self.pass_on(response, connection, &target).await
-                        }
+                        Some(Last::Answer(answer)) => self.pass_on(*answer).await,
                         Some(Last::Refusal(refusal)) => self.refuse(refusal).await,
-                        None => self.refuse(refusal::Refusal::unknown(refusal::Cause::TargetBroke)).await,
+                        None => {
+                            self.refuse(refusal::Refusal::unknown(refusal::Cause::TargetBroke))
+                                .await
+                        }
                     };
                 }
             }
@@ -327,7 +459,10 @@
 
     /// Waits for the cell's verdict, and tells the entry once that the request is queued.
     async fn next_verdict(&mut self) -> Result<Verdict, frame::Error> {
-        let gone = Verdict::Refuse(refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY)));
+        let gone = Verdict::Refuse(refusal::Refusal::not_run(
+            refusal::Cause::NoTarget,
+            Some(CONNECT_RETRY),
+        ));
         if let Ok(verdict) = time::timeout(QUEUED_NOTICE.span(), self.verdicts.recv()).await {
             return Ok(verdict.unwrap_or(gone));
         }
@@ -335,53 +470,64 @@
         Ok(self.verdicts.recv().await.unwrap_or(gone))
     }
 
-    /// Asks the entry to allow the dispatch of non-idempotent work; returns whether it did before the deadline.
+    /// Asks the entry to allow a dispatch that takes two steps; returns whether it did before the deadline.
     async fn await_go(&mut self) -> Result<bool, frame::Error> {
-        if self.head.idempotent {
+        if !self.head.two_steps() {
             return Ok(true);
         }
-        let Some(go) = self.go.take() else { return Ok(true) };
+        let Some(go) = self.go.take() else {
+            return Ok(true);
+        };
         frame::send(&mut self.send, &peer::FromHome::Ready).await?;
         let at = self.home.options.clock.instant(self.deadline);
         Ok(matches!(time::timeout_at(at.into(), go).await, Ok(Ok(()))))
     }
 
-    async fn dispatch(
-        &mut self,
-        name: &str,
-    ) -> Result<(Response<Incoming>, pool::Connection), (Outcome, refusal::Refusal)> {
-        let not_sent = refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(CONNECT_RETRY));
+    async fn dispatch(&mut self, name: &str) -> Try {
         self.held.handle.tell(Message::Dispatch(self.held.ticket));
-        let address = self.address(name).ok_or((Outcome::ConnectFailed, not_sent))?;
+        let Some(address) = self.address(name) else {
+            return Try::not_sent();
+        };
         let options = &self.home.options;
-        options.recorder.record(
-            timeline::Kind::Dispatched,
-            subject(&self.head.cell, Some(name), Some(self.head.request)),
-            "",
-        );
+        let subject = subject(&self.head.cell, Some(name), Some(self.head.request));
+        options
+            .recorder
+            .record(timeline::Kind::Dispatched, subject, "");
         let mut connection = match options.pool.acquire(address, self.head.idempotent).await {
             Ok(connection) => connection,
             Err(e) => {
                 log::debug!("{e}");
-                return Err((Outcome::ConnectFailed, not_sent));
+                return Try::not_sent();
             }
         };
         let Some(request) = self.request() else {
-            return Err((Outcome::ConnectFailed, not_sent));
+            return Try::not_sent();
         };
         let at = self.home.options.clock.instant(self.deadline);
-        match time::timeout_at(at.into(), connection.send(request)).await {
-            Ok(Ok(response)) => Ok((response, connection)),
-            Ok(Err(e)) if e.never_sent() => Err((Outcome::ConnectFailed, not_sent)),
-            Ok(Err(_)) => Err((Outcome::Broken, refusal::Refusal::unknown(refusal::Cause::TargetBroke))),
-            Err(_) => Err((Outcome::TimedOut, refusal::Refusal::unknown(refusal::Cause::TargetTimeout))),
+        let sent = tokio::select! {
+            sent = time::timeout_at(at.into(), connection.send(request)) => sent,
+            _ = self.verdicts.recv() => return Try::Abandoned,
+        };
+        match sent {
+            Ok(Ok(response)) => Try::Answer(Box::new(Answer {
+                response,
+                connection,
+                target: name.to_owned(),
+            })),
+            Ok(Err(e)) if e.never_sent() => Try::not_sent(),
+            Ok(Err(_)) => Try::unknown(Outcome::Broken, refusal::Cause::TargetBroke),
+            Err(_) => Try::unknown(Outcome::TimedOut, refusal::Cause::TargetTimeout),
         }
     }
 
     fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
         let bundle = self.home.options.bundle.borrow();
         let service = bundle.service(&self.head.cell.service)?;
-        service.targets.iter().find(|t| t.name == name).map(|t| t.address)
+        service
+            .targets
+            .iter()
+            .find(|t| t.name == name)
+            .map(|t| t.address)
     }
 
     /// Builds the request to the target; absent if it is malformed or its body was sent before.
@@ -398,7 +544,9 @@
         *request.uri_mut() = self.head.uri.parse::<Uri>().ok()?;
         *request.headers_mut() = headers::from_fields(&self.head.fields);
         let left = self.deadline - self.home.options.clock.now();
-        request.headers_mut().insert(headers::DEADLINE, left.0.into());
+        request
+            .headers_mut()
+            .insert(headers::DEADLINE, left.0.into());
         if let Ok(id) = self.head.request.to_string().parse() {
             request.headers_mut().insert(headers::REQUEST, id);
         }
@@ -408,29 +556,32 @@
     async fn refuse(mut self, refusal: refusal::Refusal) -> Result<(), frame::Error> {
         self.held.release();
         let summary = self.held.handle.summary();
-        frame::send(&mut self.send, &peer::FromHome::Refused { refusal, summary }).await
+        frame::send(
+            &mut self.send,
+            &peer::FromHome::Refused { refusal, summary },
+        )
+        .await
     }
 
     /// Streams an answer to the entry; an answer that the target cuts short ends without [`peer::FromHome::End`].
-    async fn pass_on(
-        mut self,
-        response: Response<Incoming>,
-        connection: pool::Connection,
-        target: &str,
-    ) -> Result<(), frame::Error> {
-        let (parts, mut incoming) = response.into_parts();
-        let Some(summary) = self.held.handle.summary() else { return Ok(()) };
-        let answer = peer::FromHome::Answer {
+    async fn pass_on(mut self, answer: Answer) -> Result<(), frame::Error> {
+        let (parts, mut incoming) = answer.response.into_parts();
+        let Some(summary) = self.held.handle.summary() else {
+            return Ok(());
+        };
+        let head = peer::FromHome::Answer {
             status: parts.status.as_u16(),
             fields: headers::to_fields(&parts.headers),
-            target: target.to_owned(),
+            target: answer.target,
             summary,
         };
-        frame::send(&mut self.send, &answer).await?;
+        frame::send(&mut self.send, &head).await?;
         let mut trailers = HeaderMap::new();
         let patience = self.patience();
         loop {
-            let Ok(next) = time::timeout(patience.span(), incoming.frame()).await else { return Ok(()) };
+            let Ok(next) = time::timeout(patience.span(), incoming.frame()).await else {
+                return Ok(());
+            };
             let Some(next) = next else { break };
             let Ok(piece) = next else { return Ok(()) };
             match piece.into_data() {
@@ -439,15 +590,21 @@
             }
         }
         self.held.release();
-        frame::send(&mut self.send, &peer::FromHome::End(headers::to_fields(&trailers))).await?;
-        self.home.options.pool.put_back(connection).await;
+        frame::send(
+            &mut self.send,
+            &peer::FromHome::End(headers::to_fields(&trailers)),
+        )
+        .await?;
+        self.home.options.pool.put_back(answer.connection).await;
         Ok(())
     }
 
     /// Returns how long the target may take between two pieces of its answer.
     fn patience(&self) -> clock::Millis {
         let bundle = self.home.options.bundle.borrow();
-        bundle.service(&self.head.cell.service).map_or(self.head.left, |s| s.deadline_ms)
+        bundle
+            .service(&self.head.cell.service)
+            .map_or(self.head.left, |s| s.deadline_ms)
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,9 +4,15 @@
 //! [`entry`] takes a caller's request and picks a cell and its [`home`]; the home asks its [`cell`] actor for a slot,
 //! sends the request to the target and streams the answer back.
 
+pub mod admin;
+mod bootstrap;
 pub mod cell;
 pub mod claims;
 pub mod entry;
 pub mod exchange;
 pub mod home;
+pub mod links;
 pub mod metrics;
+mod node;
+
+pub use node::{Error, run, stop_signal};
--- /dev/null
+++ b/src/daemon/node.rs
@@ -0,0 +1,316 @@
+//! Composes the daemon, runs it until it is told to stop, and shuts it down without cutting a request.
+
+use std::net;
+use std::sync;
+
+use futures_util::future;
+use snafu::ResultExt;
+use tokio::{net as tcp, signal, sync as tasks, task, time};
+
+use crate::daemon::{admin, bootstrap, cell, claims, entry, home, links, metrics};
+use crate::protocol::{peer, platform};
+use crate::state::{bundle, clock, ids, settings, timeline};
+use crate::transport::{http, platform as client, pool, quic, tls};
+
+/// How long a leaving daemon goes on to take callers that the balancer still sends.
+const LINGER_SPAN: clock::Millis = clock::Millis(3_000);
+/// The time between two sweeps of idle connections to targets.
+const SWEEP_SPAN: clock::Millis = clock::Millis(5_000);
+
+/// Why the daemon could not run.
+#[derive(Debug, snafu::Snafu)]
+pub enum Error {
+    /// An address could not be bound.
+    #[snafu(display(
+        "can't listen on {address} for {purpose}; free the address or change the settings"
+    ))]
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The endpoint for peers could not be set up.
+    #[snafu(display("can't set up the address for peers"))]
+    Peers {
+        /// What is wrong.
+        source: quic::Error,
+    },
+    /// The certificate for callers can't be used.
+    #[snafu(display("can't use the certificate for callers"))]
+    Tls {
+        /// What is wrong.
+        source: tls::Error,
+    },
+    /// The metrics could not be set up.
+    #[snafu(display("can't set up the metrics"))]
+    Metrics {
+        /// What is wrong.
+        source: metrics::Error,
+    },
+}
+
+/// Runs the daemon until `stop` resolves or an operator drains it, then shuts it down gracefully.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound or a key can't be used.
+pub async fn run(
+    settings: &settings::Settings,
+    stop: future::BoxFuture<'static, ()>,
+) -> Result<(), Error> {
+    let node = Node::start(settings).await?;
+    node.serve(stop).await;
+    Ok(())
+}
+
+struct Node {
+    settings: settings::Settings,
+    recorder: sync::Arc<timeline::Recorder>,
+    peers: quic::Peers,
+    home: sync::Arc<home::Home>,
+    entry: sync::Arc<entry::Entry>,
+    admin: sync::Arc<admin::Admin>,
+    draining: tasks::watch::Receiver<bool>,
+    tls: Option<sync::Arc<rustls::ServerConfig>>,
+    public: tcp::TcpListener,
+    operators: tcp::TcpListener,
+    tasks: Vec<task::JoinHandle<()>>,
+}
+
+impl Node {
+    async fn start(settings: &settings::Settings) -> Result<Node, Error> {
+        let public = listen(settings.listen, "callers").await?;
+        let operators = listen(settings.admin, "operators").await?;
+        let tls = tls::server(&settings.keys).context(TlsSnafu)?;
+        let (peers, incoming) = quic::Peers::bind(settings).context(PeersSnafu)?;
+        let metrics = sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?);
+        let clock = clock::Clock::start();
+        let incarnation = ids::Incarnation(clock::wall().0);
+        let recorder = sync::Arc::new(timeline::Recorder::new(&settings.name, incarnation));
+        recorder.record(
+            timeline::Kind::Started,
+            timeline::Subject::default(),
+            &settings.domain,
+        );
+        let platform: sync::Arc<dyn platform::Platform> =
+            sync::Arc::new(client::HttpPlatform::new(&settings.platform));
+        let bundle = bootstrap::follow_bundle(platform.clone(), recorder.clone());
+        let view = bootstrap::follow_hosts(platform, settings, incarnation);
+        let home = sync::Arc::new(home::Home::new(home::Options {
+            clock,
+            recorder: recorder.clone(),
+            bundle: bundle.clone(),
+            pool: pool::Pool::new(clock, settings.limits.head_bytes),
+            budget: sync::Arc::new(NoBudget),
+            spread: sync::Arc::new(NoSpread),
+        }));
+        let links = links::PeerLinks {
+            name: settings.name.clone(),
+            peers: peers.clone(),
+            home: home.clone(),
+        };
+        let entry = sync::Arc::new(entry::Entry::new(entry::Options {
+            settings: settings.clone(),
+            clock,
+            recorder: recorder.clone(),
+            bundle: bundle.clone(),
+            view: view.clone(),
+            links: sync::Arc::new(links),
+            claims: sync::Arc::new(NoClaims),
+            metrics: metrics.clone(),
+        }));
+        let (draining_sender, draining) = tasks::watch::channel(false);
+        let admin = sync::Arc::new(admin::Admin {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            incarnation,
+            token: settings.keys.admin_token.clone(),
+            bundle: bundle.clone(),
+            view,
+            home: home.clone(),
+            metrics,
+            recorder: recorder.clone(),
+            draining: draining_sender,
+        });
+        let tasks = vec![
+            tokio::spawn(accept_peers(incoming, home.clone())),
+            tokio::spawn(pass_on_bundles(bundle, home.clone())),
+            tokio::spawn(sweep(home.clone())),
+        ];
+        Ok(Node {
+            settings: settings.clone(),
+            recorder,
+            peers,
+            home,
+            entry,
+            admin,
+            draining,
+            tls,
+            public,
+            operators,
+            tasks,
+        })
+    }
+
+    async fn serve(mut self, stop: future::BoxFuture<'static, ()>) {
+        let (stop_public, public_stopped) = tasks::watch::channel(false);
+        let (stop_admin, admin_stopped) = tasks::watch::channel(false);
+        let options = http::Options {
+            listener: self.public,
+            limits: self.settings.limits.clone(),
+            tls: self.tls.clone(),
+        };
+        let public = tokio::spawn(http::serve(
+            options,
+            sync::Arc::new(self.entry.clone()),
+            public_stopped,
+        ));
+        let options = http::Options {
+            listener: self.operators,
+            limits: self.settings.limits.clone(),
+            tls: None,
+        };
+        let operators = tokio::spawn(http::serve(
+            options,
+            sync::Arc::new(self.admin.clone()),
+            admin_stopped,
+        ));
+        log::info!(
+            "the daemon {} serves callers on {}",
+            self.settings.name,
+            self.settings.listen
+        );
+        tokio::select! {
+            () = stop => {}
+            () = http::told(&mut self.draining) => {}
+        }
+        self.admin.draining.send_replace(true);
+        self.recorder
+            .record(timeline::Kind::Draining, timeline::Subject::default(), "");
+        self.home.drain().await;
+        time::sleep(LINGER_SPAN.span()).await;
+        stop_public.send_replace(true);
+        if let Err(e) = public.await {
+            log::error!("the server for callers failed: {e}");
+        }
+        self.home.finish(self.settings.limits.drain_ms).await;
+        self.recorder
+            .record(timeline::Kind::Stopped, timeline::Subject::default(), "");
+        stop_admin.send_replace(true);
+        operators.abort();
+        self.peers.close().await;
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn listen(
+    address: net::SocketAddr,
+    purpose: &'static str,
+) -> Result<tcp::TcpListener, Error> {
+    tcp::TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address, purpose })
+}
+
+/// Hands what comes from peers to its place.
+async fn accept_peers(
+    mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
+    home: sync::Arc<home::Home>,
+) {
+    while let Some(item) = incoming.recv().await {
+        match item {
+            quic::Incoming::Stream {
+                from,
+                purpose: peer::Purpose::Request,
+                send,
+                recv,
+            } => {
+                let home = home.clone();
+                tokio::spawn(async move {
+                    if let Err(e) = home.serve(Box::new(recv), Box::new(send)).await {
+                        log::debug!("a request's stream from {from} ended: {e}");
+                    }
+                });
+            }
+            quic::Incoming::Stream { .. } | quic::Incoming::Datagram { .. } => {}
+        }
+    }
+}
+
+async fn pass_on_bundles(
+    mut bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
+    home: sync::Arc<home::Home>,
+) {
+    while bundle.changed().await.is_ok() {
+        let current = bundle.borrow_and_update().clone();
+        home.adopt(&current).await;
+    }
+}
+
+async fn sweep(home: sync::Arc<home::Home>) {
+    loop {
+        time::sleep(SWEEP_SPAN.span()).await;
+        home.sweep();
+    }
+}
+
+struct NoBudget;
+
+impl cell::Budget for NoBudget {
+    fn ask<'a>(
+        &'a self,
+        _service: &'a bundle::Service,
+        _target: &'a str,
+    ) -> future::BoxFuture<'a, Option<clock::Millis>> {
+        Box::pin(async { None })
+    }
+
+    fn end<'a>(
+        &'a self,
+        _service: &'a bundle::Service,
+        _target: &'a str,
+    ) -> future::BoxFuture<'a, ()> {
+        Box::pin(async {})
+    }
+}
+
+struct NoSpread;
+
+impl cell::Spread for NoSpread {
+    fn quarantine(&self, _fingerprint: ids::Fingerprint, _span: clock::Millis) {}
+}
+
+struct NoClaims;
+
+impl claims::Claims for NoClaims {
+    fn claim<'a>(
+        &'a self,
+        _scope: &'a [&'a str; 2],
+        _key: &'a str,
+        _fingerprint: ids::Fingerprint,
+    ) -> future::BoxFuture<'a, claims::Claimed> {
+        Box::pin(async { claims::Claimed::Unavailable })
+    }
+
+    fn settle(&self, _token: claims::Token, _settled: claims::Settled) {}
+}
+
+/// Resolves when the process is told to stop by SIGTERM or SIGINT.
+///
+/// # Panics
+///
+/// Panics if the system does not let the process listen for signals.
+pub async fn stop_signal() {
+    let kind = signal::unix::SignalKind::terminate();
+    let mut terminate =
+        signal::unix::signal(kind).expect("the system lets processes listen for signals");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = signal::ctrl_c() => {}
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod coordination;
 pub mod daemon;
+pub mod logs;
 pub mod ops;
 pub mod protocol;
 pub mod state;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,7 +1,7 @@
 //! Messages between daemons, encoded by `postcard`.
 //!
 //! A request travels on a QUIC stream of its own: the entry sends [`ToHome`], the home answers with [`FromHome`].
-//! Non-idempotent work takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
+//! Non-idempotent work, and work with a long body, takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
 //! after [`ToHome::Go`]. Everything else between daemons is a [`Note`].
 
 use futures_util::future;
@@ -56,6 +56,14 @@
     pub peers: Vec<Summary>,
 }
 
+impl Head {
+    /// Returns whether the home awaits [`ToHome::Go`] before it dispatches: for work that must not run twice, and for
+    /// bodies that can't be sent again.
+    pub fn two_steps(&self) -> bool {
+        !self.idempotent || self.more
+    }
+}
+
 /// What one cell's home tells about its cell, along with each answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -83,7 +91,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToHome {
     /// The request's head; always first.
-    Head(Head),
+    Head(Box<Head>),
     /// Allows the home to dispatch non-idempotent work.
     Go,
     /// Ends the body, with its trailers.
