--- a/src/coordination/homes.rs
+++ b/src/coordination/homes/rank.rs
@@ -1,7 +1,4 @@
-//! Homes of cells: every daemon ranks the live daemons of a failure domain by rendezvous hashing.
-//!
-//! The daemon that ranks first is the cell's home. No election takes place: while views differ a cell may have two
-//! homes, which may overfill the slots of targets for a moment and breaks no promise.
+//! Rendezvous hashing: the order in which daemons are home of a cell.
 
 use crate::coordination::member;
 use crate::state::ids;
@@ -16,6 +13,14 @@
             h = (h ^ u64::from(byte)).wrapping_mul(PRIME);
         }
     }
+    mix(h)
+}
+
+/// The step between the states of a sequence of numbers made by [`mix`].
+pub(crate) const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Spreads every bit of `h` over the whole number.
+pub(crate) fn mix(mut h: u64) -> u64 {
     h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     h ^ (h >> 33)
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -102,10 +102,18 @@
     /// Creates the entry of one daemon.
     pub fn new(options: Options) -> Entry {
         let places = tasks::Semaphore::new(options.settings.limits.requests);
-        Entry { options, rules: sync::Mutex::default(), places }
+        Entry {
+            options,
+            rules: sync::Mutex::default(),
+            places,
+        }
     }
 
-    async fn answer(self: sync::Arc<Entry>, from: net::SocketAddr, request: Request<Incoming>) -> Response<body::Body> {
+    async fn answer(
+        self: sync::Arc<Entry>,
+        from: net::SocketAddr,
+        request: Request<Incoming>,
+    ) -> Response<body::Body> {
         let id = ids::RequestId::random();
         let began = self.options.clock.now();
         let mut seen = Seen::default();
@@ -114,11 +122,21 @@
             Err(_) => Err(Refusal::not_run(Cause::QueueFull, Some(RETRY_SOON))),
         };
         let took = self.options.clock.now() - began;
-        let subject = timeline::Subject { service: Some(&seen.service), target: None, request: Some(id) };
+        let subject = timeline::Subject {
+            service: Some(&seen.service),
+            target: None,
+            request: Some(id),
+        };
         match answered {
             Ok(mut response) => {
-                self.options.recorder.record(timeline::Kind::Answered, subject, response.status().as_str());
-                self.options.metrics.request(&seen.service, seen.tier, "answered", took);
+                self.options.recorder.record(
+                    timeline::Kind::Answered,
+                    subject,
+                    response.status().as_str(),
+                );
+                self.options
+                    .metrics
+                    .request(&seen.service, seen.tier, "answered", took);
                 problem::name_request(response.headers_mut(), id);
                 response
             }
@@ -127,9 +145,18 @@
                     crate::protocol::refusal::Outcome::NotRun => timeline::Kind::Refused,
                     crate::protocol::refusal::Outcome::Unknown => timeline::Kind::Unknown,
                 };
-                self.options.recorder.record(kind, subject, refusal.cause.as_str());
-                self.options.metrics.request(&seen.service, seen.tier, refusal.outcome.as_str(), took);
-                self.options.metrics.refusal(refusal.cause.as_str(), refusal.outcome.as_str());
+                self.options
+                    .recorder
+                    .record(kind, subject, refusal.cause.as_str());
+                self.options.metrics.request(
+                    &seen.service,
+                    seen.tier,
+                    refusal.outcome.as_str(),
+                    took,
+                );
+                self.options
+                    .metrics
+                    .refusal(refusal.cause.as_str(), refusal.outcome.as_str());
                 problem::response(&refusal, id)
             }
         }
@@ -152,14 +179,20 @@
         let mut refused = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
             let view = self.options.view.borrow().clone();
-            let Some(choice) = self.choose(service, &view, &tried) else { break };
+            let Some(choice) = self.choose(service, &view, &tried) else {
+                break;
+            };
             let home = choice.home.clone();
             tried.push(choice.clone());
             match self.attempt(&mut call, &choice, &view).await {
                 Attempt::Answer(response) => return Ok(response),
-                Attempt::Refused(refusal) if !another_home_may_serve(refusal) => return Err(refusal),
+                Attempt::Refused(refusal) if !another_home_may_serve(refusal) => {
+                    return Err(refusal);
+                }
                 Attempt::Refused(refusal) => refused = refusal,
-                Attempt::Lost { started: false } => log::debug!("the home {home} does not answer; trying another"),
+                Attempt::Lost { started: false } => {
+                    log::debug!("the home {home} does not answer; trying another")
+                }
                 Attempt::Lost { started: true } if call.head.idempotent && call.rest.is_none() => {}
                 Attempt::Lost { started: true } => return Err(Refusal::unknown(Cause::HomeLost)),
             }
@@ -195,7 +228,11 @@
         let (parts, incoming) = request.into_parts();
         let caller = rules.index.caller(&rules.bundle, bearer(&parts.headers));
         let caller = caller.ok_or(Refusal::not_run(Cause::UnknownCaller, None))?;
-        let host = parts.uri.host().or_else(|| text(&parts.headers, header::HOST.as_str())).unwrap_or_default();
+        let host = parts
+            .uri
+            .host()
+            .or_else(|| text(&parts.headers, header::HOST.as_str()))
+            .unwrap_or_default();
         let route = rules.index.route(&rules.bundle, host, parts.uri.path());
         let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         let service = rules.index.service(&rules.bundle, &route.service);
@@ -206,13 +243,26 @@
         let left = deadline(&parts.headers, service.deadline_ms).ok_or(bad)?;
         let until = self.options.clock.now() + left;
         let key = text(&parts.headers, headers::IDEMPOTENCY_KEY).map(str::to_owned);
-        if key.as_ref().is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES) {
+        if key
+            .as_ref()
+            .is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES)
+        {
             return Err(bad);
         }
         let prefix = exchange::read_prefix(incoming, self.options.settings.limits.replay_bytes);
         let prefix = self.before(until, prefix).await?.map_err(|_| bad)?;
-        let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        let fingerprint = exchange::fingerprint(caller.organisation, &parts.method, &uri, key.as_deref(), &prefix.first);
+        let uri = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned();
+        let fingerprint = exchange::fingerprint(
+            caller.organisation,
+            &parts.method,
+            &uri,
+            key.as_deref(),
+            &prefix.first,
+        );
         let mut fields = headers::to_fields(&parts.headers);
         exchange::add_forwarding(&mut fields, from, host);
         let idempotent = is_idempotent(&parts.method, route);
@@ -246,23 +296,42 @@
     async fn before<F: Future>(&self, until: clock::Millis, work: F) -> Result<F::Output, Refusal> {
         let at = self.options.clock.instant(until);
         let passed = Refusal::not_run(Cause::DeadlinePassed, None);
-        tokio::time::timeout_at(at.into(), work).await.map_err(|_| passed)
+        tokio::time::timeout_at(at.into(), work)
+            .await
+            .map_err(|_| passed)
     }
 
-    fn choose(&self, service: &bundle::Service, view: &member::View, tried: &[Choice]) -> Option<Choice> {
+    fn choose(
+        &self,
+        service: &bundle::Service,
+        view: &member::View,
+        tried: &[Choice],
+    ) -> Option<Choice> {
         let own = &self.options.settings.domain;
         let mut cells: Vec<_> = service.cells().into_keys().collect();
-        cells.sort_by_key(|c| (c.domain != *own, homes::hash(&[&c.domain, &self.options.settings.name])));
+        cells.sort_by_key(|c| {
+            (
+                c.domain != *own,
+                homes::hash(&[&c.domain, &self.options.settings.name]),
+            )
+        });
         let open = |c: &Choice| !tried.contains(c);
         let mut choices = cells.into_iter().flat_map(|cell| {
             let ranked = homes::rank(&cell, view).into_iter().take(2);
-            ranked.map(|h| Choice { cell: cell.clone(), home: h.to_owned() }).collect::<Vec<_>>()
+            ranked
+                .map(|h| Choice {
+                    cell: cell.clone(),
+                    home: h.to_owned(),
+                })
+                .collect::<Vec<_>>()
         });
         choices.find(open)
     }
 
     async fn attempt(&self, call: &mut Call, choice: &Choice, view: &member::View) -> Attempt {
-        let Some(member) = view.members.get(&choice.home) else { return Attempt::Lost { started: false } };
+        let Some(member) = view.members.get(&choice.home) else {
+            return Attempt::Lost { started: false };
+        };
         let opening = self.options.links.open(&choice.home, member.peer);
         let Ok(Some((recv, send))) = self.before(call.deadline, opening).await else {
             return Attempt::Lost { started: false };
@@ -271,7 +340,11 @@
         call.head.left = call.deadline - self.options.clock.now();
         call.head.stamp = self.options.recorder.stamp();
         let deadline = self.options.clock.instant(call.deadline);
-        let mut stream = exchange::Stream { recv, send, deadline };
+        let mut stream = exchange::Stream {
+            recv,
+            send,
+            deadline,
+        };
         if let Err(lost) = stream.send_head(&call.head).await {
             return lost;
         }
@@ -297,20 +370,35 @@
 
     async fn claim_and_go(&self, stream: exchange::Stream, call: &mut Call, key: &str) -> Attempt {
         let scope = [call.organisation.as_str(), call.head.cell.service.as_str()];
-        let claiming = self.options.claims.claim(&scope, key, call.head.fingerprint);
+        let claiming = self
+            .options
+            .claims
+            .claim(&scope, key, call.head.fingerprint);
         let token = match self.before(call.deadline, claiming).await {
             Ok(Claimed::Fresh(token)) => token,
             Ok(Claimed::Ran(record)) => return Attempt::Answer(problem::recorded(&record)),
-            Ok(Claimed::Unknown) => return Attempt::Refused(Refusal::unknown(Cause::AlreadyClaimed)),
-            Ok(Claimed::KeyReused) => return Attempt::Refused(Refusal::not_run(Cause::KeyReused, None)),
+            Ok(Claimed::Unknown) => {
+                return Attempt::Refused(Refusal::unknown(Cause::AlreadyClaimed));
+            }
+            Ok(Claimed::KeyReused) => {
+                return Attempt::Refused(Refusal::not_run(Cause::KeyReused, None));
+            }
             Ok(Claimed::Unavailable) | Err(_) => {
-                return Attempt::Refused(Refusal::not_run(Cause::ClaimUnavailable, Some(RETRY_SOON)));
+                return Attempt::Refused(Refusal::not_run(
+                    Cause::ClaimUnavailable,
+                    Some(RETRY_SOON),
+                ));
             }
         };
         let attempt = self.go(stream, call).await;
         match &attempt {
-            Attempt::Answer(response) => self.options.claims.settle(token, Settled::Ran(problem::record(response))),
-            Attempt::Refused(refusal) if refusal.outcome == crate::protocol::refusal::Outcome::NotRun => {
+            Attempt::Answer(response) => self
+                .options
+                .claims
+                .settle(token, Settled::Ran(problem::record(response))),
+            Attempt::Refused(refusal)
+                if refusal.outcome == crate::protocol::refusal::Outcome::NotRun =>
+            {
                 self.options.claims.settle(token, Settled::NotRun);
             }
             Attempt::Refused(_) | Attempt::Lost { .. } => {}
@@ -357,7 +445,9 @@
 }
 
 fn bearer(map: &http::HeaderMap) -> Option<&str> {
-    text(map, header::AUTHORIZATION.as_str())?.strip_prefix("Bearer ").map(str::trim)
+    text(map, header::AUTHORIZATION.as_str())?
+        .strip_prefix("Bearer ")
+        .map(str::trim)
 }
 
 /// Returns the time that the caller gives the request, else `default`; absent if the caller's field is malformed.
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -56,10 +56,18 @@
             Err(other) => trailers = other.into_trailers().unwrap_or_default(),
         }
         if first.len() > limit {
-            return Ok(Prefix { first, rest: Some(incoming), trailers });
+            return Ok(Prefix {
+                first,
+                rest: Some(incoming),
+                trailers,
+            });
         }
     }
-    Ok(Prefix { first, rest: None, trailers })
+    Ok(Prefix {
+        first,
+        rest: None,
+        trailers,
+    })
 }
 
 /// Digests what a request does: its key, else its method, path and first bytes, each within its organisation.
@@ -72,8 +80,18 @@
 ) -> ids::Fingerprint {
     let mut digest = Sha256::new();
     let parts: [&[u8]; 4] = match key {
-        Some(key) => [organisation.as_bytes(), b"key", uri.as_bytes(), key.as_bytes()],
-        None => [organisation.as_bytes(), method.as_str().as_bytes(), uri.as_bytes(), first],
+        Some(key) => [
+            organisation.as_bytes(),
+            b"key",
+            uri.as_bytes(),
+            key.as_bytes(),
+        ],
+        None => [
+            organisation.as_bytes(),
+            method.as_str().as_bytes(),
+            uri.as_bytes(),
+            first,
+        ],
     };
     for part in parts {
         digest.update((part.len() as u64).to_le_bytes());
@@ -87,7 +105,10 @@
 /// Tells targets who the caller is: the fields `Via`, `X-Forwarded-For` and `X-Forwarded-Host`.
 pub fn add_forwarding(fields: &mut Vec<peer::Field>, from: net::SocketAddr, host: &str) {
     let mut add = |name: &str, value: &str| {
-        fields.push(peer::Field { name: name.to_owned(), value: value.as_bytes().to_vec() });
+        fields.push(peer::Field {
+            name: name.to_owned(),
+            value: value.as_bytes().to_vec(),
+        });
     };
     add("via", "1.1 peridotspread");
     add("x-forwarded-for", &from.ip().to_string());
@@ -114,7 +135,9 @@
     /// Returns the attempt's end if the stream breaks.
     pub async fn send_head(&mut self, head: &peer::Head) -> Result<(), Attempt> {
         let message = peer::ToHome::Head(head.clone());
-        frame::send(&mut self.send, &message).await.map_err(|_| Attempt::Lost { started: false })
+        frame::send(&mut self.send, &message)
+            .await
+            .map_err(|_| Attempt::Lost { started: false })
     }
 
     /// Waits until the home holds a slot for non-idempotent work.
@@ -123,16 +146,27 @@
     ///
     /// Returns the attempt's end if the home refuses or does not answer.
     pub async fn await_ready(&mut self) -> Result<(), Attempt> {
-        let mut patience = self.deadline.min(time::Instant::now() + HOME_PATIENCE.span());
+        let mut patience = self
+            .deadline
+            .min(time::Instant::now() + HOME_PATIENCE.span());
         loop {
-            let next = timers::timeout_at(patience.into(), frame::receive::<peer::FromHome>(&mut self.recv)).await;
+            let next = timers::timeout_at(
+                patience.into(),
+                frame::receive::<peer::FromHome>(&mut self.recv),
+            )
+            .await;
             match next {
                 Ok(Ok(peer::FromHome::Ready)) => return Ok(()),
                 Ok(Ok(peer::FromHome::Queued)) => patience = self.deadline,
-                Ok(Ok(peer::FromHome::Refused { refusal, .. })) => return Err(Attempt::Refused(refusal)),
+                Ok(Ok(peer::FromHome::Refused { refusal, .. })) => {
+                    return Err(Attempt::Refused(refusal));
+                }
                 Ok(Ok(_) | Err(_)) => return Err(Attempt::Lost { started: false }),
                 Err(_) if patience == self.deadline => {
-                    return Err(Attempt::Refused(Refusal::not_run(Cause::DeadlinePassed, None)));
+                    return Err(Attempt::Refused(Refusal::not_run(
+                        Cause::DeadlinePassed,
+                        None,
+                    )));
                 }
                 Err(_) => return Err(Attempt::Lost { started: false }),
             }
@@ -156,13 +190,24 @@
         };
         let deadline = self.deadline;
         loop {
-            let next = timers::timeout_at(deadline.into(), frame::receive::<peer::FromHome>(&mut self.recv)).await;
+            let next = timers::timeout_at(
+                deadline.into(),
+                frame::receive::<peer::FromHome>(&mut self.recv),
+            )
+            .await;
             match next {
                 Ok(Ok(peer::FromHome::Queued)) => {}
-                Ok(Ok(peer::FromHome::Answer { status, fields, target, .. })) => {
+                Ok(Ok(peer::FromHome::Answer {
+                    status,
+                    fields,
+                    target,
+                    ..
+                })) => {
                     return Attempt::Answer(answer(self.recv, sending, status, &fields, &target));
                 }
-                Ok(Ok(peer::FromHome::Refused { refusal, .. })) => return Attempt::Refused(refusal),
+                Ok(Ok(peer::FromHome::Refused { refusal, .. })) => {
+                    return Attempt::Refused(refusal);
+                }
                 Ok(Ok(_) | Err(_)) => return Attempt::Lost { started: true },
                 Err(_) => return Attempt::Refused(Refusal::unknown(Cause::TargetTimeout)),
             }
@@ -225,7 +270,11 @@
 }
 
 /// Passes the answer's pieces to the caller until the end, a cut, or the caller leaves.
-async fn read_answer(mut recv: home::Reader, sending: Sending, pieces: tokio::sync::mpsc::Sender<body::Piece>) {
+async fn read_answer(
+    mut recv: home::Reader,
+    sending: Sending,
+    pieces: tokio::sync::mpsc::Sender<body::Piece>,
+) {
     loop {
         let next = tokio::select! {
             next = frame::read(&mut recv) => next,
@@ -234,7 +283,9 @@
         let piece = match next {
             Ok(frame::Frame::Data(data)) => body::Piece::Data(data),
             Ok(control) => match frame::decode::<peer::FromHome>(&control) {
-                Ok(peer::FromHome::End(trailers)) => body::Piece::End(headers::from_fields(&trailers)),
+                Ok(peer::FromHome::End(trailers)) => {
+                    body::Piece::End(headers::from_fields(&trailers))
+                }
                 Ok(_) | Err(_) => break,
             },
             Err(_) => break,
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -77,7 +77,11 @@
 impl Home {
     /// Creates a home without cells; each starts with its first request.
     pub fn new(options: Options) -> Home {
-        Home { options, cells: tasks::Mutex::default(), tickets: atomic::AtomicU64::default() }
+        Home {
+            options,
+            cells: tasks::Mutex::default(),
+            tickets: atomic::AtomicU64::default(),
+        }
     }
 
     /// Passes a new bundle to all cells.
@@ -89,7 +93,12 @@
 
     /// Returns the summaries of all cells here.
     pub async fn summaries(&self) -> Vec<peer::Summary> {
-        self.cells.lock().await.values().filter_map(Handle::summary).collect()
+        self.cells
+            .lock()
+            .await
+            .values()
+            .filter_map(Handle::summary)
+            .collect()
     }
 
     /// Closes connections to targets that have been idle for too long.
@@ -104,7 +113,9 @@
         }
         let bundle = self.options.bundle.borrow().clone();
         bundle.service(&id.service)?;
-        let summary = sync::Arc::new(sync::RwLock::new(crate::coordination::cell::Cell::new(id).summary(clock::Millis::ZERO)));
+        let summary = sync::Arc::new(sync::RwLock::new(
+            crate::coordination::cell::Cell::new(id).summary(clock::Millis::ZERO),
+        ));
         let options = cell::Options {
             id: id.clone(),
             bundle,
@@ -117,7 +128,11 @@
         let (actor, _) = Actor::spawn(None, cell::Carrier, options).await.ok()?;
         let handle = Handle { actor, summary };
         cells.insert(id.clone(), handle.clone());
-        self.options.recorder.record(timeline::Kind::Home, subject(id, None, None), "this daemon is home of the cell");
+        self.options.recorder.record(
+            timeline::Kind::Home,
+            subject(id, None, None),
+            "this daemon is home of the cell",
+        );
         Some(handle)
     }
 
@@ -133,7 +148,14 @@
         self.options.recorder.observe(head.stamp);
         let Some(handle) = self.cell(&head.cell).await else {
             let refusal = refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY));
-            return frame::send(&mut send, &peer::FromHome::Refused { refusal, summary: None }).await;
+            return frame::send(
+                &mut send,
+                &peer::FromHome::Refused {
+                    refusal,
+                    summary: None,
+                },
+            )
+            .await;
         };
         handle.tell(Message::Peers(std::mem::take(&mut head.peers)));
         let inbound = Inbound::start(recv);
@@ -151,7 +173,11 @@
         handle.tell(Message::Arrive { arrival, verdicts });
         let exchange = Exchange {
             home: self,
-            held: Held { handle: handle.clone(), ticket, released: false },
+            held: Held {
+                handle: handle.clone(),
+                ticket,
+                released: false,
+            },
             head,
             deadline,
             send,
@@ -172,7 +198,11 @@
     target: Option<&'a str>,
     request: Option<ids::RequestId>,
 ) -> timeline::Subject<'a> {
-    timeline::Subject { service: Some(&cell.service), target, request }
+    timeline::Subject {
+        service: Some(&cell.service),
+        target,
+        request,
+    }
 }
 
 /// What comes from the entry after the head.
@@ -195,7 +225,10 @@
 impl Future for AbortOnDrop {
     type Output = ();
 
-    fn poll(mut self: std::pin::Pin<&mut Self>, cx: &mut std::task::Context<'_>) -> std::task::Poll<()> {
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<()> {
         std::pin::Pin::new(&mut self.0).poll(cx).map(|_| ())
     }
 }
@@ -210,7 +243,11 @@
 }
 
 /// Reads the entry's frames until the entry has gone.
-async fn read_inbound(mut recv: Reader, pieces: tasks::mpsc::Sender<body::Piece>, go: tasks::oneshot::Sender<()>) {
+async fn read_inbound(
+    mut recv: Reader,
+    pieces: tasks::mpsc::Sender<body::Piece>,
+    go: tasks::oneshot::Sender<()>,
+) {
     let mut go = Some(go);
     let mut pieces = Some(pieces);
     while let Ok(frame) = frame::read(&mut recv).await {
@@ -224,7 +261,9 @@
                     }
                     continue;
                 }
-                Ok(peer::ToHome::End(trailers)) => body::Piece::End(headers::from_fields(&trailers)),
+                Ok(peer::ToHome::End(trailers)) => {
+                    body::Piece::End(headers::from_fields(&trailers))
+                }
                 Ok(peer::ToHome::Head(_)) | Err(_) => return,
             },
         };
@@ -248,7 +287,10 @@
 
 impl Held {
     fn done(&self, outcome: Outcome) {
-        self.handle.tell(Message::Done { ticket: self.ticket, outcome });
+        self.handle.tell(Message::Done {
+            ticket: self.ticket,
+            outcome,
+        });
     }
 
     fn release(&mut self) {
@@ -280,7 +322,11 @@
 /// What the last try brought, for the caller if no other follows.
 enum Last {
     /// An answer that counts as a failure.
-    Answer { response: Response<Incoming>, connection: pool::Connection, target: String },
+    Answer {
+        response: Response<Incoming>,
+        connection: pool::Connection,
+        target: String,
+    },
     /// No answer.
     Refusal(refusal::Refusal),
 }
@@ -304,7 +350,11 @@
                             if outcome == Outcome::Answered {
                                 return self.pass_on(response, connection, &target).await;
                             }
-                            last = Some(Last::Answer { response, connection, target });
+                            last = Some(Last::Answer {
+                                response,
+                                connection,
+                                target,
+                            });
                         }
                         Err((outcome, refusal)) => {
                             self.held.done(outcome);
@@ -314,11 +364,16 @@
                 }
                 Verdict::GiveUp => {
                     return match last {
-                        Some(Last::Answer { response, connection, target }) => {
-                            self.pass_on(response, connection, &target).await
-                        }
+                        Some(Last::Answer {
+                            response,
+                            connection,
+                            target,
+                        }) => self.pass_on(response, connection, &target).await,
                         Some(Last::Refusal(refusal)) => self.refuse(refusal).await,
-                        None => self.refuse(refusal::Refusal::unknown(refusal::Cause::TargetBroke)).await,
+                        None => {
+                            self.refuse(refusal::Refusal::unknown(refusal::Cause::TargetBroke))
+                                .await
+                        }
                     };
                 }
             }
@@ -327,7 +382,10 @@
 
     /// Waits for the cell's verdict, and tells the entry once that the request is queued.
     async fn next_verdict(&mut self) -> Result<Verdict, frame::Error> {
-        let gone = Verdict::Refuse(refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY)));
+        let gone = Verdict::Refuse(refusal::Refusal::not_run(
+            refusal::Cause::NoTarget,
+            Some(CONNECT_RETRY),
+        ));
         if let Ok(verdict) = time::timeout(QUEUED_NOTICE.span(), self.verdicts.recv()).await {
             return Ok(verdict.unwrap_or(gone));
         }
@@ -340,7 +398,9 @@
         if self.head.idempotent {
             return Ok(true);
         }
-        let Some(go) = self.go.take() else { return Ok(true) };
+        let Some(go) = self.go.take() else {
+            return Ok(true);
+        };
         frame::send(&mut self.send, &peer::FromHome::Ready).await?;
         let at = self.home.options.clock.instant(self.deadline);
         Ok(matches!(time::timeout_at(at.into(), go).await, Ok(Ok(()))))
@@ -350,9 +410,12 @@
         &mut self,
         name: &str,
     ) -> Result<(Response<Incoming>, pool::Connection), (Outcome, refusal::Refusal)> {
-        let not_sent = refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(CONNECT_RETRY));
+        let not_sent =
+            refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(CONNECT_RETRY));
         self.held.handle.tell(Message::Dispatch(self.held.ticket));
-        let address = self.address(name).ok_or((Outcome::ConnectFailed, not_sent))?;
+        let address = self
+            .address(name)
+            .ok_or((Outcome::ConnectFailed, not_sent))?;
         let options = &self.home.options;
         options.recorder.record(
             timeline::Kind::Dispatched,
@@ -373,15 +436,25 @@
         match time::timeout_at(at.into(), connection.send(request)).await {
             Ok(Ok(response)) => Ok((response, connection)),
             Ok(Err(e)) if e.never_sent() => Err((Outcome::ConnectFailed, not_sent)),
-            Ok(Err(_)) => Err((Outcome::Broken, refusal::Refusal::unknown(refusal::Cause::TargetBroke))),
-            Err(_) => Err((Outcome::TimedOut, refusal::Refusal::unknown(refusal::Cause::TargetTimeout))),
+            Ok(Err(_)) => Err((
+                Outcome::Broken,
+                refusal::Refusal::unknown(refusal::Cause::TargetBroke),
+            )),
+            Err(_) => Err((
+                Outcome::TimedOut,
+                refusal::Refusal::unknown(refusal::Cause::TargetTimeout),
+            )),
         }
     }
 
     fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
         let bundle = self.home.options.bundle.borrow();
         let service = bundle.service(&self.head.cell.service)?;
-        service.targets.iter().find(|t| t.name == name).map(|t| t.address)
+        service
+            .targets
+            .iter()
+            .find(|t| t.name == name)
+            .map(|t| t.address)
     }
 
     /// Builds the request to the target; absent if it is malformed or its body was sent before.
@@ -398,7 +471,9 @@
         *request.uri_mut() = self.head.uri.parse::<Uri>().ok()?;
         *request.headers_mut() = headers::from_fields(&self.head.fields);
         let left = self.deadline - self.home.options.clock.now();
-        request.headers_mut().insert(headers::DEADLINE, left.0.into());
+        request
+            .headers_mut()
+            .insert(headers::DEADLINE, left.0.into());
         if let Ok(id) = self.head.request.to_string().parse() {
             request.headers_mut().insert(headers::REQUEST, id);
         }
@@ -408,7 +483,11 @@
     async fn refuse(mut self, refusal: refusal::Refusal) -> Result<(), frame::Error> {
         self.held.release();
         let summary = self.held.handle.summary();
-        frame::send(&mut self.send, &peer::FromHome::Refused { refusal, summary }).await
+        frame::send(
+            &mut self.send,
+            &peer::FromHome::Refused { refusal, summary },
+        )
+        .await
     }
 
     /// Streams an answer to the entry; an answer that the target cuts short ends without [`peer::FromHome::End`].
@@ -419,7 +498,9 @@
         target: &str,
     ) -> Result<(), frame::Error> {
         let (parts, mut incoming) = response.into_parts();
-        let Some(summary) = self.held.handle.summary() else { return Ok(()) };
+        let Some(summary) = self.held.handle.summary() else {
+            return Ok(());
+        };
         let answer = peer::FromHome::Answer {
             status: parts.status.as_u16(),
             fields: headers::to_fields(&parts.headers),
@@ -430,7 +511,9 @@
         let mut trailers = HeaderMap::new();
         let patience = self.patience();
         loop {
-            let Ok(next) = time::timeout(patience.span(), incoming.frame()).await else { return Ok(()) };
+            let Ok(next) = time::timeout(patience.span(), incoming.frame()).await else {
+                return Ok(());
+            };
             let Some(next) = next else { break };
             let Ok(piece) = next else { return Ok(()) };
             match piece.into_data() {
@@ -439,7 +522,11 @@
             }
         }
         self.held.release();
-        frame::send(&mut self.send, &peer::FromHome::End(headers::to_fields(&trailers))).await?;
+        frame::send(
+            &mut self.send,
+            &peer::FromHome::End(headers::to_fields(&trailers)),
+        )
+        .await?;
         self.home.options.pool.put_back(connection).await;
         Ok(())
     }
@@ -447,7 +534,9 @@
     /// Returns how long the target may take between two pieces of its answer.
     fn patience(&self) -> clock::Millis {
         let bundle = self.home.options.bundle.borrow();
-        bundle.service(&self.head.cell.service).map_or(self.head.left, |s| s.deadline_ms)
+        bundle
+            .service(&self.head.cell.service)
+            .map_or(self.head.left, |s| s.deadline_ms)
     }
 }
 
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -36,7 +36,9 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()
-            .map_err(|e| Error { source: Box::new(e) })?;
+            .map_err(|e| Error {
+                source: Box::new(e),
+            })?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("peridotspread");
         Ok(Metrics {
@@ -71,7 +73,13 @@
 
     /// Counts a refusal.
     pub fn refusal(&self, cause: &'static str, outcome: &'static str) {
-        self.refusals.add(1, &[KeyValue::new("cause", cause), KeyValue::new("outcome", outcome)]);
+        self.refusals.add(
+            1,
+            &[
+                KeyValue::new("cause", cause),
+                KeyValue::new("outcome", outcome),
+            ],
+        );
     }
 
     /// Returns all series in the Prometheus text format.
--- a/src/protocol/problem.rs
+++ b/src/protocol/problem.rs
@@ -53,9 +53,15 @@
     *response.status_mut() = status;
     let map = response.headers_mut();
     map.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
-    map.insert(headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
+    map.insert(
+        headers::OUTCOME,
+        HeaderValue::from_static(refusal.outcome.as_str()),
+    );
     if let Some(after) = refusal.retry_after {
-        map.insert(header::RETRY_AFTER, HeaderValue::from(after.0.div_ceil(1_000).max(1)));
+        map.insert(
+            header::RETRY_AFTER,
+            HeaderValue::from(after.0.div_ceil(1_000).max(1)),
+        );
     }
     name_request(map, id);
     response
@@ -70,13 +76,17 @@
 
 /// Returns what is kept of a target's answer to keyed work.
 pub fn record(response: &Response<body::Body>) -> Record {
-    Record { status: response.status().as_u16() }
+    Record {
+        status: response.status().as_u16(),
+    }
 }
 
 /// Returns the answer to a resend of keyed work that ran before.
 pub fn recorded(record: &Record) -> Response<body::Body> {
     let mut response = Response::new(body::whole(Bytes::new()));
     *response.status_mut() = StatusCode::from_u16(record.status).unwrap_or(StatusCode::OK);
-    response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+        .headers_mut()
+        .insert(REPLAYED, HeaderValue::from_static("true"));
     response
 }
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -169,7 +169,9 @@
             Cause::Draining => "The daemon is shutting down",
             Cause::Quarantined => "The request is quarantined because it crashed targets",
             Cause::ClaimUnavailable => "The idempotency key can't be claimed now",
-            Cause::AlreadyClaimed => "The idempotency key was claimed before and has no recorded outcome",
+            Cause::AlreadyClaimed => {
+                "The idempotency key was claimed before and has no recorded outcome"
+            }
             Cause::KeyReused => "The idempotency key was used for a different request",
             Cause::ConnectFailed => "No connection to a target was had",
             Cause::TargetBroke => "The target broke the connection during the request",
--- a/src/state/index.rs
+++ b/src/state/index.rs
@@ -42,20 +42,35 @@
         }
         for (at, route) in bundle.routes.iter().enumerate() {
             let host = route.host.as_deref().unwrap_or(ANY_HOST);
-            index.routes.entry(host.to_owned()).or_default().insert(normal_prefix(&route.prefix).to_owned(), at);
+            index
+                .routes
+                .entry(host.to_owned())
+                .or_default()
+                .insert(normal_prefix(&route.prefix).to_owned(), at);
         }
         index
     }
 
     /// Finds a service by name.
-    pub fn service<'a>(&self, bundle: &'a bundle::Bundle, name: &str) -> Option<&'a bundle::Service> {
+    pub fn service<'a>(
+        &self,
+        bundle: &'a bundle::Bundle,
+        name: &str,
+    ) -> Option<&'a bundle::Service> {
         bundle.services.get(*self.services.get(name)?)
     }
 
     /// Finds the route of a request: a named host beats none, then the longest prefix wins.
-    pub fn route<'a>(&self, bundle: &'a bundle::Bundle, host: &str, path: &str) -> Option<&'a bundle::Route> {
+    pub fn route<'a>(
+        &self,
+        bundle: &'a bundle::Bundle,
+        host: &str,
+        path: &str,
+    ) -> Option<&'a bundle::Route> {
         let host = host_name(host).to_ascii_lowercase();
-        let at = self.longest(&host, path).or_else(|| self.longest(ANY_HOST, path))?;
+        let at = self
+            .longest(&host, path)
+            .or_else(|| self.longest(ANY_HOST, path))?;
         bundle.routes.get(at)
     }
 
@@ -72,18 +87,30 @@
     }
 
     /// Tells who shows the bearer token `token`, or none; absent where the bundle refuses such callers.
-    pub fn caller<'a>(&self, bundle: &'a bundle::Bundle, token: Option<&str>) -> Option<Caller<'a>> {
+    pub fn caller<'a>(
+        &self,
+        bundle: &'a bundle::Bundle,
+        token: Option<&str>,
+    ) -> Option<Caller<'a>> {
         let known = token.and_then(|t| self.credentials.get(&digest(t)));
         if let Some(organisation) = known.and_then(|at| bundle.organisations.get(*at)) {
             let tier = bundle.rank(&organisation.tier)?;
-            return Some(Caller { organisation: &organisation.name, tier });
+            return Some(Caller {
+                organisation: &organisation.name,
+                tier,
+            });
         }
         let tier = match &bundle.unknown {
             bundle::Unknown::Refuse => return None,
             bundle::Unknown::Tier { tier } => bundle.rank(tier)?,
-            bundle::Unknown::LastTier => u8::try_from(bundle.tiers.len().saturating_sub(1)).unwrap_or(u8::MAX),
+            bundle::Unknown::LastTier => {
+                u8::try_from(bundle.tiers.len().saturating_sub(1)).unwrap_or(u8::MAX)
+            }
         };
-        Some(Caller { organisation: "", tier })
+        Some(Caller {
+            organisation: "",
+            tier,
+        })
     }
 }
 
@@ -100,7 +127,9 @@
 /// Returns `host` without its port.
 fn host_name(host: &str) -> &str {
     if host.starts_with('[') {
-        return host.split_once(']').map_or(host, |(address, _)| &host[..=address.len()]);
+        return host
+            .split_once(']')
+            .map_or(host, |(address, _)| &host[..=address.len()]);
     }
     host.split_once(':').map_or(host, |(name, _)| name)
 }
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -34,7 +34,9 @@
 
 /// Returns a body that is here as a whole.
 pub fn whole(bytes: Bytes) -> Body {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Returns a body that starts with `first` and goes on with the pieces of `rest`.
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -37,7 +37,11 @@
 }
 
 /// Serves until `stop` becomes true, then finishes what is in flight, for at most `limits.drain_ms`.
-pub async fn serve(options: Options, handler: sync::Arc<dyn Handler>, mut stop: tasks::watch::Receiver<bool>) {
+pub async fn serve(
+    options: Options,
+    handler: sync::Arc<dyn Handler>,
+    mut stop: tasks::watch::Receiver<bool>,
+) {
     let places = sync::Arc::new(tasks::Semaphore::new(options.limits.connections));
     let connections = graceful::GracefulShutdown::new();
     let acceptor = options.tls.clone().map(tokio_rustls::TlsAcceptor::from);
@@ -54,22 +58,38 @@
             _ = stop.wait_for(|s| *s) => break,
         };
         let Ok(place) = places.clone().try_acquire_owned() else {
-            log::warn!("the connection of {from} is closed: the limit of {} is reached", options.limits.connections);
+            log::warn!(
+                "the connection of {from} is closed: the limit of {} is reached",
+                options.limits.connections
+            );
             continue;
         };
         if stream.set_nodelay(true).is_err() {
             continue;
         }
         let watcher = connections.watcher();
-        let serving = serve_connection(stream, from, acceptor.clone(), options.limits.clone(), handler.clone(), watcher);
+        let serving = serve_connection(
+            stream,
+            from,
+            acceptor.clone(),
+            options.limits.clone(),
+            handler.clone(),
+            watcher,
+        );
         tokio::spawn(async move {
             serving.await;
             drop(place);
         });
     }
     drop(options.listener);
-    if time::timeout(options.limits.drain_ms.span(), connections.shutdown()).await.is_err() {
-        log::warn!("requests are cut: they took longer than {} to finish", options.limits.drain_ms);
+    if time::timeout(options.limits.drain_ms.span(), connections.shutdown())
+        .await
+        .is_err()
+    {
+        log::warn!(
+            "requests are cut: they took longer than {} to finish",
+            options.limits.drain_ms
+        );
     }
 }
 
@@ -106,15 +126,21 @@
         .max_header_list_size(u32::try_from(limits.head_bytes).unwrap_or(u32::MAX));
     let served = match acceptor {
         None => {
-            let connection = builder.serve_connection(rt::TokioIo::new(stream), answering).into_owned();
+            let connection = builder
+                .serve_connection(rt::TokioIo::new(stream), answering)
+                .into_owned();
             watcher.watch(connection).await
         }
         Some(acceptor) => {
-            let Ok(Ok(stream)) = time::timeout(limits.head_ms.span(), acceptor.accept(stream)).await else {
+            let Ok(Ok(stream)) =
+                time::timeout(limits.head_ms.span(), acceptor.accept(stream)).await
+            else {
                 log::debug!("the TLS handshake of {from} failed");
                 return;
             };
-            let connection = builder.serve_connection(rt::TokioIo::new(stream), answering).into_owned();
+            let connection = builder
+                .serve_connection(rt::TokioIo::new(stream), answering)
+                .into_owned();
             watcher.watch(connection).await
         }
     };
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,6 @@
 pub mod body;
 pub mod http;
 pub mod keys;
+pub mod platform;
 pub mod pool;
 pub mod quic;
-pub mod platform;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -39,7 +39,9 @@
         source: std::io::Error,
     },
     /// The target did not accept a connection in time; nothing was sent.
-    #[snafu(display("the target at {address} did not accept a connection within {CONNECT_TIMEOUT}"))]
+    #[snafu(display(
+        "the target at {address} did not accept a connection within {CONNECT_TIMEOUT}"
+    ))]
     ConnectTimeout {
         /// The target's address.
         address: net::SocketAddr,
@@ -93,7 +95,11 @@
 impl Pool {
     /// Creates an empty pool whose connections refuse answers' heads above `head_bytes`.
     pub fn new(clock: clock::Clock, head_bytes: usize) -> Pool {
-        Pool { clock, head_bytes, idle: sync::Mutex::default() }
+        Pool {
+            clock,
+            head_bytes,
+            idle: sync::Mutex::default(),
+        }
     }
 
     /// Returns a connection to the target at `address`, an idle one where there is one.
@@ -108,7 +114,11 @@
     /// # Panics
     ///
     /// Panics if a holder of the pool's lock panicked.
-    pub async fn acquire(&self, address: net::SocketAddr, idempotent: bool) -> Result<Connection, Error> {
+    pub async fn acquire(
+        &self,
+        address: net::SocketAddr,
+        idempotent: bool,
+    ) -> Result<Connection, Error> {
         let longest = if idempotent { IDLE_SPAN } else { FRESH_SPAN };
         if let Some(connection) = self.take_idle(address, longest) {
             return Ok(connection);
@@ -146,7 +156,11 @@
                 log::debug!("a connection to the target at {address} ended: {e}");
             }
         });
-        Ok(Connection { address, sender, driver })
+        Ok(Connection {
+            address,
+            sender,
+            driver,
+        })
     }
 
     /// Takes back a connection whose answer has been read to the end.
@@ -191,7 +205,10 @@
     ///
     /// Returns an error if the connection breaks before the answer's head; [`Error::never_sent`] tells whether the
     /// target may have seen the request.
-    pub async fn send(&mut self, request: Request<body::Body>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(
+        &mut self,
+        request: Request<body::Body>,
+    ) -> Result<Response<Incoming>, Error> {
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut e) => match e.take_message() {
@@ -201,4 +218,3 @@
         }
     }
 }
-
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The test binary of the library: one module a topic.
 
 mod findings;
+mod homes;
 mod quic;
 mod support;
