state: bundles and settings are checked whole, compared, and signed by operators

A walk over the document with spans finds every fault before anything is deserialized: unknown keys, wrong types, ranges, names given twice, references to nothing. The check of syntax recovers after a fault too. Differences for people go by entry; differences for peers are edits by lines of the text as written, so the digest that was signed is verified after they are applied, and comments survive.

--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::refusal;
+use crate::state::bundle::edits;
 use crate::state::clock;
 use crate::state::ids;
 use crate::state::timeline;
@@ -181,18 +182,7 @@
     /// The ed25519 signature over version and digest, in hexadecimal.
     pub signature: String,
     /// The edits from the start of the text to its end.
-    pub edits: Vec<Edit>,
-}
-
-/// One step from the lines of an earlier text to the lines of a later one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Edit {
-    /// Takes over as many lines of the earlier text.
-    Keep(u32),
-    /// Leaves out as many lines of the earlier text.
-    Skip(u32),
-    /// Inserts text.
-    Insert(String),
+    pub edits: Vec<edits::Edit>,
 }
 
 /// Why a note got no reply.
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -1,7 +1,50 @@
 //! Checks the text of a bundle as a whole, before anything is adopted from it.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net;
+
 use crate::state::bundle;
 use crate::state::findings;
+use crate::state::reader;
+
+/// The most characters of a name.
+const NAME_CHARS: usize = 64;
+
+/// The most tiers of a bundle; a rank is one byte.
+const TIERS: usize = 255;
+
+/// The highest version; TOML's whole numbers end there.
+const LAST_VERSION: u64 = i64::MAX as u64;
+
+/// The longest time that a bundle may name, in milliseconds: an hour.
+const LONGEST_MS: u64 = 3_600_000;
+
+/// The shortest lease of an ejection, in milliseconds; a shorter one has lapsed by the time that it is granted.
+const SHORTEST_LEASE_MS: u64 = 5_000;
+
+/// The most requests in the queue of one cell.
+const QUEUE: u64 = 100_000;
+
+/// The most slots or connections of one target.
+const SLOTS: u64 = 100_000;
+
+/// The highest log-likelihood ratio that a rule may ask for.
+const RATIO: f64 = 1_000.0;
+
+/// The most tries of one request.
+const TRIES: u64 = 10;
+
+/// The hexadecimal digits of a SHA-256 digest.
+const DIGEST_CHARS: usize = 64;
+
+/// The names that references in the bundle may use, and the places that took them.
+#[derive(Default)]
+struct Names<'a> {
+    tiers: BTreeSet<&'a str>,
+    services: BTreeSet<&'a str>,
+    credentials: BTreeMap<&'a str, &'a str>,
+}
 
 /// Parses and checks the text of a bundle; `file` is the name that findings give.
 ///
@@ -9,13 +52,344 @@
 ///
 /// Returns every finding with its line if the text is no valid bundle.
 pub fn parse(file: &str, text: &str) -> Result<bundle::Bundle, findings::Findings> {
-    let mut found = findings::Findings::default();
-    match toml::from_str::<bundle::Bundle>(text) {
-        Ok(bundle) => found.into_result(bundle),
-        Err(e) => {
-            let offset = e.span().map_or(0, |s| s.start);
-            found.add_at(file, text, offset, e.message());
-            Err(found)
+    let reader = reader::Reader::new(file, text);
+    {
+        let table = reader.parse();
+        check_root(reader.root(&table));
+    }
+    reader.finish()
+}
+
+fn check_root(root: reader::Table<'_>) {
+    root.known(&[
+        "version",
+        "tiers",
+        "unknown",
+        "organisations",
+        "services",
+        "routes",
+    ]);
+    root.required("version")
+        .and_then(|v| v.integer(1..=LAST_VERSION));
+    let mut names = Names::default();
+    if let Some(tiers) = root.required("tiers") {
+        check_tiers(tiers, &mut names);
+    }
+    if let Some(unknown) = root.optional("unknown") {
+        check_unknown(unknown, &names);
+    }
+    let organisations = root.optional("organisations");
+    check_organisations(
+        &organisations.map_or(Vec::new(), |o| o.tables()),
+        &mut names,
+    );
+    if let Some(services) = root.required("services") {
+        check_services(services, &mut names);
+    }
+    if let Some(routes) = root.required("routes") {
+        check_routes(&routes.tables(), &names);
+    }
+}
+
+fn check_tiers<'a>(value: reader::Value<'a>, names: &mut Names<'a>) {
+    let tiers = value.tables();
+    if tiers.is_empty() || tiers.len() > TIERS {
+        value.add(&format!(
+            "between 1 and {TIERS} tiers expected, found {}",
+            tiers.len()
+        ));
+    }
+    for tier in tiers {
+        tier.known(&["name"]);
+        unique_name(tier, "tier", &mut names.tiers);
+    }
+}
+
+fn check_unknown(value: reader::Value<'_>, names: &Names<'_>) {
+    let Some(table) = value.table() else { return };
+    table.known(&["action", "tier"]);
+    let Some(action) = table.required("action") else {
+        return;
+    };
+    match action.string().map(|a| a.str) {
+        Some("tier") => refer(table, "tier", "tier", &names.tiers),
+        Some("last-tier" | "refuse") => {
+            if let Some(tier) = table.optional("tier") {
+                tier.add("only the action `tier` takes a tier");
+            }
+        }
+        Some(other) => action.add(&format!(
+            "unknown action `{other}`; known: last-tier, tier, refuse"
+        )),
+        None => {}
+    }
+}
+
+fn check_organisations<'a>(organisations: &[reader::Table<'a>], names: &mut Names<'a>) {
+    let mut seen = BTreeSet::new();
+    for organisation in organisations {
+        organisation.known(&["name", "tier", "credentials"]);
+        let name = unique_name(*organisation, "organisation", &mut seen);
+        refer(*organisation, "tier", "tier", &names.tiers);
+        let credentials = organisation.optional("credentials");
+        for credential in credentials.map_or(Vec::new(), |c| c.array()) {
+            check_credential(credential, name.unwrap_or_default(), names);
+        }
+    }
+}
+
+fn check_credential<'a>(value: reader::Value<'a>, organisation: &'a str, names: &mut Names<'a>) {
+    let Some(digest) = value.string() else { return };
+    if !is_digest(digest.str) {
+        value.add(
+            "a credential is the SHA-256 digest of a token, as 64 hexadecimal digits in lower case",
+        );
+        return;
+    }
+    if let Some(other) = names.credentials.insert(digest.str, organisation) {
+        value.add(&format!(
+            "the organisation `{other}` has this credential too"
+        ));
+    }
+}
+
+fn check_services<'a>(value: reader::Value<'a>, names: &mut Names<'a>) {
+    let services = value.tables();
+    if services.is_empty() {
+        value.add("no service: nothing would be served");
+    }
+    for service in services {
+        service.known(&[
+            "name",
+            "floor",
+            "deadline_ms",
+            "queue",
+            "ejection",
+            "retry",
+            "targets",
+        ]);
+        unique_name(service, "service", &mut names.services);
+        within(service, "deadline_ms", 1, LONGEST_MS);
+        within(service, "queue", 0, QUEUE);
+        if let Some(table) = service.optional("ejection").and_then(|e| e.table()) {
+            check_ejection(table);
+        }
+        if let Some(table) = service.optional("retry").and_then(|r| r.table()) {
+            check_retry(table);
+        }
+        let targets = service.required("targets").map(check_targets);
+        let floor = service.required("floor");
+        if let (Some(floor), Some(targets)) = (floor, targets) {
+            check_floor(floor, targets);
+        }
+    }
+}
+
+fn check_floor(floor: reader::Value<'_>, targets: usize) {
+    if let Some(n) = floor.integer(0..=LAST_VERSION)
+        && n > targets as u64
+    {
+        floor.add(&format!(
+            "a floor of {n} stands above the service's {targets} targets"
+        ));
+    }
+}
+
+fn check_ejection(table: reader::Table<'_>) {
+    table.known(&["avoid", "eject", "lease_ms"]);
+    within(table, "lease_ms", SHORTEST_LEASE_MS, LONGEST_MS);
+    let defaults = bundle::Ejection::default();
+    let ratio = |key| {
+        let value = table.optional(key)?;
+        value.number(f64::MIN_POSITIVE..=RATIO)
+    };
+    let avoid = ratio("avoid").unwrap_or(defaults.avoid);
+    let eject = ratio("eject").unwrap_or(defaults.eject);
+    if avoid > eject {
+        table.add(&format!(
+            "`avoid` ({avoid}) stands above `eject` ({eject}); a target is avoided before it is ejected"
+        ));
+    }
+}
+
+fn check_retry(table: reader::Table<'_>) {
+    table.known(&["budget_pct", "tries"]);
+    if let Some(budget) = table.optional("budget_pct") {
+        budget.number(0.0..=100.0);
+    }
+    within(table, "tries", 1, TRIES);
+}
+
+/// Checks the targets of one service, and returns their number.
+fn check_targets(value: reader::Value<'_>) -> usize {
+    let targets = value.tables();
+    if targets.is_empty() {
+        value.add("a service needs at least one target");
+    }
+    let mut seen = BTreeSet::new();
+    let mut addresses = BTreeSet::new();
+    for target in &targets {
+        target.known(&[
+            "name",
+            "address",
+            "domain",
+            "slots",
+            "connections",
+            "leaving",
+        ]);
+        unique_name(*target, "target", &mut seen);
+        if let Some(address) = target.required("address") {
+            check_address(address, &mut addresses);
+        }
+        if let Some(domain) = target.required("domain") {
+            check_name(domain);
+        }
+        check_slots(*target);
+        target.optional("leaving").and_then(|l| l.boolean());
+    }
+    targets.len()
+}
+
+fn check_address(value: reader::Value<'_>, seen: &mut BTreeSet<net::SocketAddr>) {
+    let Some(address) = value.parsed::<net::SocketAddr>("an address as IP and port") else {
+        return;
+    };
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        value.add(&format!("nothing can be reached at {address}"));
+    }
+    if !seen.insert(address) {
+        value.add(&format!(
+            "another target of the service has the address {address}"
+        ));
+    }
+}
+
+fn check_slots(target: reader::Table<'_>) {
+    let slots = target.required("slots").and_then(|s| s.integer(1..=SLOTS));
+    let Some(connections) = target.optional("connections") else {
+        return;
+    };
+    let number = connections.integer(1..=SLOTS);
+    if let (Some(slots), Some(number)) = (slots, number)
+        && number < slots
+    {
+        connections.add(&format!("{number} connections can't carry {slots} slots"));
+    }
+}
+
+fn check_routes(routes: &[reader::Table<'_>], names: &Names<'_>) {
+    let mut seen = BTreeSet::new();
+    for route in routes {
+        route.known(&["host", "prefix", "service", "idempotent"]);
+        refer(*route, "service", "service", &names.services);
+        let host = route.optional("host").and_then(check_host);
+        let methods = route.optional("idempotent");
+        for method in methods.map_or(Vec::new(), |m| m.array()) {
+            check_method(method);
+        }
+        let Some(value) = route.required("prefix") else {
+            continue;
+        };
+        let Some(prefix) = check_prefix(value) else {
+            continue;
+        };
+        if !seen.insert((host, prefix)) {
+            value.add(&format!(
+                "another route has the prefix `{prefix}` for the same host"
+            ));
         }
     }
 }
+
+fn check_host(value: reader::Value<'_>) -> Option<&str> {
+    let host = value.string()?.str;
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || ".-_[]:".contains(c);
+    let bracketed = host.starts_with('[') && host.ends_with(']');
+    let port = host.contains(':') && !bracketed;
+    if host.is_empty() || !host.chars().all(fits) || port {
+        value.add(&format!(
+            "`{host}` is no host in lower case and without a port"
+        ));
+    }
+    Some(host)
+}
+
+fn check_prefix(value: reader::Value<'_>) -> Option<&str> {
+    let prefix = value.string()?.str;
+    if prefix == "/" {
+        return Some(prefix);
+    }
+    let segment = |s: &str| {
+        let printable = s.bytes().all(|b| b.is_ascii_graphic());
+        !s.is_empty() && s != "." && s != ".." && printable && !s.contains(['?', '#', '\\'])
+    };
+    let segments = prefix.strip_prefix('/');
+    if !segments.is_some_and(|s| s.split('/').all(segment)) {
+        value.add(&format!(
+            "`{prefix}` is no prefix: write `/` or segments like `/fees/2026`, without a slash at the end, a query, \
+             `.` or `..`"
+        ));
+    }
+    Some(prefix)
+}
+
+fn check_method(value: reader::Value<'_>) {
+    let Some(method) = value.string() else { return };
+    let upper = method.str.bytes().all(|b| b.is_ascii_uppercase());
+    if method.str.is_empty() || !upper {
+        value.add(&format!("`{}` is no method in upper case", method.str));
+    }
+}
+
+/// Checks the field `name` of `table`, which no other table of its kind may have.
+fn unique_name<'a>(
+    table: reader::Table<'a>,
+    kind: &str,
+    seen: &mut BTreeSet<&'a str>,
+) -> Option<&'a str> {
+    let value = table.required("name")?;
+    let name = check_name(value)?;
+    if !seen.insert(name) {
+        value.add(&format!("another {kind} is called `{name}`"));
+    }
+    Some(name)
+}
+
+fn check_name(value: reader::Value<'_>) -> Option<&str> {
+    let name = value.string()?.str;
+    if !is_name(name) {
+        value.add(&format!(
+            "`{name}` is no name: 1 to {NAME_CHARS} of the characters a-z, A-Z, 0-9, `-`, `_` and `.`"
+        ));
+    }
+    Some(name)
+}
+
+/// Checks that the field `key` of `table` refers to one of `names`.
+fn refer(table: reader::Table<'_>, key: &str, kind: &str, names: &BTreeSet<&str>) {
+    let Some(value) = table.required(key) else {
+        return;
+    };
+    let Some(name) = value.string() else { return };
+    if !names.contains(name.str) {
+        value.add(&format!("no {kind} is called `{}`", name.str));
+    }
+}
+
+fn within(table: reader::Table<'_>, key: &str, least: u64, most: u64) {
+    if let Some(value) = table.optional(key) {
+        value.integer(least..=most);
+    }
+}
+
+/// Returns whether `name` may name a tier, an organisation, a service, a target or a failure domain.
+pub(crate) fn is_name(name: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    (1..=NAME_CHARS).contains(&name.len()) && name.bytes().all(fits)
+}
+
+/// Returns whether `text` is a SHA-256 digest in lower-case hexadecimal.
+pub(crate) fn is_digest(text: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    text.len() == DIGEST_CHARS && text.bytes().all(fits)
+}
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -10,7 +10,9 @@
 use crate::state::clock;
 use crate::state::ids;
 
-mod check;
+pub(crate) mod check;
+pub mod diff;
+pub mod edits;
 
 pub use check::parse;
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,5 +4,7 @@
 pub mod clock;
 pub mod findings;
 pub mod ids;
+pub mod operator;
+pub mod reader;
 pub mod settings;
 pub mod timeline;
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -6,8 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::state::bundle;
 use crate::state::clock;
 use crate::state::findings;
+use crate::state::reader;
 
 /// The settings of one daemon, as its TOML file gives them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -113,19 +115,161 @@
     clock::Millis(1_000)
 }
 
+/// The log levels by name.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+/// The longest time that settings may name, in milliseconds: an hour.
+const LONGEST_MS: u64 = 3_600_000;
+
+/// The most of anything that settings may count, but for bytes.
+const MOST: u64 = 10_000_000;
+
+/// The most bytes that settings may allow for a head or for the body kept for a retry.
+const MOST_BYTES: u64 = 64 * 1024 * 1024;
+
 /// Parses and checks the text of a settings file; `file` is the name that findings give.
 ///
 /// # Errors
 ///
 /// Returns every finding with its line if the text holds no valid settings.
 pub fn parse(file: &str, text: &str) -> Result<Settings, findings::Findings> {
-    let mut found = findings::Findings::default();
-    match toml::from_str::<Settings>(text) {
-        Ok(settings) => found.into_result(settings),
-        Err(e) => {
-            let offset = e.span().map_or(0, |s| s.start);
-            found.add_at(file, text, offset, e.message());
-            Err(found)
+    let reader = reader::Reader::new(file, text);
+    {
+        let table = reader.parse();
+        check_root(reader.root(&table));
+    }
+    reader.finish()
+}
+
+fn check_root(root: reader::Table<'_>) {
+    root.known(&[
+        "name", "domain", "listen", "peer", "admin", "platform", "keys", "limits", "log", "seeds",
+    ]);
+    for key in ["name", "domain"] {
+        if let Some(value) = root.required(key) {
+            check_name(value);
         }
     }
+    for key in ["listen", "admin"] {
+        root.required(key).and_then(|v| address(v));
+    }
+    if let Some(peer) = root.required("peer") {
+        check_reachable(peer);
+    }
+    if let Some(platform) = root.required("platform").and_then(|p| p.table()) {
+        check_platform(platform);
+    }
+    if let Some(keys) = root.required("keys").and_then(|k| k.table()) {
+        check_keys(keys);
+    }
+    if let Some(limits) = root.optional("limits").and_then(|l| l.table()) {
+        check_limits(limits);
+    }
+    if let Some(log) = root.optional("log") {
+        check_log(log);
+    }
+    let seeds = root.optional("seeds").and_then(|s| s.table());
+    for (_, seed) in seeds.iter().flat_map(reader::Table::entries) {
+        check_reachable(seed);
+    }
+}
+
+fn check_name(value: reader::Value<'_>) {
+    let Some(name) = value.string() else { return };
+    if !bundle::check::is_name(name.str) {
+        value.add(&format!(
+            "`{}` is no name: 1 to 64 of the characters a-z, A-Z, 0-9, `-`, `_` and `.`",
+            name.str
+        ));
+    }
+}
+
+fn address(value: reader::Value<'_>) -> Option<net::SocketAddr> {
+    value.parsed("an address as IP and port")
+}
+
+/// Checks an address that other processes must reach; port 0 stands for one that the system chooses.
+fn check_reachable(value: reader::Value<'_>) {
+    if address(value).is_some_and(|a| a.ip().is_unspecified()) {
+        value.add("other hosts must reach this address; name the host's own IP");
+    }
+}
+
+fn check_platform(table: reader::Table<'_>) {
+    table.known(&["address", "timeout_ms"]);
+    if let Some(address) = table.required("address") {
+        check_reachable(address);
+    }
+    within(table, "timeout_ms", 1, LONGEST_MS);
+}
+
+fn check_keys(table: reader::Table<'_>) {
+    table.known(&[
+        "authority",
+        "certificate",
+        "key",
+        "operators",
+        "admin_token",
+        "public_certificate",
+        "public_key",
+    ]);
+    for key in ["authority", "certificate", "key"] {
+        table.required(key).and_then(|v| v.string());
+    }
+    if let Some(operators) = table.required("operators")
+        && operators.strings().is_empty()
+    {
+        operators.add("without an operator's public key no bundle is ever adopted");
+    }
+    if let Some(token) = table.required("admin_token")
+        && token
+            .string()
+            .is_some_and(|t| !bundle::check::is_digest(t.str))
+    {
+        token.add("the SHA-256 digest of a token expected, as 64 hexadecimal digits in lower case");
+    }
+    let certificate = table.optional("public_certificate");
+    let key = table.optional("public_key");
+    for value in [certificate, key].into_iter().flatten() {
+        value.string();
+    }
+    if certificate.is_some() != key.is_some() {
+        table.add("`public_certificate` and `public_key` come together or not at all");
+    }
+}
+
+fn check_limits(table: reader::Table<'_>) {
+    table.known(&[
+        "head_bytes",
+        "head_fields",
+        "connections",
+        "requests",
+        "replay_bytes",
+        "drain_ms",
+        "head_ms",
+    ]);
+    within(table, "head_bytes", 1024, MOST_BYTES);
+    within(table, "head_fields", 1, MOST);
+    within(table, "connections", 1, MOST);
+    within(table, "requests", 1, MOST);
+    within(table, "replay_bytes", 0, MOST_BYTES);
+    within(table, "drain_ms", 0, LONGEST_MS);
+    within(table, "head_ms", 1, LONGEST_MS);
+}
+
+fn check_log(value: reader::Value<'_>) {
+    let Some(level) = value.string() else { return };
+    if !LOG_LEVELS.contains(&level.str) {
+        value.add(&format!(
+            "unknown log level `{}`; known: {}",
+            level.str,
+            LOG_LEVELS.join(", ")
+        ));
+    }
+}
+
+fn within(table: reader::Table<'_>, key: &str, least: u64, most: u64) {
+    if let Some(value) = table.optional(key) {
+        value.integer(least..=most);
+    }
 }
--- /dev/null
+++ b/tests/testsuite/bundle.rs
@@ -0,0 +1,87 @@
+//! Differences between bundles, as edits of their text and by entries, and operators' signatures.
+
+use peridotspread::state::bundle;
+use peridotspread::state::bundle::diff;
+use peridotspread::state::bundle::edits;
+use peridotspread::state::operator;
+use proptest::prelude::*;
+
+use crate::support;
+
+proptest! {
+    #![proptest_config(support::proptest_config(400))]
+
+    #[test]
+    fn edits_turn_the_earlier_text_into_the_later(
+        old in prop::collection::vec("[a-d]\n", 0..40),
+        new in prop::collection::vec("[a-e]\n?", 0..40),
+    ) {
+        let (old, new) = (old.concat(), new.concat());
+        let edits = edits::between(&old, &new);
+        prop_assert_eq!(edits::apply(&old, &edits).unwrap(), new);
+        let longer = format!("{old}z\n");
+        prop_assert_eq!(edits::apply(&longer, &edits), Err(edits::Error::OtherText));
+    }
+}
+
+#[test]
+fn one_more_target_among_many_routes_makes_a_short_change() {
+    let old = support::bundle(6).routes(49_000).text();
+    let new = support::bundle(7).routes(49_000).version(2).text();
+    let edits = edits::between(&old, &new);
+    assert_eq!(edits::apply(&old, &edits).unwrap(), new);
+    assert!(edits::size(&edits) < 400, "{edits:?}");
+    assert!(new.len() > 2_000_000);
+}
+
+#[test]
+fn entries_are_compared_by_their_names() {
+    let old = support::bundle(2).build();
+    let mut new = support::bundle(3).version(2).build();
+    new.services[0].targets.remove(0);
+    new.services[0].targets[0].slots = 5;
+    new.routes[0].prefix = "/other".to_owned();
+    let entries: Vec<_> = diff::between(&old, &new)
+        .into_iter()
+        .map(|d| (d.entry, d.kind))
+        .collect();
+    let expected = [
+        ("route any host /fees-0", diff::Kind::Removed),
+        ("route any host /other", diff::Kind::Added),
+        ("service fees, target fees-0", diff::Kind::Removed),
+        ("service fees, target fees-1", diff::Kind::Changed),
+        ("service fees, target fees-2", diff::Kind::Added),
+        ("version", diff::Kind::Changed),
+    ];
+    assert_eq!(entries, expected.map(|(e, k)| (e.to_owned(), k)));
+    assert_eq!(diff::between(&old, &old), []);
+}
+
+#[test]
+fn a_signature_counts_for_its_operator_version_and_digest_alone() {
+    let pair = operator::generate().unwrap();
+    let other = operator::generate().unwrap();
+    let key = operator::Key::from_pem("anna", &pair.private).unwrap();
+    let mut operators = operator::Operators::default();
+    operators.add_pem("anna", &pair.public).unwrap();
+    operators.add_pem("omar", &other.public).unwrap();
+    let digest = operator::digest("text");
+    let signature = key.sign(3, &digest);
+    assert!(operators.verify("anna", 3, &digest, &signature).is_ok());
+    assert!(operators.verify("omar", 3, &digest, &signature).is_err());
+    assert!(operators.verify("nobody", 3, &digest, &signature).is_err());
+    assert!(operators.verify("anna", 4, &digest, &signature).is_err());
+    let another = operator::digest("texts");
+    assert!(operators.verify("anna", 3, &another, &signature).is_err());
+    assert!(operators.verify("anna", 3, &digest, "00").is_err());
+}
+
+#[test]
+fn the_floor_is_part_of_a_services_rules() {
+    let old = support::bundle(4).floor(1).build();
+    let new = support::bundle(4).floor(2).build();
+    let differences = diff::between(&old, &new);
+    assert_eq!(differences.len(), 1);
+    assert_eq!(differences[0].entry, "service fees");
+    assert!(bundle::parse("b.toml", &support::bundle(4).floor(5).text()).is_err());
+}
--- /dev/null
+++ b/tests/testsuite/check.rs
@@ -0,0 +1,188 @@
+//! Bundles and settings are checked whole: every finding at once, and no text makes the check panic.
+
+use peridotspread::state::bundle;
+use peridotspread::state::settings;
+use proptest::prelude::*;
+
+use crate::support;
+
+const BAD_BUNDLE: &str = r#"version = 0
+colour = "red"
+tiers = [{ name = "paying" }, { name = "paying" }, { name = "a b" }]
+unknown = { action = "tier", tier = "gold" }
+
+[[organisations]]
+name = "kozi"
+tier = "silver"
+credentials = ["abc"]
+
+[[services]]
+name = "fees"
+floor = 3
+deadline_ms = "soon"
+ejection = { avoid = 9, eject = 2.5, lease_ms = 1 }
+retry = { budget_pct = 101, tries = 0 }
+
+[[services.targets]]
+name = "a"
+address = "10.0.0.1"
+domain = "lahore-1"
+slots = 0
+
+[[services.targets]]
+name = "a"
+address = "10.0.0.1:0"
+slots = 5
+connections = 4
+
+[[services]]
+name = "fees"
+floor = 0
+targets = []
+
+[[routes]]
+prefix = "fees/"
+service = "fee"
+idempotent = ["put"]
+
+[[routes]]
+host = "Example.com:80"
+prefix = "/"
+service = "fees"
+
+[[routes]]
+host = "Example.com:80"
+prefix = "/"
+service = "fees"
+"#;
+
+#[test]
+fn all_findings_come_together_with_their_lines() {
+    let found = bundle::parse("b.toml", BAD_BUNDLE).unwrap_err();
+    let seen: Vec<_> = found
+        .list
+        .iter()
+        .map(|f| {
+            (
+                f.line,
+                f.message.split('`').next().unwrap_or_default().trim(),
+            )
+        })
+        .collect();
+    let expected = [
+        (1, "0 is not between 1 and 9223372036854775807"),
+        (2, "unknown key"),
+        (3, ""),
+        (3, "another tier is called"),
+        (4, "no tier is called"),
+        (8, "no tier is called"),
+        (
+            9,
+            "a credential is the SHA-256 digest of a token, as 64 hexadecimal digits in lower case",
+        ),
+        (13, "a floor of 3 stands above the service's 2 targets"),
+        (14, "a whole number expected, found string"),
+        (15, "1 is not between 5000 and 3600000"),
+        (15, ""),
+        (16, "0 is not between 1 and 10"),
+        (16, "101 is not between 0 and 100"),
+        (20, "an address as IP and port expected, found"),
+        (22, "0 is not between 1 and 100000"),
+        (24, ""),
+        (25, "another target is called"),
+        (26, "nothing can be reached at 10.0.0.1:0"),
+        (28, "4 connections can't carry 5 slots"),
+        (31, "another service is called"),
+        (33, "a service needs at least one target"),
+        (36, ""),
+        (37, "no service is called"),
+        (38, ""),
+        (41, ""),
+        (46, ""),
+        (47, "another route has the prefix"),
+    ];
+    assert_eq!(seen, expected, "{found}");
+}
+
+#[test]
+fn faults_of_syntax_come_together_too() {
+    let found = bundle::parse("b.toml", "version = \ntiers = [\n[[services]\n").unwrap_err();
+    let lines: Vec<_> = found.list.iter().map(|f| f.line).collect();
+    assert!(lines.contains(&1) && lines.contains(&3), "{found}");
+}
+
+#[test]
+fn every_field_of_a_bundle_and_of_settings_is_known_to_its_check() {
+    let bundle = support::bundle(3).build();
+    let text = toml::to_string(&bundle).unwrap();
+    assert_eq!(bundle::parse("b.toml", &text).unwrap(), bundle, "{text}");
+    let parsed = settings::parse("s.toml", SETTINGS).unwrap();
+    let text = toml::to_string(&parsed).unwrap();
+    assert_eq!(settings::parse("s.toml", &text).unwrap(), parsed, "{text}");
+}
+
+const SETTINGS: &str = r#"name = "entry-1"
+domain = "lahore-1"
+listen = "0.0.0.0:80"
+peer = "10.0.0.1:7000"
+admin = "127.0.0.1:7001"
+
+[platform]
+address = "10.0.0.9:80"
+
+[keys]
+authority = "a.pem"
+certificate = "c.pem"
+key = "k.pem"
+operators = ["o.pem"]
+admin_token = "2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824"
+
+[limits]
+
+[seeds]
+entry-2 = "10.0.0.2:7000"
+"#;
+
+#[test]
+fn all_findings_of_settings_come_together() {
+    let text = SETTINGS
+        .replace("entry-1", "entry 1")
+        .replace("10.0.0.1:7000", "0.0.0.0:7000")
+        .replace("[limits]", "[limits]\nhead_bytes = 1\nheads = 2")
+        .replace("[platform]", "log = 3\n[platform]")
+        .replace(
+            "operators = [\"o.pem\"]",
+            "operators = []\npublic_key = \"p.pem\"",
+        )
+        .replace("10.0.0.2:7000", "ten");
+    let found = settings::parse("s.toml", &text).unwrap_err();
+    let lines: Vec<_> = found.list.iter().map(|f| f.line).collect();
+    assert_eq!(lines, [1, 4, 7, 11, 15, 20, 21, 24], "{found}");
+}
+
+/// A text with one piece replaced by another.
+fn mutated(text: &'static str) -> impl Strategy<Value = String> {
+    let len = text.len();
+    (0..len, 0..40_usize, "[\\[\\]{}=\"'#.,\na-z0-9_ -]{0,8}").prop_map(move |(at, cut, new)| {
+        let end = (at + cut).min(len);
+        format!("{}{new}{}", &text[..at], &text[end..])
+    })
+}
+
+proptest! {
+    #![proptest_config(support::proptest_config(400))]
+
+    #[test]
+    fn no_text_makes_a_check_panic(text in "\\PC{0,200}") {
+        let _ = bundle::parse("b.toml", &text);
+        let _ = settings::parse("s.toml", &text);
+    }
+
+    #[test]
+    fn no_mutated_text_makes_a_check_panic(a in mutated(BAD_BUNDLE), b in mutated(SETTINGS)) {
+        let _ = bundle::parse("b.toml", &a);
+        if let Ok(settings) = settings::parse("s.toml", &b) {
+            prop_assert!(!settings.keys.operators.is_empty());
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,6 @@
 //! The test binary of the library: one module a topic.
 
+mod bundle;
+mod check;
 mod findings;
+mod support;
--- /dev/null
+++ b/tests/testsuite/support.rs
@@ -0,0 +1,100 @@
+//! Builders and fakes that the test modules share.
+
+use peridotspread::state::bundle;
+use peridotspread::state::clock;
+use proptest::test_runner;
+
+/// Starts a bundle of one service, `fees`, with `targets` targets in two failure domains.
+pub(crate) fn bundle(targets: usize) -> BundleBuilder {
+    BundleBuilder {
+        version: 1,
+        floor: 1,
+        targets,
+        routes: 1,
+    }
+}
+
+/// Builds bundles that pass their check.
+#[derive(Clone, Debug)]
+pub(crate) struct BundleBuilder {
+    version: u64,
+    floor: usize,
+    targets: usize,
+    routes: usize,
+}
+
+impl BundleBuilder {
+    pub(crate) fn version(mut self, version: u64) -> BundleBuilder {
+        self.version = version;
+        self
+    }
+
+    pub(crate) fn floor(mut self, floor: usize) -> BundleBuilder {
+        self.floor = floor;
+        self
+    }
+
+    pub(crate) fn routes(mut self, routes: usize) -> BundleBuilder {
+        self.routes = routes;
+        self
+    }
+
+    pub(crate) fn build(&self) -> bundle::Bundle {
+        let targets = (0..self.targets).map(target).collect();
+        let route = |n| bundle::Route {
+            host: None,
+            prefix: format!("/fees-{n}"),
+            service: "fees".to_owned(),
+            idempotent: vec!["PUT".to_owned()],
+        };
+        bundle::Bundle {
+            version: self.version,
+            tiers: ["paying", "free"].map(tier).into(),
+            unknown: bundle::Unknown::default(),
+            organisations: Vec::new(),
+            services: vec![bundle::Service {
+                name: "fees".to_owned(),
+                floor: self.floor,
+                deadline_ms: clock::Millis(10_000),
+                queue: 100,
+                ejection: bundle::Ejection::default(),
+                retry: bundle::Retry::default(),
+                targets,
+            }],
+            routes: (0..self.routes).map(route).collect(),
+        }
+    }
+
+    pub(crate) fn text(&self) -> String {
+        toml::to_string(&self.build()).expect("a bundle encodes as TOML")
+    }
+}
+
+fn tier(name: &str) -> bundle::Tier {
+    bundle::Tier {
+        name: name.to_owned(),
+    }
+}
+
+fn target(n: usize) -> bundle::Target {
+    bundle::Target {
+        name: format!("fees-{n}"),
+        address: format!("127.0.0.1:{}", 9_000 + n)
+            .parse()
+            .expect("an address"),
+        domain: format!("lahore-{}", n % 2),
+        slots: 3,
+        connections: 400,
+        leaving: false,
+    }
+}
+
+/// Returns the configuration of property tests: a fixed seed, so that each run takes the same cases.
+pub(crate) fn proptest_config(cases: u32) -> test_runner::Config {
+    test_runner::Config {
+        cases,
+        rng_seed: test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
