--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,3 +1,4 @@
-//! Stand-ins, load generator, demonstration and measurements for peridotspread; for development only.
+//! The lab's library: what its commands and tests share.
 
 pub mod platform;
+pub mod replay;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,3 +1,8 @@
 //! What moves the bytes: QUIC between daemons, HTTP to callers and targets, and the client of the platform.
 
+pub mod body;
+pub mod http;
+pub mod keys;
+pub mod pool;
+pub mod quic;
 pub mod platform;
--- a/tests/testsuite/bundle.rs
+++ b/tests/testsuite/bundle.rs
@@ -6,10 +6,10 @@
 use peridotspread::state::operator;
 use proptest::prelude::*;
 
-use crate::support;
+use crate::support::bundles;
 
 proptest! {
-    #![proptest_config(support::proptest_config(400))]
+    #![proptest_config(bundles::proptest_config(400))]
 
     #[test]
     fn edits_turn_the_earlier_text_into_the_later(
@@ -26,8 +26,8 @@
 
 #[test]
 fn one_more_target_among_many_routes_makes_a_short_change() {
-    let old = support::bundle(6).routes(49_000).text();
-    let new = support::bundle(7).routes(49_000).version(2).text();
+    let old = bundles::fees(6).routes(49_000).text();
+    let new = bundles::fees(7).routes(49_000).version(2).text();
     let edits = edits::between(&old, &new);
     assert_eq!(edits::apply(&old, &edits).unwrap(), new);
     assert!(edits::size(&edits) < 400, "{edits:?}");
@@ -36,8 +36,8 @@
 
 #[test]
 fn entries_are_compared_by_their_names() {
-    let old = support::bundle(2).build();
-    let mut new = support::bundle(3).version(2).build();
+    let old = bundles::fees(2).build();
+    let mut new = bundles::fees(3).version(2).build();
     new.services[0].targets.remove(0);
     new.services[0].targets[0].slots = 5;
     new.routes[0].prefix = "/other".to_owned();
@@ -78,10 +78,10 @@
 
 #[test]
 fn the_floor_is_part_of_a_services_rules() {
-    let old = support::bundle(4).floor(1).build();
-    let new = support::bundle(4).floor(2).build();
+    let old = bundles::fees(4).floor(1).build();
+    let new = bundles::fees(4).floor(2).build();
     let differences = diff::between(&old, &new);
     assert_eq!(differences.len(), 1);
     assert_eq!(differences[0].entry, "service fees");
-    assert!(bundle::parse("b.toml", &support::bundle(4).floor(5).text()).is_err());
+    assert!(bundle::parse("b.toml", &bundles::fees(4).floor(5).text()).is_err());
 }
--- a/tests/testsuite/check.rs
+++ b/tests/testsuite/check.rs
@@ -4,7 +4,7 @@
 use peridotspread::state::settings;
 use proptest::prelude::*;
 
-use crate::support;
+use crate::support::bundles;
 
 const BAD_BUNDLE: &str = r#"version = 0
 colour = "red"
@@ -113,7 +113,7 @@
 
 #[test]
 fn every_field_of_a_bundle_and_of_settings_is_known_to_its_check() {
-    let bundle = support::bundle(3).build();
+    let bundle = bundles::fees(3).build();
     let text = toml::to_string(&bundle).unwrap();
     assert_eq!(bundle::parse("b.toml", &text).unwrap(), bundle, "{text}");
     let parsed = settings::parse("s.toml", SETTINGS).unwrap();
@@ -170,7 +170,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(400))]
+    #![proptest_config(bundles::proptest_config(400))]
 
     #[test]
     fn no_text_makes_a_check_panic(text in "\\PC{0,200}") {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 mod bundle;
 mod check;
 mod findings;
+mod quic;
 mod support;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -5,7 +5,7 @@
 use proptest::test_runner;
 
 /// Starts a bundle of one service, `fees`, with `targets` targets in two failure domains.
-pub(crate) fn bundle(targets: usize) -> BundleBuilder {
+pub(crate) fn fees(targets: usize) -> BundleBuilder {
     BundleBuilder {
         version: 1,
         floor: 1,
