lab: stand-in for targets and open-loop load generator

The targets' stand-in serves many targets from one process, goes gray on command and counts each run by send, key and request. The load generator sends on a schedule, verifies every answer against its nonce, and compares what callers were told with what the targets counted. Three tests show that a second run, a broken-off body and a crash can be seen.

--- /dev/null
+++ b/crates/lab/src/commands/mod.rs
@@ -0,0 +1,27 @@
+//! The subcommands, one file each.
+
+use gumdrop::Options;
+
+mod target;
+
+/// The exit status for a command line that names no subcommand.
+pub(crate) const EXIT_USAGE: u8 = 64;
+
+/// What a subcommand reports when it fails.
+pub(crate) type Error = Box<dyn std::error::Error + Send + Sync>;
+
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "stand in for targets, as a TOML file describes them")]
+    Target(target::Args),
+}
+
+/// Carries out a subcommand on a runtime of its own.
+pub(crate) fn exec(command: &Command) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    match command {
+        Command::Target(args) => runtime.block_on(target::exec(args)),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,9 @@
+//! The lab: stand-ins for targets and the platform, a load generator, the demonstration and the measurements.
+//!
+//! For development only; the only place that starts processes. Nothing that the daemon or the command-line tool ship
+//! depends on it.
+
+pub mod echo;
+pub mod load;
+pub mod rng;
+pub mod target;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,37 @@
-//! The lab: stand-ins for targets and the platform, a load generator, the demonstration and the measurements.
+//! The command line of the lab: one subcommand a stand-in, a demonstration or a measurement.
 //!
 //! For development only; the only place that starts processes.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+mod commands;
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<commands::Command>,
+}
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let args = Args::parse_args_default_or_exit();
+    let Some(command) = args.command else {
+        eprintln!(
+            "{}\n\n{}",
+            Args::usage(),
+            Args::command_list().unwrap_or_default()
+        );
+        return ExitCode::from(commands::EXIT_USAGE);
+    };
+    match commands::exec(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins and the load generator themselves, without a fleet: what the proofs count must be countable.
+
+mod standins;
