--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod echo;
 pub mod load;
+pub mod platform;
+pub mod replay;
 pub mod rng;
 pub mod target;
