--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -66,6 +66,7 @@
 /// The entry of one daemon.
 pub struct Entry {
     options: Options,
+    homes: sync::Mutex<homes::Homes>,
     rules: sync::Mutex<sync::Arc<Rules>>,
     places: tasks::Semaphore,
 }
@@ -102,8 +103,10 @@
     /// Creates the entry of one daemon.
     pub fn new(options: Options) -> Entry {
         let places = tasks::Semaphore::new(options.settings.limits.requests);
+        let homes = homes::Homes::new(&options.settings.name, &options.settings.domain);
         Entry {
             options,
+            homes: sync::Mutex::new(homes),
             rules: sync::Mutex::default(),
             places,
         }
@@ -178,24 +181,24 @@
         let mut tried = Vec::new();
         let mut refused = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
-            let view = self.options.view.borrow().clone();
-            let Some(choice) = self.choose(service, &view, &tried) else {
+            let Some(choice) = self.choose(service, &tried) else {
                 break;
             };
-            let home = choice.home.clone();
-            tried.push(choice.clone());
-            match self.attempt(&mut call, &choice, &view).await {
-                Attempt::Answer(response) => return Ok(response),
-                Attempt::Refused(refusal) if !another_home_may_serve(refusal) => {
+            call.head.peers = self.homes().peers(self.options.clock.now(), service);
+            let attempt = self.attempt(&mut call, &choice).await;
+            self.observe(&choice.home, &attempt);
+            match attempt {
+                Attempt::Answer { response, .. } => return Ok(response),
+                Attempt::Refused { refusal, .. } if !another_home_may_serve(refusal) => {
                     return Err(refusal);
                 }
-                Attempt::Refused(refusal) => refused = refusal,
-                Attempt::Lost { started: false } => {
-                    log::debug!("the home {home} does not answer; trying another");
+                Attempt::Refused { refusal, .. } => refused = refusal,
+                Attempt::Lost { started, .. } if started && call.head.two_steps() => {
+                    return Err(Refusal::unknown(Cause::HomeLost));
                 }
-                Attempt::Lost { started: true } if !call.head.two_steps() => {}
-                Attempt::Lost { started: true } => return Err(Refusal::unknown(Cause::HomeLost)),
+                Attempt::Lost { .. } => log::debug!("the home {} is lost", choice.home),
             }
+            tried.push(choice);
             if self.options.clock.now() >= call.deadline {
                 return Err(Refusal::not_run(Cause::DeadlinePassed, None));
             }
@@ -301,40 +304,39 @@
             .map_err(|_| passed)
     }
 
-    fn choose(
-        &self,
-        service: &bundle::Service,
-        view: &member::View,
-        tried: &[Choice],
-    ) -> Option<Choice> {
-        let own = &self.options.settings.domain;
-        let mut cells: Vec<_> = service.cells().into_keys().collect();
-        cells.sort_by_key(|c| {
-            (
-                c.domain != *own,
-                homes::hash(&[&c.domain, &self.options.settings.name]),
-            )
-        });
-        let open = |c: &Choice| !tried.contains(c);
-        let mut choices = cells.into_iter().flat_map(|cell| {
-            let ranked = homes::rank(&cell, view).into_iter().take(2);
-            ranked
-                .map(|h| Choice {
-                    cell: cell.clone(),
-                    home: h.to_owned(),
-                })
-                .collect::<Vec<_>>()
-        });
-        choices.find(open)
+    fn choose(&self, service: &bundle::Service, tried: &[homes::Choice]) -> Option<homes::Choice> {
+        let view = self.options.view.borrow().clone();
+        self.homes()
+            .choose(self.options.clock.now(), service, &view, tried)
+    }
+
+    fn homes(&self) -> sync::MutexGuard<'_, homes::Homes> {
+        self.homes.lock().expect("no holder panicked")
+    }
+
+    /// Takes in how a request at a home went on, and what the home told of its cell.
+    fn observe(&self, home: &str, attempt: &Attempt) {
+        let now = self.options.clock.now();
+        let mut homes = self.homes();
+        match attempt {
+            Attempt::Answer { summary, .. } | Attempt::Refused { summary, .. } => {
+                homes.observe(now, home, homes::Observation::Answered);
+                if let Some(summary) = summary {
+                    homes.learn(now, summary);
+                }
+            }
+            Attempt::Lost { observation, .. } => homes.observe(now, home, *observation),
+        }
     }
 
-    async fn attempt(&self, call: &mut Call, choice: &Choice, view: &member::View) -> Attempt {
+    async fn attempt(&self, call: &mut Call, choice: &homes::Choice) -> Attempt {
+        let view = self.options.view.borrow().clone();
         let Some(member) = view.members.get(&choice.home) else {
-            return Attempt::Lost { started: false };
+            return Attempt::unreached();
         };
         let opening = self.options.links.open(&choice.home, member.peer);
         let Ok(Some((recv, send))) = self.before(call.deadline, opening).await else {
-            return Attempt::Lost { started: false };
+            return Attempt::unreached();
         };
         call.head.cell = choice.cell.clone();
         call.head.left = call.deadline - self.options.clock.now();
@@ -349,7 +351,7 @@
             return lost;
         }
         if !call.head.two_steps() {
-            return stream.finish(call.rest.take()).await;
+            return stream.finish_one_step().await;
         }
         if let Err(ended) = stream.await_ready().await {
             return ended;
@@ -363,7 +365,7 @@
     /// Allows the dispatch; from here on the work may run.
     async fn go(&self, mut stream: exchange::Stream, call: &mut Call) -> Attempt {
         if stream.send_go().await.is_err() {
-            return Attempt::Lost { started: true };
+            return Attempt::lost(true);
         }
         stream.finish(call.rest.take()).await
     }
@@ -376,15 +378,21 @@
             .claim(&scope, key, call.head.fingerprint);
         let token = match self.before(call.deadline, claiming).await {
             Ok(Claimed::Fresh(token)) => token,
-            Ok(Claimed::Ran(record)) => return Attempt::Answer(problem::recorded(&record)),
+            Ok(Claimed::Ran(record)) => {
+                let response = problem::recorded(&record);
+                return Attempt::Answer {
+                    response,
+                    summary: None,
+                };
+            }
             Ok(Claimed::Unknown) => {
-                return Attempt::Refused(Refusal::unknown(Cause::AlreadyClaimed));
+                return Attempt::refused(Refusal::unknown(Cause::AlreadyClaimed));
             }
             Ok(Claimed::KeyReused) => {
-                return Attempt::Refused(Refusal::not_run(Cause::KeyReused, None));
+                return Attempt::refused(Refusal::not_run(Cause::KeyReused, None));
             }
             Ok(Claimed::Unavailable) | Err(_) => {
-                return Attempt::Refused(Refusal::not_run(
+                return Attempt::refused(Refusal::not_run(
                     Cause::ClaimUnavailable,
                     Some(RETRY_SOON),
                 ));
@@ -392,16 +400,16 @@
         };
         let attempt = self.go(stream, call).await;
         match &attempt {
-            Attempt::Answer(response) => self
+            Attempt::Answer { response, .. } => self
                 .options
                 .claims
                 .settle(token, Settled::Ran(problem::record(response))),
-            Attempt::Refused(refusal)
+            Attempt::Refused { refusal, .. }
                 if refusal.outcome == crate::protocol::refusal::Outcome::NotRun =>
             {
                 self.options.claims.settle(token, Settled::NotRun);
             }
-            Attempt::Refused(_) | Attempt::Lost { .. } => {}
+            Attempt::Refused { .. } | Attempt::Lost { .. } => {}
         }
         attempt
     }
@@ -414,13 +422,6 @@
     tier: u8,
 }
 
-/// Where a request is offered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Choice {
-    cell: ids::CellId,
-    home: String,
-}
-
 /// Returns whether a refusal leaves it open that another cell serves the request.
 fn another_home_may_serve(refusal: Refusal) -> bool {
     let elsewhere = matches!(
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -10,28 +10,72 @@
 use sha2::{Digest, Sha256};
 use tokio::time as timers;
 
+use crate::coordination::homes;
 use crate::daemon::home;
 use crate::protocol::refusal::{Cause, Refusal};
 use crate::protocol::{frame, headers, peer};
 use crate::state::{clock, ids};
 use crate::transport::body;
 
-/// How long a home may take to say that it has a request.
-const HOME_PATIENCE: clock::Millis = clock::Millis(400);
+/// How long a home may be silent about a request that it has not finished.
+const HOME_PATIENCE: clock::Millis = clock::Millis(800);
 
 /// How offering a request to a home ended.
 pub enum Attempt {
     /// A target answered.
-    Answer(Response<body::Body>),
+    Answer {
+        /// The answer.
+        response: Response<body::Body>,
+        /// The cell's state, if the answer came from it.
+        summary: Option<peer::Summary>,
+    },
     /// The home refused.
-    Refused(Refusal),
+    Refused {
+        /// The refusal.
+        refusal: Refusal,
+        /// The cell's state, if the refusal came from it.
+        summary: Option<peer::Summary>,
+    },
     /// The home was lost.
     Lost {
         /// Whether the request may have been dispatched.
         started: bool,
+        /// What that says about the home.
+        observation: homes::Observation,
     },
 }
 
+impl Attempt {
+    /// The entry itself refuses.
+    pub fn refused(refusal: Refusal) -> Attempt {
+        Attempt::Refused {
+            refusal,
+            summary: None,
+        }
+    }
+
+    /// The home could not be reached at all.
+    pub fn unreached() -> Attempt {
+        Attempt::lost(false)
+    }
+
+    /// The stream to the home broke.
+    pub fn lost(started: bool) -> Attempt {
+        Attempt::Lost {
+            started,
+            observation: homes::Observation::Lost,
+        }
+    }
+
+    /// The home gave no sign although one was due.
+    fn stalled(started: bool) -> Attempt {
+        Attempt::Lost {
+            started,
+            observation: homes::Observation::Stalled,
+        }
+    }
+}
+
 /// A request's body, read up to a limit.
 pub struct Prefix {
     /// The first bytes.
@@ -137,42 +181,44 @@
         let message = peer::ToHome::Head(Box::new(head.clone()));
         frame::send(&mut self.send, &message)
             .await
-            .map_err(|_| Attempt::Lost { started: false })
+            .map_err(|_| Attempt::lost(false))
     }
 
     /// Waits until the home holds a slot for work that takes two steps.
     ///
     /// # Errors
     ///
-    /// Returns the attempt's end if the home refuses or does not answer.
+    /// Returns the attempt's end if the home refuses or falls silent.
     pub async fn await_ready(&mut self) -> Result<(), Attempt> {
-        let mut patience = self
-            .deadline
-            .min(time::Instant::now() + HOME_PATIENCE.span());
         loop {
-            let next = timers::timeout_at(
-                patience.into(),
-                frame::receive::<peer::FromHome>(&mut self.recv),
-            )
-            .await;
-            match next {
-                Ok(Ok(peer::FromHome::Ready)) => return Ok(()),
-                Ok(Ok(peer::FromHome::Queued)) => patience = self.deadline,
-                Ok(Ok(peer::FromHome::Refused { refusal, .. })) => {
-                    return Err(Attempt::Refused(refusal));
+            match self.next(Some(HOME_PATIENCE)).await {
+                Next::Message(peer::FromHome::Ready) => return Ok(()),
+                Next::Message(peer::FromHome::Queued) => {}
+                Next::Message(peer::FromHome::Refused { refusal, summary }) => {
+                    return Err(Attempt::Refused { refusal, summary });
                 }
-                Ok(Ok(_) | Err(_)) => return Err(Attempt::Lost { started: false }),
-                Err(_) if patience == self.deadline => {
-                    return Err(Attempt::Refused(Refusal::not_run(
-                        Cause::DeadlinePassed,
-                        None,
-                    )));
+                Next::Message(_) | Next::Broken => return Err(Attempt::lost(false)),
+                Next::Silent => return Err(Attempt::stalled(false)),
+                Next::Deadline => {
+                    let refusal = Refusal::not_run(Cause::DeadlinePassed, None);
+                    return Err(Attempt::refused(refusal));
                 }
-                Err(_) => return Err(Attempt::Lost { started: false }),
             }
         }
     }
 
+    /// Waits for the next message, until the deadline or until the home was silent for longer than `patience`.
+    async fn next(&mut self, patience: Option<clock::Millis>) -> Next {
+        let silent = patience.map(|p| time::Instant::now() + p.span());
+        let until = silent.map_or(self.deadline, |s| s.min(self.deadline));
+        match timers::timeout_at(until.into(), frame::receive(&mut self.recv)).await {
+            Ok(Ok(message)) => Next::Message(message),
+            Ok(Err(_)) => Next::Broken,
+            Err(_) if until == self.deadline => Next::Deadline,
+            Err(_) => Next::Silent,
+        }
+    }
+
     /// Allows the home to dispatch.
     ///
     /// # Errors
@@ -182,48 +228,71 @@
         frame::send(&mut self.send, &peer::ToHome::Go).await
     }
 
-    /// Sends the rest of the body and waits for the answer.
-    pub async fn finish(mut self, rest: Option<Incoming>) -> Attempt {
-        let sending = match rest {
-            Some(rest) => Sending::Task(tokio::spawn(send_rest(self.send, rest))),
-            None => Sending::Done(self.send),
-        };
-        let deadline = self.deadline;
+    /// Sends the rest of the body and waits for the answer to work that the home was allowed to dispatch.
+    pub async fn finish(self, rest: Option<Incoming>) -> Attempt {
+        self.await_answer(rest, None).await
+    }
+
+    /// Waits for the answer to work that may run again elsewhere if the home falls silent.
+    pub async fn finish_one_step(self) -> Attempt {
+        self.await_answer(None, Some(HOME_PATIENCE)).await
+    }
+
+    async fn await_answer(
+        mut self,
+        rest: Option<Incoming>,
+        patience: Option<clock::Millis>,
+    ) -> Attempt {
+        let mut sending = Sending::default();
+        if let Some(rest) = rest {
+            let send = std::mem::replace(&mut self.send, Box::new(tokio::io::sink()));
+            sending = Sending(Some(tokio::spawn(send_rest(send, rest))));
+        }
         loop {
-            let next = timers::timeout_at(
-                deadline.into(),
-                frame::receive::<peer::FromHome>(&mut self.recv),
-            )
-            .await;
-            match next {
-                Ok(Ok(peer::FromHome::Queued)) => {}
-                Ok(Ok(peer::FromHome::Answer {
+            match self.next(patience).await {
+                Next::Message(peer::FromHome::Queued) => {}
+                Next::Message(peer::FromHome::Answer {
                     status,
                     fields,
                     target,
-                    ..
-                })) => {
-                    return Attempt::Answer(answer(self.recv, sending, status, &fields, &target));
+                    summary,
+                }) => {
+                    let response = answer(self, sending, status, &fields, &target);
+                    return Attempt::Answer {
+                        response,
+                        summary: Some(summary),
+                    };
                 }
-                Ok(Ok(peer::FromHome::Refused { refusal, .. })) => {
-                    return Attempt::Refused(refusal);
+                Next::Message(peer::FromHome::Refused { refusal, summary }) => {
+                    return Attempt::Refused { refusal, summary };
                 }
-                Ok(Ok(_) | Err(_)) => return Attempt::Lost { started: true },
-                Err(_) => return Attempt::Refused(Refusal::unknown(Cause::TargetTimeout)),
+                Next::Message(_) | Next::Broken => return Attempt::lost(true),
+                Next::Silent => return Attempt::stalled(true),
+                Next::Deadline => return Attempt::refused(Refusal::unknown(Cause::TargetTimeout)),
             }
         }
     }
 }
 
-/// The entry's half of the stream while the answer is read; closing it cancels the request.
-enum Sending {
-    Done(#[expect(dead_code, reason = "held open until the answer has been read")] home::Writer),
-    Task(tokio::task::JoinHandle<home::Writer>),
+/// What came next on a stream.
+enum Next {
+    Message(peer::FromHome),
+    /// The stream broke, or brought what the protocol does not allow.
+    Broken,
+    /// The home was silent for too long.
+    Silent,
+    /// The caller gave up.
+    Deadline,
 }
 
+/// The task that sends the rest of a body, if there is one; it holds the entry's half of the stream, whose closing
+/// cancels the request.
+#[derive(Default)]
+struct Sending(Option<tokio::task::JoinHandle<home::Writer>>);
+
 impl Drop for Sending {
     fn drop(&mut self) {
-        if let Sending::Task(task) = self {
+        if let Some(task) = &self.0 {
             task.abort();
         }
     }
@@ -252,14 +321,14 @@
 }
 
 fn answer(
-    recv: home::Reader,
+    stream: Stream,
     sending: Sending,
     status: u16,
     fields: &[peer::Field],
     target: &str,
 ) -> Response<body::Body> {
     let (pieces, receiver) = body::channel();
-    tokio::spawn(read_answer(recv, sending, pieces));
+    tokio::spawn(read_answer(stream, sending, pieces));
     let mut response = Response::new(body::streamed(Bytes::new(), receiver));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     *response.headers_mut() = headers::from_fields(fields);
@@ -271,13 +340,13 @@
 
 /// Passes the answer's pieces to the caller until the end, a cut, or the caller leaves.
 async fn read_answer(
-    mut recv: home::Reader,
+    mut stream: Stream,
     sending: Sending,
     pieces: tokio::sync::mpsc::Sender<body::Piece>,
 ) {
     loop {
         let next = tokio::select! {
-            next = frame::read(&mut recv) => next,
+            next = frame::read(&mut stream.recv) => next,
             () = pieces.closed() => break,
         };
         let piece = match next {
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -22,11 +22,20 @@
 use crate::state::{bundle, clock, ids, timeline};
 use crate::transport::{body, pool};
 
-/// How long a request may wait before the entry is told that its home is alive.
-const QUEUED_NOTICE: clock::Millis = clock::Millis(20);
+/// How long a request may take before the entry is told that its home is alive.
+const FIRST_NOTICE: clock::Millis = clock::Millis(20);
+/// The time between two such notices.
+const NOTICE_SPAN: clock::Millis = clock::Millis(250);
 /// When to come back after a target could not be connected to.
 const CONNECT_RETRY: clock::Millis = clock::Millis(1_000);
 
+/// The verdict of a cell whose actor has ended.
+const CELL_GONE: Verdict = Verdict::Refuse(refusal::Refusal {
+    outcome: refusal::Outcome::NotRun,
+    cause: refusal::Cause::NoTarget,
+    retry_after: Some(CONNECT_RETRY),
+});
+
 /// The reading half of a request's stream.
 pub type Reader = Box<dyn AsyncRead + Send + Unpin>;
 /// The writing half of a request's stream.
@@ -217,6 +226,7 @@
             pieces: Some(inbound.pieces),
             go: Some(inbound.go),
             verdicts: receiver,
+            notices: notices(),
         };
         tokio::select! {
             served = exchange.run() => served,
@@ -366,6 +376,15 @@
     pieces: Option<tasks::mpsc::Receiver<body::Piece>>,
     go: Option<tasks::oneshot::Receiver<()>>,
     verdicts: tasks::mpsc::UnboundedReceiver<Verdict>,
+    /// Falls due when the entry is to be told that the home is alive.
+    notices: time::Interval,
+}
+
+fn notices() -> time::Interval {
+    let first = time::Instant::now() + FIRST_NOTICE.span();
+    let mut notices = time::interval_at(first, NOTICE_SPAN.span());
+    notices.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    notices
 }
 
 /// What the last try brought, for the caller if no other follows.
@@ -425,7 +444,7 @@
                     if !self.await_go().await? {
                         return Ok(());
                     }
-                    match self.dispatch(&target).await {
+                    match self.dispatch(&target).await? {
                         Try::Answer(answer) => {
                             let outcome = classify(&answer.response);
                             self.held.done(outcome);
@@ -457,17 +476,16 @@
         }
     }
 
-    /// Waits for the cell's verdict, and tells the entry once that the request is queued.
+    /// Waits for the cell's verdict, and tells the entry meanwhile that its home is alive.
     async fn next_verdict(&mut self) -> Result<Verdict, frame::Error> {
-        let gone = Verdict::Refuse(refusal::Refusal::not_run(
-            refusal::Cause::NoTarget,
-            Some(CONNECT_RETRY),
-        ));
-        if let Ok(verdict) = time::timeout(QUEUED_NOTICE.span(), self.verdicts.recv()).await {
-            return Ok(verdict.unwrap_or(gone));
+        loop {
+            tokio::select! {
+                biased;
+                verdict = self.verdicts.recv() => return Ok(verdict.unwrap_or(CELL_GONE)),
+                _ = self.notices.tick() => {}
+            }
+            frame::send(&mut self.send, &peer::FromHome::Queued).await?;
         }
-        frame::send(&mut self.send, &peer::FromHome::Queued).await?;
-        Ok(self.verdicts.recv().await.unwrap_or(gone))
     }
 
     /// Asks the entry to allow a dispatch that takes two steps; returns whether it did before the deadline.
@@ -483,10 +501,10 @@
         Ok(matches!(time::timeout_at(at.into(), go).await, Ok(Ok(()))))
     }
 
-    async fn dispatch(&mut self, name: &str) -> Try {
+    async fn dispatch(&mut self, name: &str) -> Result<Try, frame::Error> {
         self.held.handle.tell(Message::Dispatch(self.held.ticket));
         let Some(address) = self.address(name) else {
-            return Try::not_sent();
+            return Ok(Try::not_sent());
         };
         let options = &self.home.options;
         let subject = subject(&self.head.cell, Some(name), Some(self.head.request));
@@ -497,18 +515,27 @@
             Ok(connection) => connection,
             Err(e) => {
                 log::debug!("{e}");
-                return Try::not_sent();
+                return Ok(Try::not_sent());
             }
         };
         let Some(request) = self.request() else {
-            return Try::not_sent();
+            return Ok(Try::not_sent());
         };
         let at = self.home.options.clock.instant(self.deadline);
-        let sent = tokio::select! {
-            sent = time::timeout_at(at.into(), connection.send(request)) => sent,
-            _ = self.verdicts.recv() => return Try::Abandoned,
+        let mut sending = std::pin::pin!(async move {
+            let sent = time::timeout_at(at.into(), connection.send(request)).await;
+            (sent, connection)
+        });
+        let (sent, connection) = loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => break sent,
+                _ = self.verdicts.recv() => return Ok(Try::Abandoned),
+                _ = self.notices.tick() => {}
+            }
+            frame::send(&mut self.send, &peer::FromHome::Queued).await?;
         };
-        match sent {
+        Ok(match sent {
             Ok(Ok(response)) => Try::Answer(Box::new(Answer {
                 response,
                 connection,
@@ -517,7 +544,7 @@
             Ok(Err(e)) if e.never_sent() => Try::not_sent(),
             Ok(Err(_)) => Try::unknown(Outcome::Broken, refusal::Cause::TargetBroke),
             Err(_) => Try::unknown(Outcome::TimedOut, refusal::Cause::TargetTimeout),
-        }
+        })
     }
 
     fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -102,7 +102,7 @@
 /// What the home sends on a request's stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromHome {
-    /// The request waits in the queue; tells the entry that the home is alive.
+    /// The request waits, or runs; tells the entry from time to time that the home is alive.
     Queued,
     /// A slot is held for non-idempotent work, which awaits [`ToHome::Go`].
     Ready,
