lab: a fleet of daemons as processes, and the demonstration

The builder makes keys, settings and a bundle, starts the stand-ins and the daemons on a loopback address of its own, and waits on conditions. Daemons are killed, frozen, woken and drained by their process ids.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options;
 
+mod demo;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -12,6 +13,8 @@
 
 #[derive(Debug, Options)]
 pub(crate) enum Command {
+    #[options(help = "show a fleet under load going through one fault after the other")]
+    Demo(demo::Args),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -22,6 +25,7 @@
         .enable_all()
         .build()?;
     match command {
+        Command::Demo(args) => runtime.block_on(demo::exec(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- /dev/null
+++ b/crates/lab/src/fleet/files.rs
@@ -0,0 +1,100 @@
+//! The files of one fleet: keys, settings and logs, in a directory that goes with it.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net;
+use std::path;
+
+use peridotspread::state::{clock, settings};
+use peridotspread::transport::keys;
+use snafu::ResultExt;
+
+use super::{Error, FilesSnafu, KeysSnafu, SettingsSnafu};
+
+/// The directory of one fleet; removed when dropped.
+#[derive(Debug)]
+pub(super) struct Files {
+    dir: path::PathBuf,
+    authority: keys::Authority,
+}
+
+/// What a daemon's settings need besides its name.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    pub(super) domain: String,
+    pub(super) listen: net::SocketAddr,
+    pub(super) peer: net::SocketAddr,
+    pub(super) admin: net::SocketAddr,
+    pub(super) platform: net::SocketAddr,
+    pub(super) seeds: BTreeMap<String, net::SocketAddr>,
+}
+
+impl Files {
+    /// Creates the directory and the fleet's authority.
+    pub(super) fn create(name: &str) -> Result<Files, Error> {
+        let dir =
+            std::env::temp_dir().join(format!("peridotspread-lab-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(&dir).context(FilesSnafu { path: &dir })?;
+        let authority = keys::authority().context(KeysSnafu)?;
+        let files = Files { dir, authority };
+        files.write("authority.pem", files.authority.certificate())?;
+        Ok(files)
+    }
+
+    pub(super) fn path(&self, name: &str) -> path::PathBuf {
+        self.dir.join(name)
+    }
+
+    pub(super) fn write(&self, name: &str, text: &str) -> Result<path::PathBuf, Error> {
+        let path = self.path(name);
+        fs::write(&path, text).context(FilesSnafu { path: &path })?;
+        Ok(path)
+    }
+
+    /// Writes keys and settings of the daemon called `name`; returns the settings' path.
+    pub(super) fn settings(
+        &self,
+        name: &str,
+        place: &Place,
+        operators: &[path::PathBuf],
+        token: &str,
+    ) -> Result<path::PathBuf, Error> {
+        let issued = self.authority.issue(name).context(KeysSnafu)?;
+        let certificate = self.write(&format!("{name}.pem"), &issued.certificate)?;
+        let key = self.write(&format!("{name}.key.pem"), &issued.key)?;
+        let settings = settings::Settings {
+            name: name.to_owned(),
+            domain: place.domain.clone(),
+            listen: place.listen,
+            peer: place.peer,
+            admin: place.admin,
+            platform: settings::Platform {
+                address: place.platform,
+                timeout_ms: clock::Millis(1_000),
+            },
+            keys: settings::Keys {
+                authority: self.path("authority.pem"),
+                certificate,
+                key,
+                operators: operators.to_vec(),
+                admin_token: super::digest(token),
+                public_certificate: None,
+                public_key: None,
+            },
+            limits: settings::Limits::default(),
+            log: std::env::var("PERIDOTSPREAD_LAB_LOG").unwrap_or_else(|_| "info".to_owned()),
+            seeds: place.seeds.clone(),
+        };
+        let text = toml::to_string(&settings).context(SettingsSnafu)?;
+        self.write(&format!("{name}.toml"), &text)
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        if std::env::var_os("PERIDOTSPREAD_LAB_KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,9 +3,12 @@
 //! For development only; the only place that starts processes. Nothing that the daemon or the command-line tool ship
 //! depends on it.
 
+pub mod demo;
 pub mod echo;
+pub mod fleet;
 pub mod load;
 pub mod platform;
 pub mod replay;
 pub mod rng;
 pub mod target;
+pub mod watch;
--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -15,6 +15,8 @@
 pub enum Result {
     /// The whole answer of a target.
     Served,
+    /// The recorded outcome of a run that an earlier send began.
+    Replayed,
     /// A refusal that says that the request did not run.
     NotRun,
     /// A refusal that says that the request may have run.
@@ -99,7 +101,7 @@
 /// The comparison of what callers were told with what targets counted.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Verdict {
-    /// Answers to another request, or altered.
+    /// Answers to another request, altered ones, and recorded outcomes of work that never ran.
     #[serde(rename = "wrong_answers")]
     pub wrong: u64,
     /// Answers that ended as if whole, but were not.
@@ -126,7 +128,7 @@
         span: time::Duration,
     ) {
         match result {
-            Result::Served => {
+            Result::Served | Result::Replayed => {
                 self.each(service, tier, |g| g.served += 1);
                 let us = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
                 self.latency.saturating_record(us);
@@ -158,12 +160,17 @@
     /// Compares the report with what the targets counted.
     pub fn verdict(&self, counted: &target::Snapshot) -> Verdict {
         let ran: BTreeSet<_> = counted.runs.iter().map(|r| r.attempt.as_str()).collect();
+        let keys: BTreeSet<_> = counted.runs.iter().map(|r| r.key.as_str()).collect();
+        let replayed = self
+            .attempts
+            .iter()
+            .filter(|a| a.result == Result::Replayed && !keys.contains(a.key.as_str()));
         let refused = self
             .attempts
             .iter()
             .filter(|a| a.result == Result::NotRun && ran.contains(a.id.as_str()));
         Verdict {
-            wrong: self.wrong,
+            wrong: self.wrong + replayed.count() as u64,
             short: self.short,
             twice: counted.ran_twice() as u64,
             refused: refused.count() as u64,
--- a/crates/lab/src/load/send.rs
+++ b/crates/lab/src/load/send.rs
@@ -8,7 +8,7 @@
 use http::header;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use peridotspread::protocol::headers;
+use peridotspread::protocol::{headers, problem};
 use peridotspread::state::clock;
 
 use super::report::{Attempt, Report, Result};
@@ -151,7 +151,7 @@
             Result::Unknown | Result::Lost => {
                 request.kind.method.is_safe() || request.key.is_some()
             }
-            Result::Served | Result::Wrong | Result::Short => false,
+            Result::Served | Result::Replayed | Result::Wrong | Result::Short => false,
         }
     }
 }
@@ -195,6 +195,9 @@
     let result = match outcome {
         "not-run" => Result::NotRun,
         "unknown" => Result::Unknown,
+        _ if request.key.is_some() && head.headers.contains_key(problem::REPLAYED) => {
+            Result::Replayed
+        }
         _ if text(&head.headers, echo::NONCE) == request.nonce => Result::Served,
         _ if head.headers.contains_key(echo::NONCE) => Result::Wrong,
         _ if head.status.is_success() => Result::Wrong,
--- /dev/null
+++ b/crates/lab/src/watch.rs
@@ -0,0 +1,103 @@
+//! Watches from outside what the fleet does to targets: traffic, ejections and floors.
+//!
+//! Traffic comes from the targets' stand-in, ejections from the rows of the platform's stand-in.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync;
+use std::time;
+
+use peridotspread::state::clock;
+
+/// The time between two looks at the platform's rows.
+const LOOK: time::Duration = time::Duration::from_millis(50);
+/// The span that decides whether a target still gets regular traffic.
+const WINDOW: clock::Millis = clock::Millis(1_000);
+/// The starts within [`WINDOW`] that count as single trials.
+const TRIALS: usize = 2;
+
+/// Returns how long a target that was gray from `from` until `to` kept receiving regular traffic; `starts` are in order.
+pub fn detection(
+    starts: &[clock::Millis],
+    from: clock::Millis,
+    to: clock::Millis,
+) -> clock::Millis {
+    let gray: Vec<_> = starts.iter().filter(|s| **s >= from && **s < to).collect();
+    let regular = |i: usize| {
+        let after = gray[i + 1..].iter();
+        after.take_while(|s| ***s <= *gray[i] + WINDOW).count() > TRIALS
+    };
+    let last = (0..gray.len()).rev().find(|i| regular(*i));
+    match last {
+        Some(i) if *gray[i] + WINDOW >= to => to - from,
+        Some(i) => *gray[i] - from,
+        None => clock::Millis::ZERO,
+    }
+}
+
+/// What was seen of ejections.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Targets that were ejected at some time, with the time when it was first seen.
+    pub ejected: BTreeMap<String, clock::Millis>,
+    /// Looks at which a service had fewer targets left than its floor.
+    pub breaches: u64,
+}
+
+/// One service, as far as its floor goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Floor {
+    /// The service's name.
+    pub service: String,
+    /// The number of its targets.
+    pub targets: usize,
+    /// The targets that ejection leaves at least.
+    pub floor: usize,
+}
+
+/// Watches until it is dropped.
+#[derive(Debug)]
+pub struct Watch {
+    seen: sync::Arc<sync::Mutex<Seen>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// Starts to watch the floors of services; `look` tells the targets of a service that are ejected now.
+pub fn start(
+    floors: Vec<Floor>,
+    clock: clock::Clock,
+    look: impl Fn(&str) -> BTreeSet<String> + Send + 'static,
+) -> Watch {
+    let seen = sync::Arc::new(sync::Mutex::new(Seen::default()));
+    let shared = seen.clone();
+    let task = tokio::spawn(async move {
+        loop {
+            for floor in &floors {
+                let ejected = look(&floor.service);
+                let mut seen = shared.lock().expect("no watcher panicked");
+                seen.breaches += u64::from(floor.targets - ejected.len() < floor.floor);
+                for target in ejected {
+                    seen.ejected.entry(target).or_insert(clock.now());
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    });
+    Watch { seen, task }
+}
+
+impl Watch {
+    /// Copies what was seen so far.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the watcher panicked.
+    pub fn seen(&self) -> Seen {
+        self.seen.lock().expect("no watcher panicked").clone()
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
