--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,3 +1,4 @@
 //! What the tests share.
 
+pub(crate) mod bundles;
 pub(crate) mod fleet;
