--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,5 +3,7 @@
 //! Actors in [`crate::daemon`] carry the events and actions, and the replay of recorded traces drives the same code.
 
 pub mod cell;
+pub mod evidence;
 pub mod homes;
+pub mod judge;
 pub mod member;
