coordination: retry budget, strikes and quarantine of requests that crash targets

Two crashed targets, or three crashes of one, put a fingerprint into quarantine. One gray target that breaks connections by its own fault therefore can't bring an ordinary request there with a second break.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,4 +8,6 @@
 pub mod homes;
 pub mod judge;
 pub mod member;
+pub mod quarantine;
+pub mod retry;
 pub mod trial;
