coordination: the cell judges, avoids, ejects, retries, drains; one module a rule

The thin cell becomes one state machine over small modules: queue and target hold the state, dispatch gives out slots, finish takes tries back, standing applies the judgement, watch does what is due by time, rules takes the bundle.

The random events found one fault while this was written: the wake time lay in the past when a target moved up after another one had been reviewed, so all lapses now come before all asks.

--- /dev/null
+++ b/src/coordination/cell/dispatch.rs
@@ -0,0 +1,196 @@
+//! Gives out slots: which request goes to which target, and when.
+
+use std::cmp;
+
+use crate::coordination::cell;
+use crate::coordination::evidence;
+use crate::protocol::refusal;
+use crate::state::clock;
+use crate::state::ids;
+
+use super::queue;
+use super::target;
+use super::{Cell, Phase, Running};
+
+/// The waiting requests that are looked at in one search for one that a free target may take.
+const SEARCH_DEPTH: usize = 16;
+
+/// How well a free target fits a request; the least is taken.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Fit {
+    /// Whether a request that crashed another target runs there, and this one did so too.
+    clash: bool,
+    rank: Rank,
+    score: f64,
+    load: usize,
+    granted: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// The request serves as the target's trial.
+    Trial,
+    /// The target is in favour.
+    Normal,
+    /// A request in flight there is slow already.
+    Overdue,
+    /// The target is avoided.
+    Avoided,
+}
+
+impl Cell {
+    /// Grants free slots to waiting requests, and frees idempotent ones from targets where they stall.
+    pub(super) fn dispatch(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
+        while let Some((ticket, target, rank)) = self.next_grant(now) {
+            let Some(work) = self.queue.remove(ticket) else {
+                return;
+            };
+            self.grant(now, work, &target, rank == Rank::Trial, actions);
+        }
+        if self.queue.is_empty() {
+            self.rescue(now, actions);
+        }
+    }
+
+    /// Returns whether a target in favour is free for the request now.
+    pub(super) fn has_room(&self, now: clock::Millis, work: &queue::Waiting) -> bool {
+        matches!(self.pick(now, work), Some((_, Rank::Normal)))
+    }
+
+    /// Grants the request at once at a target in favour, which [`Cell::has_room`] has found.
+    pub(super) fn regrant(
+        &mut self,
+        now: clock::Millis,
+        work: queue::Waiting,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        if let Some((target, _)) = self.pick(now, &work) {
+            self.budget.spend();
+            self.grant(now, work, &target, false, actions);
+        }
+    }
+
+    fn next_grant(&self, now: clock::Millis) -> Option<(ids::Ticket, String, Rank)> {
+        let free = |t: &target::Target| t.is_free(now) || t.awaits_trial(now);
+        if self.queue.is_empty() || !self.targets.values().any(free) {
+            return None;
+        }
+        let mut searched = self.queue.iter().take(SEARCH_DEPTH);
+        searched.find_map(|work| {
+            let (target, rank) = self.pick(now, work)?;
+            Some((work.arrival.ticket, target, rank))
+        })
+    }
+
+    /// Chooses the target for a request, if one is free for it.
+    fn pick(&self, now: clock::Millis, work: &queue::Waiting) -> Option<(String, Rank)> {
+        let fits = self.targets.iter().filter_map(|(name, target)| {
+            if work.excluded.contains(name) {
+                return None;
+            }
+            Some((self.fit(now, work, name, target)?, name))
+        });
+        let best = fits.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(cmp::Ordering::Equal));
+        best.map(|(fit, name)| (name.clone(), fit.rank))
+    }
+
+    fn fit(
+        &self,
+        now: clock::Millis,
+        work: &queue::Waiting,
+        name: &str,
+        target: &target::Target,
+    ) -> Option<Fit> {
+        let print = work.arrival.fingerprint;
+        let suspect = self.strikes.suspects(now, print, name);
+        let rank = match target.awaits_trial(now) {
+            true if work.fits_trial() && !suspect => Rank::Trial,
+            _ if !target.is_free(now) => return None,
+            _ if !target.is_normal() => Rank::Avoided,
+            _ if target.overdue > 0 => Rank::Overdue,
+            _ => Rank::Normal,
+        };
+        Some(Fit {
+            clash: suspect && target.suspects > 0,
+            rank,
+            score: if rank == Rank::Avoided {
+                target.score.value()
+            } else {
+                0.0
+            },
+            load: target.busy * 1_000 / target.slots(now).max(1),
+            granted: target.granted,
+        })
+    }
+
+    fn grant(
+        &mut self,
+        now: clock::Millis,
+        mut work: queue::Waiting,
+        name: &str,
+        trial: bool,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        let arrival = work.arrival;
+        let suspect = self.strikes.suspects(now, arrival.fingerprint, name);
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        self.count += 1;
+        target.granted = self.count;
+        target.busy += 1;
+        target.suspects += usize::from(suspect);
+        if trial {
+            target.trial.grant();
+        }
+        if work.tries == 0 {
+            self.budget.earn();
+        }
+        work.tries += 1;
+        let running = Running {
+            work,
+            target: name.to_owned(),
+            granted: now,
+            phase: Phase::Held,
+            class: evidence::Class::Good,
+            added: 0.0,
+            due: clock::Millis::MAX,
+            overdue: false,
+            trial,
+            suspect,
+        };
+        self.running.insert(arrival.ticket, running);
+        self.held.insert((arrival.deadline, arrival.ticket));
+        actions.push(cell::Action::Grant {
+            ticket: arrival.ticket,
+            target: name.to_owned(),
+        });
+    }
+
+    /// Takes idempotent requests from targets where they stall to others that are in favour and free.
+    fn rescue(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
+        let stuck: Vec<_> = self.stuck.iter().copied().collect();
+        for ticket in stuck {
+            self.rescue_one(now, ticket, actions);
+        }
+    }
+
+    fn rescue_one(
+        &mut self,
+        now: clock::Millis,
+        ticket: ids::Ticket,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        let Some(run) = self.running.get(&ticket) else {
+            return;
+        };
+        let mut work = run.work.clone();
+        work.excluded.push(run.target.clone());
+        work.lost = Some(refusal::Cause::TargetTimeout);
+        if self.may_retry(now, &work) && self.budget.funded() && self.has_room(now, &work) {
+            self.abandon(now, ticket);
+            actions.push(cell::Action::Abandon { ticket });
+            self.regrant(now, work, actions);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/cell/queue.rs
@@ -0,0 +1,116 @@
+//! The queue of one cell: strict by tier, oldest first within a tier.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::coordination::cell;
+use crate::protocol::refusal;
+use crate::state::clock;
+use crate::state::ids;
+
+/// A request that waits for a slot, the first or another one.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    /// The request.
+    pub(super) arrival: cell::Arrival,
+    /// Its place among all arrivals; a retried request keeps it.
+    pub(super) place: u64,
+    /// The tries that it had.
+    pub(super) tries: u32,
+    /// The targets that it is not tried at again.
+    pub(super) excluded: Vec<String>,
+    /// Why its outcome is unknown, where it may have run.
+    pub(super) lost: Option<refusal::Cause>,
+}
+
+impl Waiting {
+    /// Returns the refusal of a request that gets no further try.
+    pub(super) fn refusal(
+        &self,
+        cause: refusal::Cause,
+        retry_after: Option<clock::Millis>,
+    ) -> refusal::Refusal {
+        match self.lost {
+            Some(lost) => refusal::Refusal::unknown(lost),
+            None => refusal::Refusal::not_run(cause, retry_after),
+        }
+    }
+
+    /// Returns whether the request may serve as a trial: a failure of it is retried, and it did not crash a target.
+    pub(super) fn fits_trial(&self) -> bool {
+        self.arrival.idempotent && self.arrival.replayable && self.tries == 0
+    }
+}
+
+type Key = (u8, u64);
+
+/// The waiting requests in the order of their dispatch.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    waiting: BTreeMap<Key, Waiting>,
+    by_ticket: BTreeMap<ids::Ticket, Key>,
+    deadlines: BTreeSet<(clock::Millis, Key)>,
+    tiers: BTreeMap<u8, usize>,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the number of requests that are served before a new one of `tier`.
+    pub(super) fn ahead(&self, tier: u8) -> usize {
+        self.tiers.range(..=tier).map(|(_, n)| n).sum()
+    }
+
+    pub(super) fn push(&mut self, work: Waiting) {
+        let key = (work.arrival.tier, work.place);
+        self.by_ticket.insert(work.arrival.ticket, key);
+        self.deadlines.insert((work.arrival.deadline, key));
+        *self.tiers.entry(key.0).or_default() += 1;
+        self.waiting.insert(key, work);
+    }
+
+    /// Returns the waiting requests, first to be served first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.values()
+    }
+
+    pub(super) fn remove(&mut self, ticket: ids::Ticket) -> Option<Waiting> {
+        let key = *self.by_ticket.get(&ticket)?;
+        self.take(key)
+    }
+
+    /// Takes out the newest request of the lowest tier.
+    pub(super) fn pop_last(&mut self) -> Option<Waiting> {
+        let key = *self.waiting.last_key_value()?.0;
+        self.take(key)
+    }
+
+    /// Takes out one request whose deadline has come.
+    pub(super) fn pop_expired(&mut self, now: clock::Millis) -> Option<Waiting> {
+        let (deadline, key) = *self.deadlines.first()?;
+        if deadline > now {
+            return None;
+        }
+        self.take(key)
+    }
+
+    /// Returns the earliest deadline.
+    pub(super) fn deadline(&self) -> clock::Millis {
+        self.deadlines.first().map_or(clock::Millis::MAX, |d| d.0)
+    }
+
+    fn take(&mut self, key: Key) -> Option<Waiting> {
+        let work = self.waiting.remove(&key)?;
+        self.by_ticket.remove(&work.arrival.ticket);
+        self.deadlines.remove(&(work.arrival.deadline, key));
+        if let Some(count) = self.tiers.get_mut(&key.0) {
+            *count -= 1;
+        }
+        Some(work)
+    }
+}
--- /dev/null
+++ b/src/coordination/cell/rules.rs
@@ -0,0 +1,57 @@
+//! Takes the bundle in force.
+
+use std::collections::BTreeMap;
+
+use crate::coordination::cell;
+use crate::coordination::trial;
+use crate::state::bundle;
+use crate::state::clock;
+
+use super::target;
+use super::{Cell, Rules};
+
+impl Cell {
+    /// Adopts the service's rules and targets.
+    ///
+    /// A target that is leaving, or is listed no more, gets no new work; it is forgotten once nothing runs there.
+    pub(super) fn adopt(
+        &mut self,
+        now: clock::Millis,
+        service: &bundle::Service,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        let healthy = service.targets.iter().filter(|t| !t.leaving).count();
+        self.rules = Rules {
+            queue: service.queue,
+            ejection: service.ejection.clone(),
+            spare: healthy.saturating_sub(service.floor),
+        };
+        self.budget.adopt(&service.retry);
+        let own = service.targets.iter();
+        let own = own.filter(|t| t.domain == self.id.domain);
+        let own: BTreeMap<_, _> = own.map(|t| (t.name.as_str(), t)).collect();
+        for (name, target) in &mut self.targets {
+            let stays = own.get(name.as_str()).is_some_and(|t| !t.leaving);
+            if !stays && target.ejection.is_ejected() {
+                actions.push(cell::Action::EndEjection {
+                    target: name.clone(),
+                });
+            }
+            if !stays {
+                target.leaving = true;
+                target.ejection.clear();
+            }
+        }
+        for (name, rule) in own {
+            let entry = self.targets.entry(name.to_owned());
+            let target = entry.or_insert_with(|| target::Target::new(now));
+            if target.leaving && !rule.leaving {
+                target.ramp = trial::Ramp::new(now);
+            }
+            target.total = rule.slots;
+            target.leaving = rule.leaving;
+        }
+        self.keep_floor(actions);
+        self.targets.retain(|_, t| !t.leaving || t.busy > 0);
+    }
+}
--- /dev/null
+++ b/tests/testsuite/cell/mod.rs
@@ -0,0 +1,161 @@
+//! The cell: each rule by itself, whole scenes, and random events under the invariants.
+
+use peridotspread::coordination::cell;
+use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::protocol::peer;
+use peridotspread::protocol::refusal;
+use peridotspread::state::bundle;
+use peridotspread::state::clock::Millis;
+use peridotspread::state::ids;
+
+mod dispatch;
+mod ejection;
+mod random;
+mod retry;
+
+/// Builds a service whose targets all stand in one failure domain.
+fn service(targets: usize, slots: usize, floor: usize) -> bundle::Service {
+    let targets = (0..targets).map(|i| bundle::Target {
+        name: format!("t{i}"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "d".to_owned(),
+        slots,
+        connections: 400,
+        leaving: false,
+    });
+    bundle::Service {
+        name: "s".to_owned(),
+        floor,
+        deadline_ms: Millis(10_000),
+        queue: 4,
+        ejection: bundle::Ejection::default(),
+        retry: bundle::Retry {
+            budget_pct: 100.0,
+            tries: 3,
+        },
+        targets: targets.collect(),
+    }
+}
+
+fn arrival(ticket: u64) -> cell::Arrival {
+    cell::Arrival {
+        ticket: ids::Ticket(ticket),
+        tier: 0,
+        deadline: Millis(1_000_000),
+        idempotent: true,
+        replayable: true,
+        fingerprint: ids::Fingerprint(ticket),
+    }
+}
+
+fn writing(ticket: u64) -> cell::Arrival {
+    cell::Arrival {
+        idempotent: false,
+        ..arrival(ticket)
+    }
+}
+
+/// A cell whose slow starts are over, with its time.
+struct Desk {
+    cell: cell::Cell,
+    now: Millis,
+}
+
+impl Desk {
+    fn new(service: &bundle::Service) -> Desk {
+        let mut cell = cell::Cell::new(&ids::CellId::new("s", "d"));
+        cell.handle(Millis::ZERO, Event::Rules(service));
+        let now = Millis(100_000);
+        Desk { cell, now }
+    }
+
+    fn handle(&mut self, event: Event<'_>) -> Vec<Action> {
+        let actions = self.cell.handle(self.now, event);
+        assert!(self.cell.wake() > self.now, "{:?}", self.cell);
+        actions
+    }
+
+    fn arrive(&mut self, arrival: cell::Arrival) -> Vec<Action> {
+        self.handle(Event::Arrive(arrival))
+    }
+
+    /// Moves time, with a tick whenever one is due.
+    fn pass(&mut self, span: u64) -> Vec<Action> {
+        let end = self.now + Millis(span);
+        let mut actions = Vec::new();
+        while self.cell.wake() <= end {
+            self.now = self.cell.wake();
+            actions.extend(self.handle(Event::Tick));
+        }
+        self.now = end;
+        actions
+    }
+
+    fn done(&mut self, ticket: u64, outcome: Outcome) -> Vec<Action> {
+        let ticket = ids::Ticket(ticket);
+        self.handle(Event::Done { ticket, outcome })
+    }
+
+    /// Runs one request that ends after `span`; returns its target and the actions of its end.
+    fn run(
+        &mut self,
+        arrival: cell::Arrival,
+        span: u64,
+        outcome: Outcome,
+    ) -> (String, Vec<Action>) {
+        let target = granted(&self.arrive(arrival)).expect("a slot is free");
+        self.handle(Event::Dispatch(arrival.ticket));
+        let mut actions = self.pass(span);
+        actions.extend(self.done(arrival.ticket.0, outcome));
+        if matches!(outcome, Outcome::Answered) {
+            actions.extend(self.handle(Event::Release(arrival.ticket)));
+        }
+        (target, actions)
+    }
+
+    /// Gives the cell ordinary evidence of `count` good answers of 20 ms.
+    fn warm(&mut self, count: u64) {
+        for i in 0..count {
+            self.run(arrival(1_000_000 + i), 20, Outcome::Answered);
+        }
+    }
+}
+
+fn granted(actions: &[Action]) -> Option<String> {
+    actions.iter().find_map(|a| match a {
+        Action::Grant { target, .. } => Some(target.clone()),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> Option<(u64, refusal::Refusal)> {
+    actions.iter().find_map(|a| match a {
+        Action::Refuse { ticket, refusal } => Some((ticket.0, *refusal)),
+        _ => None,
+    })
+}
+
+fn asked(actions: &[Action]) -> Option<String> {
+    actions.iter().find_map(|a| match a {
+        Action::AskEjection { target } => Some(target.clone()),
+        _ => None,
+    })
+}
+
+fn gave_up(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::GiveUp { .. }))
+}
+
+fn summary(domain: &str, bad: f32) -> peer::Summary {
+    peer::Summary {
+        cell: ids::CellId::new("s", domain),
+        slots: 9,
+        busy: 3,
+        queued: 0,
+        wait: Millis::ZERO,
+        median: Millis(20),
+        bad,
+        seen: 48,
+        age: Millis::ZERO,
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The test binary of the library: one module a topic.
 
 mod bundle;
+mod cell;
 mod check;
 mod findings;
 mod homes;
