--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -15,6 +15,9 @@
 /// The waiting requests that are looked at in one search for one that a free target may take.
 const SEARCH_DEPTH: usize = 16;
 
+/// The longest time that a request waits for a target in favour while one that is avoided is free.
+const MOST_PATIENCE: clock::Millis = clock::Millis(1_000);
+
 /// How well a free target fits a request; the least is taken.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Fit {
@@ -106,6 +109,7 @@
         let rank = match target.awaits_trial(now) {
             true if work.fits_trial() && !suspect => Rank::Trial,
             _ if !target.is_free(now) => return None,
+            _ if !target.is_normal() && self.patient_until() > now => return None,
             _ if !target.is_normal() => Rank::Avoided,
             _ if target.overdue > 0 => Rank::Overdue,
             _ => Rank::Normal,
@@ -123,6 +127,22 @@
         })
     }
 
+    /// Returns when waiting requests may go to targets that are avoided.
+    ///
+    /// That is as soon as one of them has waited for the time that a slot is held: until then another target is likely to
+    /// come free. Under lasting load all slots are in use. Where no target is in favour there is nothing to wait for.
+    pub(super) fn patient_until(&self) -> clock::Millis {
+        let normal = |t: &target::Target| t.is_normal() && !t.leaving;
+        if !self.targets.values().any(normal) {
+            return clock::Millis::ZERO;
+        }
+        let patience = clock::Millis(self.hold.unwrap_or_default().ceil() as u64);
+        let oldest = self.queue.oldest();
+        oldest.map_or(clock::Millis::MAX, |since| {
+            since + patience.min(MOST_PATIENCE)
+        })
+    }
+
     fn grant(
         &mut self,
         now: clock::Millis,
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -177,7 +177,7 @@
         let mut work = run.work;
         work.excluded.push(run.target);
         let granted = self.may_rerun(now, &work) && self.budget.funded();
-        self.requeue(work, granted, actions);
+        self.requeue(now, work, granted, actions);
     }
 
     fn unconnected(
@@ -195,6 +195,7 @@
         let mut work = run.work;
         work.excluded.push(run.target);
         // Nothing was sent: another try is no second run, and no load on any target.
+        work.since = now;
         if self.may_retry(now, &work) && self.queue.len() < self.rules.queue {
             self.queue.push(work);
         } else {
@@ -227,7 +228,7 @@
         work.excluded.push(name);
         work.lost = Some(refusal::Cause::TargetBroke);
         let again = !guilty && self.may_rerun(now, &work) && self.budget.funded();
-        self.requeue(work, again, actions);
+        self.requeue(now, work, again, actions);
     }
 
     /// Quarantines a fingerprint in the whole fleet.
@@ -266,7 +267,14 @@
     }
 
     /// Puts a request back for another try, or gives it up.
-    fn requeue(&mut self, work: queue::Waiting, again: bool, actions: &mut Vec<cell::Action>) {
+    fn requeue(
+        &mut self,
+        now: clock::Millis,
+        mut work: queue::Waiting,
+        again: bool,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        work.since = now;
         if again && self.queue.len() < self.rules.queue {
             self.budget.spend();
             self.queue.push(work);
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -168,7 +168,7 @@
 
     /// Tells the cell's load and evidence.
     ///
-    /// Targets under suspicion count only where all are; the share of bad requests is then at least [`SICK_SHARE`].
+    /// Targets under suspicion count, in slots as in evidence, only where all are; the share of bad requests is then at least [`SICK_SHARE`].
     pub fn summary(&self, now: clock::Millis) -> peer::Summary {
         let sick = self.is_sick();
         let counted = || {
@@ -183,8 +183,8 @@
         let median = evidence::median(now, counted().map(|t| &t.evidence), std::iter::empty());
         peer::Summary {
             cell: self.id.clone(),
-            slots: as_count(self.slots(now)),
-            busy: as_count(self.targets.values().map(|t| t.busy).sum()),
+            slots: as_count(counted().map(|t| t.slots(now)).sum()),
+            busy: as_count(counted().map(|t| t.busy).sum()),
             queued: as_count(self.queue.len()),
             wait: self.wait(now, u8::MAX),
             median: clock::Millis(median.unwrap_or_default().round() as u64),
@@ -211,6 +211,7 @@
         match self.admit(now, &arrival) {
             Ok(()) => self.queue.push(queue::Waiting {
                 arrival,
+                since: now,
                 place: self.count,
                 tries: 0,
                 excluded: Vec::new(),
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -12,6 +12,8 @@
 pub(super) struct Waiting {
     /// The request.
     pub(super) arrival: cell::Arrival,
+    /// When it came to wait.
+    pub(super) since: clock::Millis,
     /// Its place among all arrivals; a retried request keeps it.
     pub(super) place: u64,
     /// The tries that it had.
@@ -49,6 +51,7 @@
     waiting: BTreeMap<Key, Waiting>,
     by_ticket: BTreeMap<ids::Ticket, Key>,
     deadlines: BTreeSet<(clock::Millis, Key)>,
+    since: BTreeSet<(clock::Millis, Key)>,
     tiers: BTreeMap<u8, usize>,
 }
 
@@ -70,6 +73,7 @@
         let key = (work.arrival.tier, work.place);
         self.by_ticket.insert(work.arrival.ticket, key);
         self.deadlines.insert((work.arrival.deadline, key));
+        self.since.insert((work.since, key));
         *self.tiers.entry(key.0).or_default() += 1;
         self.waiting.insert(key, work);
     }
@@ -104,9 +108,15 @@
         self.deadlines.first().map_or(clock::Millis::MAX, |d| d.0)
     }
 
+    /// Returns since when the request that waits longest has done so.
+    pub(super) fn oldest(&self) -> Option<clock::Millis> {
+        self.since.first().map(|s| s.0)
+    }
+
     fn take(&mut self, key: Key) -> Option<Waiting> {
         let work = self.waiting.remove(&key)?;
         self.by_ticket.remove(&work.arrival.ticket);
+        self.since.remove(&(work.since, key));
         self.deadlines.remove(&(work.arrival.deadline, key));
         if let Some(count) = self.tiers.get_mut(&key.0) {
             *count -= 1;
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -86,6 +86,11 @@
         self.ejection.standing() == ejection::Standing::Normal
     }
 
+    /// Returns whether nothing speaks against it at the moment.
+    pub(super) fn is_well(&self, avoid: f64) -> bool {
+        self.is_normal() && self.overdue == 0 && self.score.value() < avoid / 2.0
+    }
+
     /// Returns whether it may take work other than trials.
     pub(super) fn takes_work(&self) -> bool {
         !self.leaving && !self.ejection.is_ejected()
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -21,8 +21,13 @@
             .min(first(self.held.first().map(|h| h.0)))
             .min(first(self.lingering.first().map(|l| l.0)))
             .min(self.queue.deadline());
+        let patience = self.patient_until();
         for (name, target) in &self.targets {
             wake = wake.min(self.standing_wake(name, target));
+            let waits = !target.is_normal() && target.is_free(self.last);
+            if !self.queue.is_empty() && waits && patience > self.last {
+                wake = wake.min(patience);
+            }
             if !self.queue.is_empty() {
                 wake = wake.min(target.opens_at(self.last));
             }
--- a/src/coordination/ejection.rs
+++ b/src/coordination/ejection.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ejection {
     standing: Standing,
+    confirmed: Option<clock::Millis>,
     asked: Option<clock::Millis>,
     retry: clock::Millis,
     denials: u32,
@@ -59,6 +60,16 @@
         *self = Ejection::default();
     }
 
+    /// Notes whether the evidence suffices for an ejection; it is asked for once the evidence did so for `span`.
+    ///
+    /// A fault behind all targets shows at the others within that time.
+    pub fn suspect(&mut self, now: clock::Millis, span: clock::Millis, strong: bool) {
+        self.confirmed = match strong {
+            true => self.confirmed.or(Some(now + span)),
+            false => None,
+        };
+    }
+
     /// Returns whether the ejection is to be asked for now, or to be renewed, and notes that it was.
     pub fn ask(&mut self, now: clock::Millis, wanted: bool, lease: clock::Millis) -> bool {
         if self.ask_at(wanted, lease) > now {
@@ -72,7 +83,7 @@
     pub fn ask_at(&self, wanted: bool, lease: clock::Millis) -> clock::Millis {
         let from = match self.standing {
             Standing::Ejected { until } => until - clock::Millis(lease.0 / RENEW_PART),
-            Standing::Avoided if wanted => clock::Millis::ZERO,
+            Standing::Avoided if wanted => self.confirmed.unwrap_or(clock::Millis::MAX),
             Standing::Normal | Standing::Avoided => return clock::Millis::MAX,
         };
         from.max(self.retry).max(self.asked.unwrap_or_default())
--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -22,6 +22,8 @@
 const PRIOR_COUNT: f64 = 8.0;
 /// The span after which evidence counts half.
 const HALF_LIFE_MS: f64 = 30_000.0;
+/// How old a summary may be that tells of a cell's present state.
+const FRESH_SPAN: clock::Millis = clock::Millis(5_000);
 /// The least step of the running median, as a share of it.
 const MEDIAN_STEP: f64 = 0.05;
 /// The share of good requests that a reference keeps at least.
@@ -95,7 +97,7 @@
     /// What is supposed of a healthy service, and the least that a reference assumes.
     pub const PRIOR: Rates = Rates {
         slow: 0.05,
-        stalled: 0.002,
+        stalled: 0.001,
         failed: 0.01,
     };
 
@@ -237,6 +239,11 @@
         self.at
     }
 
+    /// Returns the share of bad requests if the summary is recent.
+    pub fn fresh(&self, now: clock::Millis) -> Option<f64> {
+        (now - self.at <= FRESH_SPAN).then_some(self.bad)
+    }
+
     fn weight(&self, now: clock::Millis) -> f64 {
         self.seen * discount(now - self.at)
     }
--- a/src/coordination/judge.rs
+++ b/src/coordination/judge.rs
@@ -45,6 +45,11 @@
         self.sum = sum;
     }
 
+    /// Lowers the sum to `most`.
+    pub fn cap(&mut self, most: f64) {
+        self.sum = self.sum.min(most);
+    }
+
     /// Returns the sum.
     pub fn value(&self) -> f64 {
         self.sum
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -12,6 +12,8 @@
 mod ejection;
 mod random;
 mod retry;
+mod scene;
+mod scenes;
 
 /// Builds a service whose targets all stand in one failure domain.
 fn service(targets: usize, slots: usize, floor: usize) -> bundle::Service {
--- /dev/null
+++ b/tests/testsuite/cell/scene.rs
@@ -0,0 +1,395 @@
+//! A service in several failure domains under a stated load, with targets that turn gray: drives the cells' own code.
+//!
+//! One ordered queue of events, fake targets, and entries that see the cells' summaries with a lag.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use peridotspread::coordination::cell;
+use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::state::bundle;
+use peridotspread::state::clock::Millis;
+use peridotspread::state::ids;
+use peridotspread::state::timeline::Kind;
+
+/// How old the summaries are that entries and other cells see.
+const LAG: Millis = Millis(200);
+/// How long the platform takes to answer.
+const PLATFORM: Millis = Millis(5);
+
+/// What is wrong with a target while a scene is gray.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Fault {
+    /// Requests never end.
+    Stall,
+    /// Requests take longer by a factor.
+    Slow(f64),
+    /// A share of the requests fails.
+    Fail(f64),
+    /// Stalls and is well in turns of this span.
+    Flap(u64),
+}
+
+/// One scene.
+#[derive(Clone, Debug)]
+pub(crate) struct Scene {
+    /// Failure domains.
+    pub(crate) domains: usize,
+    /// Targets in all domains.
+    pub(crate) targets: usize,
+    /// Slots of a target.
+    pub(crate) slots: usize,
+    /// Targets that ejection leaves.
+    pub(crate) floor: usize,
+    /// The thresholds.
+    pub(crate) avoid: f64,
+    /// The thresholds.
+    pub(crate) eject: f64,
+    /// The load as a share of all slots.
+    pub(crate) load: f64,
+    /// The share of idempotent requests.
+    pub(crate) idempotent: f64,
+    /// The median time of a request, in milliseconds.
+    pub(crate) work: f64,
+    /// The standard deviation of its logarithm.
+    pub(crate) spread: f64,
+    /// The targets that turn gray, by number.
+    pub(crate) gray: Vec<usize>,
+    /// What is wrong with them.
+    pub(crate) fault: Fault,
+    /// When they turn gray.
+    pub(crate) onset: u64,
+    /// When the scene ends.
+    pub(crate) end: u64,
+}
+
+/// What came of a scene.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Report {
+    /// Requests that arrived.
+    pub(crate) arrived: usize,
+    /// When the last request but trials went to a gray target, from onset on.
+    pub(crate) last: u64,
+    /// Requests but trials that went to a gray target later than a second after onset.
+    pub(crate) late: usize,
+    /// Requests that failed, timed out, or took more than a second.
+    pub(crate) harmed: usize,
+    /// Ejections of targets that were not gray.
+    pub(crate) wrong: usize,
+    /// Ejections of gray targets.
+    pub(crate) right: usize,
+    /// Times that a target which was not gray was avoided.
+    pub(crate) avoided: usize,
+    /// Grants beyond the first one of a request.
+    pub(crate) retries: usize,
+    /// Refusals.
+    pub(crate) refused: usize,
+}
+
+/// A small generator of random numbers.
+#[derive(Clone, Debug)]
+pub(crate) struct Random(pub u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// Draws from 0 (inclusive) to 1 (exclusive).
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn normal(&mut self) -> f64 {
+        let (u, v) = (1.0 - self.unit(), self.unit());
+        (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Next {
+    Arrive,
+    Done(usize, u64, u32, Outcome),
+    Reply(usize, String),
+    Tell,
+}
+
+struct World<'a> {
+    scene: &'a Scene,
+    random: Random,
+    now: Millis,
+    cells: Vec<cell::Cell>,
+    told: Vec<peridotspread::protocol::peer::Summary>,
+    events: BTreeMap<(Millis, u64), Next>,
+    count: u64,
+    /// Each open request: cell, arrival and tries.
+    open: BTreeMap<u64, (usize, cell::Arrival, Millis, u32)>,
+    ejected: BTreeSet<String>,
+    report: Report,
+}
+
+/// Plays a scene.
+pub(crate) fn play(scene: &Scene, seed: u64) -> Report {
+    let service = service(scene);
+    let cells = (0..scene.domains).map(|d| {
+        let mut cell = cell::Cell::new(&ids::CellId::new("s", &format!("d{d}")));
+        cell.handle(Millis::ZERO, Event::Rules(&service));
+        cell
+    });
+    let mut world = World {
+        scene,
+        random: Random(seed),
+        now: Millis::ZERO,
+        cells: cells.collect(),
+        told: Vec::new(),
+        events: BTreeMap::new(),
+        count: 0,
+        open: BTreeMap::new(),
+        ejected: BTreeSet::new(),
+        report: Report::default(),
+    };
+    world.plan(Millis::ZERO, Next::Tell);
+    world.plan(Millis(1), Next::Arrive);
+    world.run();
+    world.report
+}
+
+fn service(scene: &Scene) -> bundle::Service {
+    let targets = (0..scene.targets).map(|i| bundle::Target {
+        name: i.to_string(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: format!("d{}", i % scene.domains),
+        slots: scene.slots,
+        connections: 400,
+        leaving: false,
+    });
+    bundle::Service {
+        name: "s".to_owned(),
+        floor: scene.floor,
+        deadline_ms: Millis(10_000),
+        queue: 100,
+        ejection: bundle::Ejection {
+            avoid: scene.avoid,
+            eject: scene.eject,
+            lease_ms: Millis(15_000),
+        },
+        retry: bundle::Retry::default(),
+        targets: targets.collect(),
+    }
+}
+
+impl World<'_> {
+    fn plan(&mut self, at: Millis, next: Next) {
+        self.count += 1;
+        self.events.insert((at, self.count), next);
+    }
+
+    fn run(&mut self) {
+        while self.now.0 < self.scene.end {
+            let event = self
+                .events
+                .first_key_value()
+                .map_or(Millis::MAX, |(k, _)| k.0);
+            let wakes = self.cells.iter().enumerate().map(|(i, c)| (c.wake(), i));
+            let (wake, i) = wakes.min().unwrap_or((Millis::MAX, 0));
+            if wake <= event {
+                self.now = wake;
+                self.feed(i, Event::Tick);
+                continue;
+            }
+            let Some(((at, _), next)) = self.events.pop_first() else {
+                return;
+            };
+            self.now = at;
+            self.step(next);
+        }
+    }
+
+    fn step(&mut self, next: Next) {
+        match next {
+            Next::Arrive => self.arrive(),
+            Next::Done(cell, ticket, tries, outcome) => {
+                if self.open.get(&ticket).is_some_and(|o| o.3 == tries) {
+                    self.done(cell, ticket, outcome);
+                }
+            }
+            Next::Reply(cell, target) => {
+                let granted = self.ejected.contains(&target)
+                    || self.scene.targets - self.ejected.len() > self.scene.floor;
+                let event = if granted {
+                    self.ejected.insert(target.clone());
+                    let until = self.now - PLATFORM + Millis(15_000);
+                    Event::Granted {
+                        target: &target,
+                        until,
+                    }
+                } else {
+                    Event::Denied { target: &target }
+                };
+                self.feed(cell, event);
+            }
+            Next::Tell => {
+                let fresh: Vec<_> = self.cells.iter().map(|c| c.summary(self.now)).collect();
+                let mut aged = std::mem::replace(&mut self.told, fresh);
+                for summary in &mut aged {
+                    summary.age = LAG;
+                }
+                for i in 0..self.cells.len() {
+                    self.feed(i, Event::Peers(&aged));
+                }
+                self.plan(self.now + LAG, Next::Tell);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let scene = self.scene;
+        let rate = scene.load * (scene.targets * scene.slots) as f64
+            / (scene.work * (scene.spread * scene.spread / 2.0).exp());
+        let gap = -(1.0 - self.random.unit()).ln() / rate;
+        self.plan(self.now + Millis(gap.round() as u64), Next::Arrive);
+        self.report.arrived += 1;
+        let ticket = self.report.arrived as u64;
+        let idempotent = self.random.unit() < scene.idempotent;
+        let arrival = cell::Arrival {
+            ticket: ids::Ticket(ticket),
+            tier: 0,
+            deadline: self.now + Millis(10_000),
+            idempotent,
+            replayable: idempotent,
+            fingerprint: ids::Fingerprint(ticket),
+        };
+        let cell = self.choose();
+        self.open.insert(ticket, (cell, arrival, self.now, 0));
+        self.feed(cell, Event::Arrive(arrival));
+    }
+
+    /// Chooses the better one of two cells, as an entry does.
+    fn choose(&mut self) -> usize {
+        let draw = |random: &mut Random| (random.unit() * self.cells.len() as f64) as usize;
+        let (a, b) = (draw(&mut self.random), draw(&mut self.random));
+        let load = |i: usize| {
+            let Some(s) = self.told.get(i) else {
+                return (false, 0);
+            };
+            let load = (s.busy + s.queued) * 1_000 / s.slots.max(1);
+            (s.bad >= cell::SICK_SHARE, load)
+        };
+        if load(b) < load(a) { b } else { a }
+    }
+
+    fn done(&mut self, cell: usize, ticket: u64, outcome: Outcome) {
+        let started = self.open[&ticket].2;
+        if outcome == Outcome::Answered {
+            self.report.harmed += usize::from(self.now - started > Millis(1_000));
+        }
+        let id = ids::Ticket(ticket);
+        self.feed(
+            cell,
+            Event::Done {
+                ticket: id,
+                outcome,
+            },
+        );
+        if outcome == Outcome::Answered {
+            self.open.remove(&ticket);
+            self.feed(cell, Event::Release(id));
+        }
+    }
+
+    fn feed(&mut self, i: usize, event: Event<'_>) {
+        let actions = self.cells[i].handle(self.now, event);
+        for action in actions {
+            self.act(i, action);
+        }
+    }
+
+    fn act(&mut self, cell: usize, action: Action) {
+        match action {
+            Action::Grant { ticket, target } => self.dispatch(cell, ticket, &target),
+            Action::Refuse { ticket, .. } => {
+                self.open.remove(&ticket.0);
+                self.report.refused += 1;
+            }
+            Action::GiveUp { ticket } => {
+                self.open.remove(&ticket.0);
+                self.report.harmed += 1;
+                self.feed(cell, Event::Release(ticket));
+            }
+            Action::AskEjection { target } => {
+                self.plan(self.now + PLATFORM, Next::Reply(cell, target));
+            }
+            Action::EndEjection { target } => {
+                self.ejected.remove(&target);
+            }
+            Action::Record { kind, target, .. } => self.record(kind, &target),
+            Action::Abandon { .. } | Action::Quarantine { .. } => {}
+        }
+    }
+
+    fn record(&mut self, kind: Kind, target: &str) {
+        let gray = self.is_gray(target);
+        match kind {
+            Kind::Ejected if gray => self.report.right += 1,
+            Kind::Ejected => self.report.wrong += 1,
+            Kind::Avoided if !gray => self.report.avoided += 1,
+            _ => {}
+        }
+    }
+
+    /// Returns whether a target is gray, or was before.
+    fn is_gray(&self, target: &str) -> bool {
+        let number: usize = target.parse().unwrap();
+        self.now.0 >= self.scene.onset && self.scene.gray.contains(&number)
+    }
+
+    fn dispatch(&mut self, cell: usize, ticket: ids::Ticket, target: &str) {
+        let open = self.open.get_mut(&ticket.0).unwrap();
+        open.3 += 1;
+        let tries = open.3;
+        let deadline = open.1.deadline;
+        self.report.retries += usize::from(tries > 1);
+        let trial = self.cells[cell].is_trial(ticket);
+        let since = self.now - Millis(self.scene.onset);
+        if self.is_gray(target) && !trial && self.is_sick() {
+            self.report.last = since.0;
+            self.report.late += usize::from(since > Millis(1_000));
+        }
+        let (span, outcome) = self.work(target);
+        let end = self.now + Millis(span);
+        let (end, outcome) = if end >= deadline {
+            (deadline, Outcome::TimedOut)
+        } else {
+            (end, outcome)
+        };
+        self.plan(end, Next::Done(cell, ticket.0, tries, outcome));
+        self.feed(cell, Event::Dispatch(ticket));
+    }
+
+    /// Returns whether the fault shows now.
+    fn is_sick(&self) -> bool {
+        match self.scene.fault {
+            Fault::Flap(span) => ((self.now.0 - self.scene.onset) / span).is_multiple_of(2),
+            _ => true,
+        }
+    }
+
+    fn work(&mut self, target: &str) -> (u64, Outcome) {
+        let factor = (self.scene.spread * self.random.normal()).exp();
+        let span = self.scene.work * factor;
+        if !self.is_gray(target) || !self.is_sick() {
+            return (span.round() as u64, Outcome::Answered);
+        }
+        match self.scene.fault {
+            Fault::Stall | Fault::Flap(_) => (1_000_000, Outcome::Answered),
+            Fault::Slow(factor) => ((span * factor).round() as u64, Outcome::Answered),
+            Fault::Fail(share) if self.random.unit() < share => {
+                (span.round() as u64, Outcome::Failed)
+            }
+            Fault::Fail(_) => (span.round() as u64, Outcome::Answered),
+        }
+    }
+}
