coordination: membership as a state machine

Each daemon watches its successors on four hash rings, so the connections a daemon stay constant; a silent member is probed through its own neighbours before it is suspected, and is dead once two accusers' suspicion is not refuted in time. News goes to the successors at once and rides on probes; digests find what was missed. A daemon that did not run for a while gives others that much longer, and refutes what was said meanwhile.

The lab drives many tables in one process.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod echo;
 pub mod load;
+pub mod members;
 pub mod platform;
 pub mod replay;
 pub mod rng;
--- a/crates/lab/tests/testsuite/main.rs
+++ b/crates/lab/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the stand-ins and the load generator themselves, without a fleet: what the proofs count must be countable.
 
+mod membership;
 mod standins;
--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 
 use crate::coordination::member;
+use crate::coordination::random::Random;
 use crate::protocol::peer;
 use crate::state::bundle;
 use crate::state::clock;
@@ -56,7 +57,7 @@
     domain: String,
     judge: Judge,
     cells: BTreeMap<ids::CellId, Seen>,
-    draws: u64,
+    random: Random,
 }
 
 /// The last summary of a cell.
@@ -81,7 +82,7 @@
             domain: domain.to_owned(),
             judge: Judge::default(),
             cells: BTreeMap::new(),
-            draws: hash(&[me]),
+            random: Random::new(hash(&[me])),
         }
     }
 
@@ -103,7 +104,7 @@
             offers.partition(|o| o.choice.cell.domain == self.domain);
         for _ in 0..2 {
             if !others.is_empty() {
-                let at = self.draw(others.len());
+                let at = self.random.index(others.len());
                 own.push(others.swap_remove(at));
             }
         }
@@ -189,12 +190,6 @@
         let age = (now - seen.made).0 as f64 / LOAD_AGE.0 as f64;
         (1.0 - age).max(0.0) * expected_cost(&seen.summary)
     }
-
-    /// Draws a number below `bound`; the sequence depends on the daemon's name alone.
-    fn draw(&mut self, bound: usize) -> usize {
-        self.draws = rank::mix(self.draws.wrapping_add(rank::STEP));
-        (self.draws % bound as u64) as usize
-    }
 }
 
 /// Returns the service's cells that have targets which take work.
--- a/src/coordination/homes/rank.rs
+++ b/src/coordination/homes/rank.rs
@@ -1,6 +1,7 @@
 //! Rendezvous hashing: the order in which daemons are home of a cell.
 
 use crate::coordination::member;
+use crate::coordination::random;
 use crate::state::ids;
 
 /// Hashes `parts` with FNV-1a and a finishing mix; the result is the same on all hosts and in all versions.
@@ -13,17 +14,7 @@
             h = (h ^ u64::from(byte)).wrapping_mul(PRIME);
         }
     }
-    mix(h)
-}
-
-/// The step between the states of a sequence of numbers made by [`mix`].
-pub(crate) const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
-
-/// Spreads every bit of `h` over the whole number.
-pub(crate) fn mix(mut h: u64) -> u64 {
-    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    h ^ (h >> 33)
+    random::mix(h)
 }
 
 /// Returns the names of the daemons that may be home of `cell`, best first.
--- /dev/null
+++ b/src/coordination/member/digest.rs
@@ -0,0 +1,69 @@
+//! Digests of what a daemon knows, to find out cheaply where two views differ.
+
+use std::collections::BTreeMap;
+
+use crate::coordination::member::table::Entry;
+use crate::coordination::random;
+use crate::protocol::gossip;
+
+/// The groups that members are put into by a hash of their names.
+const GROUPS: usize = 64;
+
+/// Returns the group of a member.
+fn group(entry: &Entry) -> usize {
+    (entry.points[1] % GROUPS as u64) as usize
+}
+
+/// Returns a hash for each group; members that are dead do not count.
+pub(super) fn digest(members: &BTreeMap<String, Entry>) -> Vec<u32> {
+    let mut groups = vec![0; GROUPS];
+    for entry in members.values().filter(|e| e.is_live()) {
+        let (incarnation, round, state) = entry.about.rank();
+        let said = random::mix(incarnation.0) ^ (u64::from(round) << 8) ^ state as u64;
+        groups[group(entry)] ^= random::mix(entry.points[0] ^ random::mix(said)) as u32;
+    }
+    groups
+}
+
+/// Returns the members of the groups in which `theirs` differs from `ours`, the groups from `first` on in front.
+pub(super) fn difference<'a>(
+    members: &'a BTreeMap<String, Entry>,
+    ours: &[u32],
+    theirs: &[u32],
+    first: usize,
+) -> Vec<&'a str> {
+    if ours.len() != theirs.len() {
+        return Vec::new();
+    }
+    let differs = |g: usize| ours[g] != theirs[g];
+    let mut found: Vec<_> = members
+        .iter()
+        .map(|(name, entry)| (group(entry), name.as_str()))
+        .filter(|(g, _)| differs(*g))
+        .collect();
+    found.sort_by_key(|(g, _)| (*g + GROUPS - first % GROUPS) % GROUPS);
+    found.into_iter().map(|(_, name)| name).collect()
+}
+
+/// Puts the records into as few messages as hold them, at most `limit`.
+pub(super) fn pack(
+    empty: &gossip::Message,
+    records: &mut dyn Iterator<Item = gossip::Record>,
+    limit: usize,
+) -> Vec<gossip::Message> {
+    let mut messages = Vec::new();
+    let mut message = empty.clone();
+    for record in records {
+        if message.room() < record.bound() {
+            messages.push(std::mem::replace(&mut message, empty.clone()));
+            if messages.len() == limit {
+                return messages;
+            }
+        }
+        message.records.push(record);
+    }
+    if !message.records.is_empty() {
+        messages.push(message);
+    }
+    messages
+}
--- a/src/coordination/member.rs
+++ b/src/coordination/member/mod.rs
@@ -1,12 +1,25 @@
 //! Membership: which daemons live, as this one sees it.
 //!
-//! Views of different daemons may differ; nothing that the fleet promises depends on their agreeing.
+//! The platform's list of hosts and the settings name daemons to begin with; from there on the daemons tell each other.
+//! [`Table`] decides: each daemon watches a few successors on hash rings, asks others to try before it suspects a
+//! member, and takes one for dead only if the suspicion is not refuted in time. Views of different daemons may differ;
+//! nothing that the fleet promises depends on their agreeing.
 
 use std::collections::BTreeMap;
 use std::net;
 
 use crate::state::ids;
 
+mod digest;
+mod exchange;
+mod probes;
+mod rings;
+mod suspicion;
+mod table;
+mod updates;
+
+pub use table::{Action, Event, Options, Seed, Table};
+
 /// Whether a member is fit to be a home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Liveness {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,3 +5,4 @@
 pub mod cell;
 pub mod homes;
 pub mod member;
+mod random;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! What the bytes mean: messages between daemons, refusals to callers, header fields, and the platform's interface.
 
 pub mod frame;
+pub mod gossip;
 pub mod headers;
 pub mod peer;
 pub mod platform;
