--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -9,6 +9,7 @@
 use peridotspread::protocol::gossip;
 use peridotspread::state::clock::Millis;
 use peridotspread::state::ids;
+use peridotspread::state::timeline;
 
 use crate::rng::Rng;
 
@@ -179,10 +180,10 @@
                 self.letters.insert((key.0 + TICK, key.1), letter);
                 continue;
             }
-            let message = gossip::decode(&letter.bytes).expect("the message was encoded here");
+            let datagram = gossip::decode(&letter.bytes).expect("the datagram was encoded here");
             let event = member::Event::Received {
                 from: &letter.from,
-                message: &message,
+                message: &datagram.message,
             };
             self.handle(&letter.to, event);
         }
@@ -209,7 +210,7 @@
         };
         for action in run.table.handle(self.now, event) {
             match action {
-                member::Action::Send { to, message, .. } => self.send(name, &to, &message),
+                member::Action::Send { to, message, .. } => self.send(name, &to, message),
                 member::Action::Record { detail, .. } => {
                     if let Some(run) = self.runs.get_mut(name) {
                         run.records.push((self.now, detail));
@@ -219,8 +220,13 @@
         }
     }
 
-    fn send(&mut self, from: &str, to: &str, message: &gossip::Message) {
-        let bytes = gossip::encode(message).expect("a message can be encoded");
+    fn send(&mut self, from: &str, to: &str, message: gossip::Message) {
+        let stamp = timeline::Stamp {
+            wall: Millis(EPOCH_MS + self.now.0),
+            count: 0,
+        };
+        let datagram = gossip::Datagram { stamp, message };
+        let bytes = gossip::encode(&datagram).expect("a datagram can be encoded");
         self.sent.messages += 1;
         self.sent.bytes += bytes.len() as u64;
         self.sent.longest = self.sent.longest.max(bytes.len());
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod home;
 pub mod links;
+pub mod member;
 pub mod metrics;
 mod node;
 
--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -7,14 +7,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::ids;
+use crate::state::timeline;
 
-/// The most bytes of one encoded message; a datagram of this length fits every path of the fleet.
+/// The most bytes of one encoded datagram; a datagram of this length fits every path of the fleet.
 pub const MAX_BYTES: usize = 1_100;
 
 /// The most bytes of a number of 64 bits.
 const LONG_BYTES: usize = 10;
 /// The most bytes of a number of 32 bits.
 const INT_BYTES: usize = 5;
+/// The most bytes of a clock's stamp.
+const STAMP_BYTES: usize = LONG_BYTES + INT_BYTES;
 /// The most bytes of an address and its port.
 const ADDR_BYTES: usize = 20;
 
@@ -151,24 +154,34 @@
     /// Returns how many bytes of records still fit.
     pub fn room(&self) -> usize {
         let records: usize = self.records.iter().map(Record::bound).sum();
-        MAX_BYTES.saturating_sub(self.sender.bound() + self.body.bound() + INT_BYTES + records)
+        let head = STAMP_BYTES + self.sender.bound() + self.body.bound() + INT_BYTES;
+        MAX_BYTES.saturating_sub(head + records)
     }
 }
 
-/// Encodes a message for one datagram.
+/// What one datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender's clock.
+    pub stamp: timeline::Stamp,
+    /// The message.
+    pub message: Message,
+}
+
+/// Encodes a datagram.
 ///
 /// # Errors
 ///
 /// Returns an error if the codec can't encode it.
-pub fn encode(message: &Message) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(message)
+pub fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(datagram)
 }
 
-/// Decodes the message of one datagram.
+/// Decodes a datagram.
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are no message.
-pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
+/// Returns an error if the bytes are no datagram of this protocol.
+pub fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
     postcard::from_bytes(bytes)
 }
