--- a/crates/lab/src/fleet/files.rs
+++ b/crates/lab/src/fleet/files.rs
@@ -13,25 +13,25 @@
 
 /// The directory of one fleet; removed when dropped.
 #[derive(Debug)]
-pub(super) struct Files {
+pub(crate) struct Files {
     dir: path::PathBuf,
     authority: keys::Authority,
 }
 
 /// What a daemon's settings need besides its name.
 #[derive(Clone, Debug)]
-pub(super) struct Place {
-    pub(super) domain: String,
-    pub(super) listen: net::SocketAddr,
-    pub(super) peer: net::SocketAddr,
-    pub(super) admin: net::SocketAddr,
-    pub(super) platform: net::SocketAddr,
-    pub(super) seeds: BTreeMap<String, net::SocketAddr>,
+pub(crate) struct Place {
+    pub(crate) domain: String,
+    pub(crate) listen: net::SocketAddr,
+    pub(crate) peer: net::SocketAddr,
+    pub(crate) admin: net::SocketAddr,
+    pub(crate) platform: net::SocketAddr,
+    pub(crate) seeds: BTreeMap<String, net::SocketAddr>,
 }
 
 impl Files {
     /// Creates the directory and the fleet's authority.
-    pub(super) fn create(name: &str) -> Result<Files, Error> {
+    pub(crate) fn create(name: &str) -> Result<Files, Error> {
         let dir =
             std::env::temp_dir().join(format!("peridotspread-lab-{}-{name}", std::process::id()));
         let _ = fs::remove_dir_all(&dir);
@@ -42,18 +42,18 @@
         Ok(files)
     }
 
-    pub(super) fn path(&self, name: &str) -> path::PathBuf {
+    pub(crate) fn path(&self, name: &str) -> path::PathBuf {
         self.dir.join(name)
     }
 
-    pub(super) fn write(&self, name: &str, text: &str) -> Result<path::PathBuf, Error> {
+    pub(crate) fn write(&self, name: &str, text: &str) -> Result<path::PathBuf, Error> {
         let path = self.path(name);
         fs::write(&path, text).context(FilesSnafu { path: &path })?;
         Ok(path)
     }
 
     /// Writes keys and settings of the daemon called `name`; returns the settings' path.
-    pub(super) fn settings(
+    pub(crate) fn settings(
         &self,
         name: &str,
         place: &Place,
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 
 pub mod admin;
 mod ejections;
-mod files;
+pub(crate) mod files;
 pub mod process;
 mod rollout;
 pub mod sizes;
--- a/crates/lab/tests/testsuite/main.rs
+++ b/crates/lab/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the stand-ins and the load generator themselves, without a fleet: what the proofs count must be countable.
 
 mod membership;
+mod peers;
 mod standins;
--- /dev/null
+++ b/crates/lab/tests/testsuite/peers.rs
@@ -0,0 +1,172 @@
+//! The membership over real QUIC endpoints, with cuts, pauses and restarts.
+
+use std::time;
+
+use peridotspread::coordination::member::Liveness;
+use peridotspread::protocol::peer;
+use peridotspread::state::timeline;
+use peridotspread_lab::peers;
+
+/// How long a condition may take to come true.
+const PATIENCE: time::Duration = time::Duration::from_secs(60);
+
+/// A fleet of the daemons called `names` that have found each other.
+async fn fleet(test: &str, names: &[&str]) -> peers::Fleet {
+    let mut fleet = peers::Fleet::create(test).unwrap();
+    for name in names {
+        fleet.start(name).await.unwrap();
+    }
+    until("the daemons find each other", || agree(&fleet)).await;
+    fleet
+}
+
+/// Waits until the condition holds.
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let end = time::Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(time::Instant::now() < end, "waited in vain: {what}");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Waits until one daemon can open no stream to another.
+async fn until_unreachable(fleet: &peers::Fleet, from: &str, to: &str) {
+    let end = time::Instant::now() + PATIENCE;
+    let dial = || {
+        fleet
+            .node(from)
+            .peers
+            .open(to, fleet.front(to), peer::Purpose::Note)
+    };
+    while dial().await.is_ok() {
+        assert!(time::Instant::now() < end, "{from} still reaches {to}");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns whether all daemons see exactly those that run, all alive.
+fn agree(fleet: &peers::Fleet) -> bool {
+    let names = fleet.names();
+    names.iter().all(|observer| {
+        let view = fleet.view(observer);
+        let alive = view.members.values().all(|m| m.liveness == Liveness::Alive);
+        alive && view.members.keys().eq(names.iter())
+    })
+}
+
+/// Returns whether all other daemons see `name` as `liveness`; nothing stands for dead.
+fn all_see(fleet: &peers::Fleet, name: &str, liveness: Option<Liveness>) -> bool {
+    let mut others = fleet.names();
+    others.retain(|o| o != name);
+    let seen = |observer: &String| fleet.view(observer).members.get(name).map(|m| m.liveness);
+    others.iter().all(|observer| seen(observer) == liveness)
+}
+
+/// Returns whether the daemon called `observer` ever recorded `detail` of that kind.
+fn recorded(fleet: &peers::Fleet, observer: &str, kind: timeline::Kind, detail: &str) -> bool {
+    let events = fleet.node(observer).recorder.events();
+    events
+        .iter()
+        .any(|e| e.kind == kind && e.detail.contains(detail))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_in_one_direction_keeps_both_in_the_fleet() {
+    let mut fleet = fleet("one-way", &["a", "b", "c", "d", "e"]).await;
+    fleet.relay().cut("a", "b");
+    until_unreachable(&fleet, "a", "b").await;
+    until_unreachable(&fleet, "b", "a").await;
+    // Another daemon dies meanwhile: its suspicion runs from beginning to end while the cut lasts.
+    fleet.kill("e");
+    until("the killed daemon is dead", || all_see(&fleet, "e", None)).await;
+    for observer in fleet.names() {
+        for cut in ["a", "b"] {
+            let dead = recorded(
+                &fleet,
+                &observer,
+                timeline::Kind::Member,
+                &format!("{cut}: dead"),
+            );
+            assert!(!dead, "{observer} took {cut} for dead");
+            assert!(fleet.view(&observer).members.contains_key(cut));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_cut_off_is_suspected_then_dead_and_comes_back() {
+    let fleet = fleet("cut-off", &["a", "b", "c", "d"]).await;
+    for other in ["b", "c", "d"] {
+        fleet.relay().cut("a", other);
+        fleet.relay().cut(other, "a");
+    }
+    until("it is suspected", || {
+        all_see(&fleet, "a", Some(Liveness::Suspect))
+    })
+    .await;
+    until("it is dead", || all_see(&fleet, "a", None)).await;
+    fleet.relay().mend();
+    until("it comes back", || agree(&fleet)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_daemon_wakes_and_accuses_nobody() {
+    let fleet = fleet("pause", &["a", "b", "c", "d"]).await;
+    let guard = fleet.pause("a");
+    until("it is dead", || all_see(&fleet, "a", None)).await;
+    drop(guard);
+    until("it comes back", || agree(&fleet)).await;
+    assert!(recorded(&fleet, "a", timeline::Kind::Woke, "did not run"));
+    assert!(!recorded(
+        &fleet,
+        "a",
+        timeline::Kind::Member,
+        "suspect, by a"
+    ));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_is_a_new_incarnation() {
+    let mut fleet = fleet("restart", &["a", "b", "c", "d"]).await;
+    let first = fleet.view("a").members["b"].incarnation;
+    fleet.kill("b");
+    fleet.start("b").await.unwrap();
+    until("all see the new run", || {
+        let newer = |o: &String| {
+            fleet
+                .view(o)
+                .members
+                .get("b")
+                .is_some_and(|m| m.incarnation > first)
+        };
+        fleet.names().iter().all(newer) && agree(&fleet)
+    })
+    .await;
+    assert!(recorded(
+        &fleet,
+        "a",
+        timeline::Kind::Member,
+        "b: restarted"
+    ));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_is_announced_to_all() {
+    let fleet = fleet("leave", &["a", "b", "c", "d"]).await;
+    fleet.node("a").member.leave().await;
+    until("all know", || all_see(&fleet, "a", Some(Liveness::Leaving))).await;
+    assert!(!recorded(&fleet, "b", timeline::Kind::Member, "a: suspect"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_version_in_force_is_told() {
+    let fleet = fleet("version", &["a", "b", "c"]).await;
+    fleet.node("a").member.set_version(7);
+    until("all know", || {
+        fleet
+            .names()
+            .iter()
+            .all(|o| fleet.view(o).members["a"].version == 7)
+    })
+    .await;
+}
--- a/src/transport/quic.rs
+++ b/src/transport/quic.rs
@@ -296,6 +296,11 @@
         self.inner.local
     }
 
+    /// Returns the number of connections that live, in the pool or not.
+    pub fn connections(&self) -> usize {
+        self.inner.endpoint.open_connections()
+    }
+
     /// Closes all connections, and with them all streams.
     pub async fn close(&self) {
         self.inner
