lab: replay of traces through the daemon's decision code, beside a baseline policy

Traces and fleets are TOML; tests/replay.rs checks each trace against its stated outcome. The cell is still the thin one, so most outcomes are not met yet.

--- /dev/null
+++ b/crates/lab/tests/replay.rs
@@ -0,0 +1,23 @@
+//! Replays every trace of `tests/traces` and checks it against its stated outcome.
+
+use std::path;
+
+use peridotspread_lab::replay::check;
+use peridotspread_lab::replay::trace;
+
+/// The runs on each service, each with a seed of its own.
+const SEEDS: u64 = 2;
+
+fn replay(path: &path::Path) -> datatest_stable::Result<()> {
+    let trace = trace::load(path)?;
+    let fleets = trace::load_fleets(&trace, path)?;
+    let found = check::findings(&trace, &fleets, SEEDS);
+    if found.is_empty() {
+        return Ok(());
+    }
+    Err(found.join("\n").into())
+}
+
+datatest_stable::harness! {
+    { test = replay, root = "../../tests/traces", pattern = r"^[^/]+\.toml$" },
+}
