--- a/crates/lab/src/replay/fleet/entry.rs
+++ b/crates/lab/src/replay/fleet/entry.rs
@@ -1,155 +1,234 @@
-//! An entry's choice of cell and home, and what it has seen of them.
-
-use std::collections::BTreeMap;
+//! The entry's part of the fleet's policy: offers requests to homes as `peridotspread::daemon::entry` does.
 
 use peridotspread::coordination::homes;
 use peridotspread::protocol::peer;
+use peridotspread::protocol::refusal;
 use peridotspread::state::clock;
-use peridotspread::state::ids;
-
-use crate::replay::scene;
 
-/// How long a home that did not answer is tried last.
-const SUSPICION: clock::Millis = clock::Millis(5_000);
+use crate::replay::fleet;
+use crate::replay::fleet::{Fleet, Message, Place, SendId, Sending, World, table};
+use crate::replay::world;
 
-/// How old a summary may be to guide the choice of a cell.
-const FRESH: clock::Millis = clock::Millis(2_000);
+/// How long a home may be silent about a request that it has not finished.
+const HOME_PATIENCE: clock::Millis = clock::Millis(800);
 
-/// The homes of one cell that an entry tries.
-const HOMES_A_CELL: usize = 2;
+/// The homes that one request is offered to at most.
+const MAX_HOMES: usize = 4;
 
-/// Where a request is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Choice {
-    /// The cell, by its place in [`Entry::new`]'s list.
-    pub(crate) cell: usize,
-    /// The daemon that is its home.
-    pub(crate) home: usize,
-}
-
-/// What one entry knows.
-#[derive(Debug, Default)]
-pub(crate) struct Entry {
-    seen: BTreeMap<usize, Seen>,
-    suspects: BTreeMap<usize, clock::Millis>,
-    quarantined: BTreeMap<ids::Fingerprint, clock::Millis>,
-}
-
-#[derive(Debug)]
-struct Seen {
-    at: clock::Millis,
-    summary: peer::Summary,
-}
-
-/// The ranked homes of each cell, which all entries see alike.
-#[derive(Debug)]
-pub(crate) struct Homes {
-    /// The cells.
-    pub(crate) cells: Vec<ids::CellId>,
-    ranked: Vec<Vec<usize>>,
-}
+impl Fleet {
+    pub(super) fn take(&mut self, world: &mut World, request: usize) {
+        let wanted = *world.request(request);
+        let left = wanted.deadline - world.now();
+        world.after(left, wanted.entry, Message::Expired(request));
+        let none = refusal::Refusal::not_run(refusal::Cause::NoHome, Some(fleet::RETRY_SOON));
+        self.offer(world, request, none);
+    }
 
-impl Homes {
-    /// Ranks the homes of the scene's cells.
-    pub(crate) fn new(scene: &scene::Scene) -> Homes {
-        let cells: Vec<_> = scene.service.cells().into_keys().collect();
-        let rank = |cell| {
-            let names = homes::rank(cell, &scene.view)
-                .into_iter()
-                .take(HOMES_A_CELL);
-            names.filter_map(|n| scene.daemon(n)).collect()
+    /// Offers a request to the next home; where there is none, the caller gets `refused`.
+    fn offer(&mut self, world: &mut World, request: usize, refused: refusal::Refusal) {
+        let now = world.now();
+        let wanted = *world.request(request);
+        let offers = self.offers.entry(request).or_default();
+        let tried: Vec<_> = offers
+            .iter()
+            .map(|s| self.sends[*s].choice.clone())
+            .collect();
+        let scene = world.scene();
+        let judge = &mut self.judges[wanted.entry];
+        let choice = if tried.len() < MAX_HOMES {
+            judge.choose(now, &scene.service, &scene.view, &tried)
+        } else {
+            None
         };
-        Homes {
-            ranked: cells.iter().map(rank).collect(),
-            cells,
-        }
+        let Some(choice) = choice else {
+            world.answer(request, world::Answer::Refused(refused));
+            return;
+        };
+        let cell = self.ids.iter().position(|c| *c == choice.cell);
+        let daemon = scene.daemon(&choice.home);
+        let (Some(cell), Some(daemon)) = (cell, daemon) else {
+            return;
+        };
+        let peers = judge.peers(now, &scene.service);
+        let send = self.sends.len();
+        offers.push(send);
+        self.sends.push(Sending {
+            request,
+            choice,
+            place: Place { daemon, cell },
+            current: true,
+            heard: now,
+            claiming: false,
+            gone: wanted.idempotent,
+            granted: None,
+            running: None,
+            last: None,
+            over: false,
+        });
+        world.send(wanted.entry, daemon, Message::Head { send, peers });
+        world.after(HOME_PATIENCE, wanted.entry, Message::Patience(send));
     }
-}
 
-impl Entry {
-    /// Takes in the summary of a cell.
-    pub(crate) fn observe(&mut self, now: clock::Millis, cell: usize, summary: peer::Summary) {
-        self.seen.insert(cell, Seen { at: now, summary });
+    pub(super) fn heard(&mut self, world: &World, send: SendId) {
+        self.sends[send].heard = world.now();
     }
 
-    /// Returns the summaries of the cells other than `cell`, with their ages.
-    pub(crate) fn peers(&self, now: clock::Millis, cell: usize) -> Vec<peer::Summary> {
-        let others = self.seen.iter().filter(|(c, _)| **c != cell);
-        others
-            .map(|(_, seen)| {
-                let mut summary = seen.summary.clone();
-                summary.age += now - seen.at;
-                summary
-            })
-            .collect()
+    /// Allows the dispatch of non-idempotent work, once its key is claimed.
+    pub(super) fn ready(&mut self, world: &mut World, send: SendId) {
+        self.heard(world, send);
+        let request = self.sends[send].request;
+        if !self.sends[send].current || world.closed(request) {
+            return;
+        }
+        let wanted = *world.request(request);
+        let Some(key) = wanted.key else {
+            return self.allow(world, send);
+        };
+        let up = world.scene().table_up(world.now());
+        let claim = up.then(|| self.table.claim(key));
+        let span = if up {
+            fleet::TABLE_LATENCY
+        } else {
+            fleet::TABLE_TIMEOUT
+        };
+        self.sends[send].claiming = true;
+        world.after(span, wanted.entry, Message::Claimed { send, claim });
     }
 
-    /// Notes that a home did not answer.
-    pub(crate) fn suspect(&mut self, now: clock::Millis, home: usize) {
-        self.suspects.insert(home, now + SUSPICION);
+    pub(super) fn claimed(&mut self, world: &mut World, send: SendId, claim: Option<table::Claim>) {
+        let request = self.sends[send].request;
+        self.sends[send].claiming = false;
+        self.heard(world, send);
+        let open = self.sends[send].current && !world.closed(request);
+        let answer = match claim {
+            Some(table::Claim::Fresh) if open => return self.allow(world, send),
+            Some(table::Claim::Fresh) => return self.settle(world, request, false),
+            Some(table::Claim::Ran) => world::Answer::Served,
+            Some(table::Claim::Unknown) => {
+                world::Answer::Refused(refusal::Refusal::unknown(refusal::Cause::AlreadyClaimed))
+            }
+            None => {
+                let cause = refusal::Cause::ClaimUnavailable;
+                let refusal = refusal::Refusal::not_run(cause, Some(fleet::RETRY_SOON));
+                world::Answer::Refused(refusal)
+            }
+        };
+        if open {
+            self.withdraw(world, send);
+            world.answer(request, answer);
+        }
     }
 
-    /// Notes that a home answered.
-    pub(crate) fn trust(&mut self, home: usize) {
-        self.suspects.remove(&home);
+    fn settle(&mut self, world: &World, request: usize, ran: bool) {
+        if let Some(key) = world.request(request).key {
+            self.table.settle(key, ran);
+        }
     }
 
-    /// Puts a fingerprint into quarantine.
-    pub(crate) fn quarantine(&mut self, fingerprint: ids::Fingerprint, until: clock::Millis) {
-        self.quarantined.insert(fingerprint, until);
+    fn allow(&mut self, world: &mut World, send: SendId) {
+        let sending = &mut self.sends[send];
+        sending.gone = true;
+        let home = sending.place.daemon;
+        let entry = world.request(sending.request).entry;
+        world.send(entry, home, Message::Go(send));
     }
 
-    /// Returns until when a fingerprint is in quarantine.
-    pub(crate) fn quarantined(
-        &self,
-        now: clock::Millis,
-        fingerprint: ids::Fingerprint,
-    ) -> Option<clock::Millis> {
-        self.quarantined
-            .get(&fingerprint)
-            .copied()
-            .filter(|until| *until > now)
+    fn withdraw(&mut self, world: &mut World, send: SendId) {
+        let sending = &mut self.sends[send];
+        sending.current = false;
+        let home = sending.place.daemon;
+        let entry = world.request(sending.request).entry;
+        world.send(entry, home, Message::Dropped(send));
     }
 
-    /// Chooses where to send a request next; `draw` spreads requests over the cells of other failure domains.
-    pub(crate) fn choose(
-        &self,
-        now: clock::Millis,
-        homes: &Homes,
-        place: &str,
-        tried: &[Choice],
-        draw: usize,
-    ) -> Option<Choice> {
-        let mut cells: Vec<_> = (0..homes.cells.len()).collect();
-        let count = cells.len().max(1);
-        cells.sort_by_key(|c| (homes.cells[*c].domain != place, (c + draw) % count));
-        if let [own, other, ..] = cells[..]
-            && self.load(now, other) < self.load(now, own)
-        {
-            cells.swap(0, 1);
+    pub(super) fn reply(
+        &mut self,
+        world: &mut World,
+        send: SendId,
+        answer: world::Answer,
+        summary: &peer::Summary,
+    ) {
+        let now = world.now();
+        let sending = &self.sends[send];
+        let request = sending.request;
+        let judge = &mut self.judges[world.request(request).entry];
+        judge.observe(now, &sending.choice.home, homes::Observation::Answered);
+        judge.learn(now, summary);
+        if !sending.current {
+            return;
         }
-        let all = cells.iter().flat_map(|cell| {
-            let ranked = homes.ranked[*cell].iter();
-            ranked.map(|home| Choice {
-                cell: *cell,
-                home: *home,
-            })
-        });
-        let open: Vec<_> = all.filter(|c| !tried.contains(c)).collect();
-        let trusted = open
-            .iter()
-            .find(|c| self.suspects.get(&c.home).is_none_or(|until| *until <= now));
-        trusted.or(open.first()).copied()
+        self.sends[send].current = false;
+        match answer {
+            world::Answer::Refused(refusal) if refusal.outcome == refusal::Outcome::NotRun => {
+                if self.sends[send].gone {
+                    self.settle(world, request, false);
+                }
+                if another_home_may_serve(refusal) {
+                    return self.offer(world, request, refusal);
+                }
+            }
+            world::Answer::Refused(_) => {}
+            world::Answer::Served | world::Answer::Failed => self.settle(world, request, true),
+        }
+        world.answer(request, answer);
     }
 
-    /// Returns the expected wait at a cell and then the share of its slots that is taken, for comparison.
-    fn load(&self, now: clock::Millis, cell: usize) -> (clock::Millis, u64) {
-        const PER_MILLE: u64 = 1_000;
-        let Some(seen) = self.seen.get(&cell).filter(|s| now - s.at < FRESH) else {
-            return (clock::Millis::ZERO, 0);
+    /// Turns to another home if this one is silent; work in two steps is not offered again once it was allowed.
+    pub(super) fn lose_patience(&mut self, world: &mut World, send: SendId) {
+        let sending = &self.sends[send];
+        let request = sending.request;
+        let wanted = *world.request(request);
+        let bound = !wanted.idempotent && sending.gone || sending.claiming;
+        if !sending.current || world.closed(request) || bound {
+            return;
+        }
+        let due = sending.heard + HOME_PATIENCE;
+        if world.now() < due {
+            let left = due - world.now();
+            return world.after(left, wanted.entry, Message::Patience(send));
+        }
+        let judge = &mut self.judges[wanted.entry];
+        judge.observe(
+            world.now(),
+            &sending.choice.home,
+            homes::Observation::Stalled,
+        );
+        self.withdraw(world, send);
+        let none = refusal::Refusal::not_run(refusal::Cause::NoHome, Some(fleet::RETRY_SOON));
+        self.offer(world, request, none);
+    }
+
+    pub(super) fn expire(&mut self, world: &mut World, request: usize) {
+        if world.closed(request) {
+            return;
+        }
+        let offers = self.offers.get(&request).cloned().unwrap_or_default();
+        let gone = offers.iter().any(|s| self.sends[*s].gone);
+        for send in offers {
+            if self.sends[send].current {
+                self.withdraw(world, send);
+            }
+        }
+        let refusal = if gone {
+            refusal::Refusal::unknown(refusal::Cause::TargetTimeout)
+        } else {
+            refusal::Refusal::not_run(refusal::Cause::DeadlinePassed, None)
         };
-        let taken = u64::from(seen.summary.busy) + u64::from(seen.summary.queued);
-        let slots = u64::from(seen.summary.slots.max(1));
-        (seen.summary.wait, taken * PER_MILLE / slots)
+        world.answer(request, world::Answer::Refused(refusal));
     }
 }
+
+/// Returns whether a refusal leaves it open that another cell serves the request.
+fn another_home_may_serve(refusal: refusal::Refusal) -> bool {
+    let elsewhere = matches!(
+        refusal.cause,
+        refusal::Cause::NoTarget
+            | refusal::Cause::NoHome
+            | refusal::Cause::Draining
+            | refusal::Cause::QueueFull
+            | refusal::Cause::Displaced
+            | refusal::Cause::DeadlineTooShort
+            | refusal::Cause::ConnectFailed
+    );
+    elsewhere && refusal.outcome == refusal::Outcome::NotRun
+}
--- a/crates/lab/src/replay/mod.rs
+++ b/crates/lab/src/replay/mod.rs
@@ -9,7 +9,6 @@
 mod fleet;
 pub mod measures;
 pub mod policy;
-pub mod random;
 pub mod scene;
 pub mod target;
 pub mod trace;
--- a/crates/lab/src/replay/scene.rs
+++ b/crates/lab/src/replay/scene.rs
@@ -9,9 +9,9 @@
 use peridotspread::state::clock;
 use peridotspread::state::ids;
 
-use crate::replay::random;
 use crate::replay::target;
 use crate::replay::trace;
+use crate::rng;
 
 /// How long the bundle allows a cell's queue to grow.
 const QUEUE: usize = 100;
@@ -22,8 +22,24 @@
 /// How long a caller waits before it sends a request again.
 pub const RESEND_DELAY: clock::Millis = clock::Millis(500);
 
-const PURPOSE_ARRIVALS: u64 = 1;
-const PURPOSE_LISTED: u64 = 2;
+/// What a run draws for; each draws from a sequence of its own.
+#[derive(Clone, Copy, Debug)]
+pub enum Purpose {
+    /// Generated arrivals.
+    Arrivals = 1,
+    /// What listed arrivals leave open.
+    Listed = 2,
+    /// Which requests fail at a target that fails some.
+    Luck = 3,
+    /// Where requests are sent again.
+    Resends = 4,
+}
+
+/// Returns the random numbers of one run for one purpose.
+pub fn draws(seed: u64, purpose: Purpose) -> rng::Rng {
+    const PURPOSES: u64 = 16;
+    rng::Rng::new(rng::Rng::new(seed * PURPOSES + purpose as u64).bits())
+}
 
 /// A request of a caller.
 #[derive(Clone, Copy, Debug)]
@@ -289,7 +305,7 @@
     service: &trace::Service,
     seed: u64,
 ) -> Vec<Request> {
-    let mut draw = random::Random::new(seed, PURPOSE_ARRIVALS);
+    let mut draw = draws(seed, Purpose::Arrivals);
     let slots = (service.targets * service.slots) as f64;
     // The mean of the log-normal distribution lies above its median.
     let mean = service.work_ms.0 as f64 * (service.spread * service.spread / 2.0).exp();
@@ -307,7 +323,7 @@
         requests.push(Request {
             at: now,
             entry: draw.below(fleet.daemons),
-            tier: u8::try_from(draw.weighted(&arrivals.tiers)).unwrap_or(0),
+            tier: tier(&mut draw, &arrivals.tiers),
             idempotent,
             key: (!idempotent).then_some(number),
             fingerprint: ids::Fingerprint(number),
@@ -329,7 +345,7 @@
 ) -> Vec<Request> {
     /// Keeps the fingerprints of listed requests apart from those of generated ones.
     const OFFSET: u64 = 1 << 40;
-    let mut draw = random::Random::new(seed, PURPOSE_LISTED);
+    let mut draw = draws(seed, Purpose::Listed);
     let requests = trace.requests.iter().enumerate().map(|(n, r)| {
         let entry = draw.below(fleet.daemons);
         let drawn = work(&mut draw, service);
@@ -350,7 +366,19 @@
     requests.collect()
 }
 
-fn work(draw: &mut random::Random, service: &trace::Service) -> clock::Millis {
-    let drawn = draw.log_normal(service.work_ms.0 as f64, service.spread);
+fn work(draw: &mut rng::Rng, service: &trace::Service) -> clock::Millis {
+    let drawn = draw.lognormal(service.work_ms.0 as f64, service.spread);
     clock::Millis((drawn as u64).max(1))
 }
+
+/// Draws a tier by the shares of all.
+fn tier(draw: &mut rng::Rng, shares: &[f64]) -> u8 {
+    let mut left = draw.unit() * shares.iter().sum::<f64>();
+    for (tier, share) in shares.iter().enumerate() {
+        if left < *share {
+            return u8::try_from(tier).unwrap_or(u8::MAX);
+        }
+        left -= share;
+    }
+    0
+}
--- a/crates/lab/src/replay/world.rs
+++ b/crates/lab/src/replay/world.rs
@@ -10,10 +10,10 @@
 use peridotspread::state::clock;
 
 use crate::replay::measures;
-use crate::replay::random;
 use crate::replay::scene;
 use crate::replay::target;
 use crate::replay::trace;
+use crate::rng;
 
 /// How long after the last arrival a run goes on.
 const TAIL: clock::Millis = clock::Millis(5_000);
@@ -27,9 +27,6 @@
 /// A gray target that still gets requests in this last share of its fault was never found.
 const NEVER_SHARE: f64 = 0.1;
 
-const PURPOSE_LUCK: u64 = 3;
-const PURPOSE_RESENDS: u64 = 4;
-
 /// What decides: the fleet's policy or the baseline.
 pub trait Policy {
     /// What the policy sends from daemon to daemon, or to itself for later.
@@ -113,8 +110,8 @@
     tries: Vec<Try>,
     accounts: Vec<Account>,
     key_runs: BTreeMap<u64, usize>,
-    luck: random::Random,
-    resends: random::Random,
+    luck: rng::Rng,
+    resends: rng::Rng,
     /// Ejections in force: the daemon and the target.
     ejected: BTreeSet<(usize, usize)>,
     /// What the ejection by one daemon takes from a target's capacity.
@@ -141,8 +138,8 @@
             tries: Vec::new(),
             accounts: vec![Account::default(); scene.requests.len()],
             key_runs: BTreeMap::new(),
-            luck: random::Random::new(seed, PURPOSE_LUCK),
-            resends: random::Random::new(seed, PURPOSE_RESENDS),
+            luck: scene::draws(seed, scene::Purpose::Luck),
+            resends: scene::draws(seed, scene::Purpose::Resends),
             ejected: BTreeSet::new(),
             weight,
             breached: false,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -66,6 +66,7 @@
 /// The entry of one daemon.
 pub struct Entry {
     options: Options,
+    homes: sync::Mutex<homes::Homes>,
     rules: sync::Mutex<sync::Arc<Rules>>,
     places: tasks::Semaphore,
 }
@@ -102,10 +103,20 @@
     /// Creates the entry of one daemon.
     pub fn new(options: Options) -> Entry {
         let places = tasks::Semaphore::new(options.settings.limits.requests);
-        Entry { options, rules: sync::Mutex::default(), places }
+        let homes = homes::Homes::new(&options.settings.name, &options.settings.domain);
+        Entry {
+            options,
+            homes: sync::Mutex::new(homes),
+            rules: sync::Mutex::default(),
+            places,
+        }
     }
 
-    async fn answer(self: sync::Arc<Entry>, from: net::SocketAddr, request: Request<Incoming>) -> Response<body::Body> {
+    async fn answer(
+        self: sync::Arc<Entry>,
+        from: net::SocketAddr,
+        request: Request<Incoming>,
+    ) -> Response<body::Body> {
         let id = ids::RequestId::random();
         let began = self.options.clock.now();
         let mut seen = Seen::default();
@@ -114,11 +125,21 @@
             Err(_) => Err(Refusal::not_run(Cause::QueueFull, Some(RETRY_SOON))),
         };
         let took = self.options.clock.now() - began;
-        let subject = timeline::Subject { service: Some(&seen.service), target: None, request: Some(id) };
+        let subject = timeline::Subject {
+            service: Some(&seen.service),
+            target: None,
+            request: Some(id),
+        };
         match answered {
             Ok(mut response) => {
-                self.options.recorder.record(timeline::Kind::Answered, subject, response.status().as_str());
-                self.options.metrics.request(&seen.service, seen.tier, "answered", took);
+                self.options.recorder.record(
+                    timeline::Kind::Answered,
+                    subject,
+                    response.status().as_str(),
+                );
+                self.options
+                    .metrics
+                    .request(&seen.service, seen.tier, "answered", took);
                 problem::name_request(response.headers_mut(), id);
                 response
             }
@@ -127,9 +148,18 @@
                     crate::protocol::refusal::Outcome::NotRun => timeline::Kind::Refused,
                     crate::protocol::refusal::Outcome::Unknown => timeline::Kind::Unknown,
                 };
-                self.options.recorder.record(kind, subject, refusal.cause.as_str());
-                self.options.metrics.request(&seen.service, seen.tier, refusal.outcome.as_str(), took);
-                self.options.metrics.refusal(refusal.cause.as_str(), refusal.outcome.as_str());
+                self.options
+                    .recorder
+                    .record(kind, subject, refusal.cause.as_str());
+                self.options.metrics.request(
+                    &seen.service,
+                    seen.tier,
+                    refusal.outcome.as_str(),
+                    took,
+                );
+                self.options
+                    .metrics
+                    .refusal(refusal.cause.as_str(), refusal.outcome.as_str());
                 problem::response(&refusal, id)
             }
         }
@@ -151,18 +181,24 @@
         let mut tried = Vec::new();
         let mut refused = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
-            let view = self.options.view.borrow().clone();
-            let Some(choice) = self.choose(service, &view, &tried) else { break };
-            let home = choice.home.clone();
-            tried.push(choice.clone());
-            match self.attempt(&mut call, &choice, &view).await {
-                Attempt::Answer(response) => return Ok(response),
-                Attempt::Refused(refusal) if !another_home_may_serve(refusal) => return Err(refusal),
-                Attempt::Refused(refusal) => refused = refusal,
-                Attempt::Lost { started: false } => log::debug!("the home {home} does not answer; trying another"),
-                Attempt::Lost { started: true } if call.head.idempotent && call.rest.is_none() => {}
-                Attempt::Lost { started: true } => return Err(Refusal::unknown(Cause::HomeLost)),
+            let Some(choice) = self.choose(service, &tried) else {
+                break;
+            };
+            call.head.peers = self.homes().peers(self.options.clock.now(), service);
+            let attempt = self.attempt(&mut call, &choice).await;
+            self.observe(&choice.home, &attempt);
+            match attempt {
+                Attempt::Answer { response, .. } => return Ok(response),
+                Attempt::Refused { refusal, .. } if !another_home_may_serve(refusal) => {
+                    return Err(refusal);
+                }
+                Attempt::Refused { refusal, .. } => refused = refusal,
+                Attempt::Lost { started, .. } if started && call.head.two_steps() => {
+                    return Err(Refusal::unknown(Cause::HomeLost));
+                }
+                Attempt::Lost { .. } => log::debug!("the home {} is lost", choice.home),
             }
+            tried.push(choice);
             if self.options.clock.now() >= call.deadline {
                 return Err(Refusal::not_run(Cause::DeadlinePassed, None));
             }
@@ -195,7 +231,11 @@
         let (parts, incoming) = request.into_parts();
         let caller = rules.index.caller(&rules.bundle, bearer(&parts.headers));
         let caller = caller.ok_or(Refusal::not_run(Cause::UnknownCaller, None))?;
-        let host = parts.uri.host().or_else(|| text(&parts.headers, header::HOST.as_str())).unwrap_or_default();
+        let host = parts
+            .uri
+            .host()
+            .or_else(|| text(&parts.headers, header::HOST.as_str()))
+            .unwrap_or_default();
         let route = rules.index.route(&rules.bundle, host, parts.uri.path());
         let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         let service = rules.index.service(&rules.bundle, &route.service);
@@ -206,13 +246,26 @@
         let left = deadline(&parts.headers, service.deadline_ms).ok_or(bad)?;
         let until = self.options.clock.now() + left;
         let key = text(&parts.headers, headers::IDEMPOTENCY_KEY).map(str::to_owned);
-        if key.as_ref().is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES) {
+        if key
+            .as_ref()
+            .is_some_and(|k| k.is_empty() || k.len() > MAX_KEY_BYTES)
+        {
             return Err(bad);
         }
         let prefix = exchange::read_prefix(incoming, self.options.settings.limits.replay_bytes);
         let prefix = self.before(until, prefix).await?.map_err(|_| bad)?;
-        let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        let fingerprint = exchange::fingerprint(caller.organisation, &parts.method, &uri, key.as_deref(), &prefix.first);
+        let uri = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned();
+        let fingerprint = exchange::fingerprint(
+            caller.organisation,
+            &parts.method,
+            &uri,
+            key.as_deref(),
+            &prefix.first,
+        );
         let mut fields = headers::to_fields(&parts.headers);
         exchange::add_forwarding(&mut fields, from, host);
         let idempotent = is_idempotent(&parts.method, route);
@@ -246,37 +299,59 @@
     async fn before<F: Future>(&self, until: clock::Millis, work: F) -> Result<F::Output, Refusal> {
         let at = self.options.clock.instant(until);
         let passed = Refusal::not_run(Cause::DeadlinePassed, None);
-        tokio::time::timeout_at(at.into(), work).await.map_err(|_| passed)
+        tokio::time::timeout_at(at.into(), work)
+            .await
+            .map_err(|_| passed)
     }
 
-    fn choose(&self, service: &bundle::Service, view: &member::View, tried: &[Choice]) -> Option<Choice> {
-        let own = &self.options.settings.domain;
-        let mut cells: Vec<_> = service.cells().into_keys().collect();
-        cells.sort_by_key(|c| (c.domain != *own, homes::hash(&[&c.domain, &self.options.settings.name])));
-        let open = |c: &Choice| !tried.contains(c);
-        let mut choices = cells.into_iter().flat_map(|cell| {
-            let ranked = homes::rank(&cell, view).into_iter().take(2);
-            ranked.map(|h| Choice { cell: cell.clone(), home: h.to_owned() }).collect::<Vec<_>>()
-        });
-        choices.find(open)
+    fn choose(&self, service: &bundle::Service, tried: &[homes::Choice]) -> Option<homes::Choice> {
+        let view = self.options.view.borrow().clone();
+        self.homes()
+            .choose(self.options.clock.now(), service, &view, tried)
+    }
+
+    fn homes(&self) -> sync::MutexGuard<'_, homes::Homes> {
+        self.homes.lock().expect("no holder panicked")
+    }
+
+    /// Takes in how a request at a home went on, and what the home told of its cell.
+    fn observe(&self, home: &str, attempt: &Attempt) {
+        let now = self.options.clock.now();
+        let mut homes = self.homes();
+        match attempt {
+            Attempt::Answer { summary, .. } | Attempt::Refused { summary, .. } => {
+                homes.observe(now, home, homes::Observation::Answered);
+                if let Some(summary) = summary {
+                    homes.learn(now, summary);
+                }
+            }
+            Attempt::Lost { observation, .. } => homes.observe(now, home, *observation),
+        }
     }
 
-    async fn attempt(&self, call: &mut Call, choice: &Choice, view: &member::View) -> Attempt {
-        let Some(member) = view.members.get(&choice.home) else { return Attempt::Lost { started: false } };
+    async fn attempt(&self, call: &mut Call, choice: &homes::Choice) -> Attempt {
+        let view = self.options.view.borrow().clone();
+        let Some(member) = view.members.get(&choice.home) else {
+            return Attempt::unreached();
+        };
         let opening = self.options.links.open(&choice.home, member.peer);
         let Ok(Some((recv, send))) = self.before(call.deadline, opening).await else {
-            return Attempt::Lost { started: false };
+            return Attempt::unreached();
         };
         call.head.cell = choice.cell.clone();
         call.head.left = call.deadline - self.options.clock.now();
         call.head.stamp = self.options.recorder.stamp();
         let deadline = self.options.clock.instant(call.deadline);
-        let mut stream = exchange::Stream { recv, send, deadline };
+        let mut stream = exchange::Stream {
+            recv,
+            send,
+            deadline,
+        };
         if let Err(lost) = stream.send_head(&call.head).await {
             return lost;
         }
-        if call.head.idempotent {
-            return stream.finish(call.rest.take()).await;
+        if !call.head.two_steps() {
+            return stream.finish_one_step().await;
         }
         if let Err(ended) = stream.await_ready().await {
             return ended;
@@ -290,30 +365,51 @@
     /// Allows the dispatch; from here on the work may run.
     async fn go(&self, mut stream: exchange::Stream, call: &mut Call) -> Attempt {
         if stream.send_go().await.is_err() {
-            return Attempt::Lost { started: true };
+            return Attempt::lost(true);
         }
         stream.finish(call.rest.take()).await
     }
 
     async fn claim_and_go(&self, stream: exchange::Stream, call: &mut Call, key: &str) -> Attempt {
         let scope = [call.organisation.as_str(), call.head.cell.service.as_str()];
-        let claiming = self.options.claims.claim(&scope, key, call.head.fingerprint);
+        let claiming = self
+            .options
+            .claims
+            .claim(&scope, key, call.head.fingerprint);
         let token = match self.before(call.deadline, claiming).await {
             Ok(Claimed::Fresh(token)) => token,
-            Ok(Claimed::Ran(record)) => return Attempt::Answer(problem::recorded(&record)),
-            Ok(Claimed::Unknown) => return Attempt::Refused(Refusal::unknown(Cause::AlreadyClaimed)),
-            Ok(Claimed::KeyReused) => return Attempt::Refused(Refusal::not_run(Cause::KeyReused, None)),
+            Ok(Claimed::Ran(record)) => {
+                let response = problem::recorded(&record);
+                return Attempt::Answer {
+                    response,
+                    summary: None,
+                };
+            }
+            Ok(Claimed::Unknown) => {
+                return Attempt::refused(Refusal::unknown(Cause::AlreadyClaimed));
+            }
+            Ok(Claimed::KeyReused) => {
+                return Attempt::refused(Refusal::not_run(Cause::KeyReused, None));
+            }
             Ok(Claimed::Unavailable) | Err(_) => {
-                return Attempt::Refused(Refusal::not_run(Cause::ClaimUnavailable, Some(RETRY_SOON)));
+                return Attempt::refused(Refusal::not_run(
+                    Cause::ClaimUnavailable,
+                    Some(RETRY_SOON),
+                ));
             }
         };
         let attempt = self.go(stream, call).await;
         match &attempt {
-            Attempt::Answer(response) => self.options.claims.settle(token, Settled::Ran(problem::record(response))),
-            Attempt::Refused(refusal) if refusal.outcome == crate::protocol::refusal::Outcome::NotRun => {
+            Attempt::Answer { response, .. } => self
+                .options
+                .claims
+                .settle(token, Settled::Ran(problem::record(response))),
+            Attempt::Refused { refusal, .. }
+                if refusal.outcome == crate::protocol::refusal::Outcome::NotRun =>
+            {
                 self.options.claims.settle(token, Settled::NotRun);
             }
-            Attempt::Refused(_) | Attempt::Lost { .. } => {}
+            Attempt::Refused { .. } | Attempt::Lost { .. } => {}
         }
         attempt
     }
@@ -326,13 +422,6 @@
     tier: u8,
 }
 
-/// Where a request is offered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Choice {
-    cell: ids::CellId,
-    home: String,
-}
-
 /// Returns whether a refusal leaves it open that another cell serves the request.
 fn another_home_may_serve(refusal: Refusal) -> bool {
     let elsewhere = matches!(
@@ -357,7 +446,9 @@
 }
 
 fn bearer(map: &http::HeaderMap) -> Option<&str> {
-    text(map, header::AUTHORIZATION.as_str())?.strip_prefix("Bearer ").map(str::trim)
+    text(map, header::AUTHORIZATION.as_str())?
+        .strip_prefix("Bearer ")
+        .map(str::trim)
 }
 
 /// Returns the time that the caller gives the request, else `default`; absent if the caller's field is malformed.
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,13 +1,14 @@
 //! Messages between daemons, encoded by `postcard`.
 //!
 //! A request travels on a QUIC stream of its own: the entry sends [`ToHome`], the home answers with [`FromHome`].
-//! Non-idempotent work takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
+//! Non-idempotent work, and work with a long body, takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
 //! after [`ToHome::Go`]. Everything else between daemons is a [`Note`].
 
 use futures_util::future;
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::refusal;
+use crate::state::bundle::edits;
 use crate::state::clock;
 use crate::state::ids;
 use crate::state::timeline;
@@ -56,6 +57,14 @@
     pub peers: Vec<Summary>,
 }
 
+impl Head {
+    /// Returns whether the home awaits [`ToHome::Go`] before it dispatches: for work that must not run twice, and for
+    /// bodies that can't be sent again.
+    pub fn two_steps(&self) -> bool {
+        !self.idempotent || self.more
+    }
+}
+
 /// What one cell's home tells about its cell, along with each answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -83,7 +92,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToHome {
     /// The request's head; always first.
-    Head(Head),
+    Head(Box<Head>),
     /// Allows the home to dispatch non-idempotent work.
     Go,
     /// Ends the body, with its trailers.
@@ -93,7 +102,7 @@
 /// What the home sends on a request's stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromHome {
-    /// The request waits in the queue; tells the entry that the home is alive.
+    /// The request waits, or runs; tells the entry from time to time that the home is alive.
     Queued,
     /// A slot is held for non-idempotent work, which awaits [`ToHome::Go`].
     Ready,
@@ -187,18 +196,7 @@
     /// The ed25519 signature over version and digest, in hexadecimal.
     pub signature: String,
     /// The edits from the start of the text to its end.
-    pub edits: Vec<Edit>,
-}
-
-/// One step from the lines of an earlier text to the lines of a later one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Edit {
-    /// Takes over as many lines of the earlier text.
-    Keep(u32),
-    /// Leaves out as many lines of the earlier text.
-    Skip(u32),
-    /// Inserts text.
-    Insert(String),
+    pub edits: Vec<edits::Edit>,
 }
 
 /// Why a note got no reply.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,5 +5,7 @@
 pub mod findings;
 pub mod ids;
 pub mod index;
+pub mod operator;
+pub mod reader;
 pub mod settings;
 pub mod timeline;
