--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -407,6 +407,12 @@
         })
     }
 
+    /// Starts to watch that no daemon's version in force falls.
+    pub fn versions(&self) -> watch::Versions {
+        let daemons: Vec<_> = self.daemons.values().map(|d| d.admin).collect();
+        watch::versions(&daemons, ADMIN_TOKEN)
+    }
+
     /// Returns the addresses for callers of all daemons, for a load.
     pub fn entries(&self) -> sync::Arc<load::Entries> {
         let addresses = self.daemons.values().map(|d| (d.name.clone(), d.listen));
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -69,6 +69,13 @@
     let mut command = process::Command::new(cargo);
     command.args(["build", "--quiet", "--workspace", "--bins"]);
     command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    // What cargo sets for the lab would make build scripts run again.
+    for (name, _) in std::env::vars_os() {
+        let text = name.to_string_lossy();
+        if text.starts_with("CARGO_PKG_") || text.starts_with("CARGO_MANIFEST_") {
+            command.env_remove(&name);
+        }
+    }
     if !cfg!(debug_assertions) {
         command.arg("--release");
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod replay;
 pub mod rng;
 pub mod target;
+pub mod trial;
 pub mod watch;
