--- a/src/daemon/bootstrap.rs
+++ b/src/daemon/bootstrap.rs
@@ -1,16 +1,19 @@
 //! Polls the platform for the bundle's row and the list of hosts.
 
-use std::collections::BTreeMap;
 use std::sync;
 
 use serde::Deserialize;
 use tokio::{sync as tasks, time};
 
-use crate::coordination::member;
+use crate::daemon::member;
 use crate::protocol::platform;
-use crate::state::{bundle, clock, ids, settings, timeline};
+use crate::state::{bundle, clock, timeline};
 
 const POLL_SPAN: clock::Millis = clock::Millis(500);
+/// The time between two readings of the list of hosts.
+const HOSTS_SPAN: clock::Millis = clock::Millis(30_000);
+/// The time between two readings while no other daemon is known.
+const ALONE_SPAN: clock::Millis = clock::Millis(500);
 
 #[derive(Deserialize)]
 struct Row {
@@ -50,39 +53,18 @@
     bundle::parse("bundle", &text).ok()
 }
 
-pub(super) fn follow_hosts(
+/// Tells the membership of the platform's hosts, often while it knows of no others and rarely after that.
+pub(super) async fn follow_hosts(
     platform: sync::Arc<dyn platform::Platform>,
-    settings: &settings::Settings,
-    incarnation: ids::Incarnation,
-) -> tasks::watch::Receiver<sync::Arc<member::View>> {
-    let own = member::Member {
-        peer: settings.peer,
-        domain: settings.domain.clone(),
-        incarnation,
-        liveness: member::Liveness::Alive,
-        version: 0,
-    };
-    let alone = member::View {
-        members: BTreeMap::from([(settings.name.clone(), own)]),
-    };
-    let (sender, receiver) = tasks::watch::channel(sync::Arc::new(alone.clone()));
-    tokio::spawn(async move {
-        loop {
-            if let Ok(hosts) = platform.hosts().await {
-                let mut view = alone.clone();
-                for host in hosts.into_iter().filter(|h| !h.leaving) {
-                    view.members.entry(host.name).or_insert(member::Member {
-                        peer: host.peer,
-                        domain: host.domain,
-                        incarnation: ids::Incarnation(0),
-                        liveness: member::Liveness::Alive,
-                        version: 0,
-                    });
-                }
-                sender.send_replace(sync::Arc::new(view));
-            }
-            time::sleep(POLL_SPAN.span()).await;
+    members: member::Handle,
+) {
+    loop {
+        match platform.hosts().await {
+            Ok(hosts) => members.add_seeds(&hosts),
+            Err(e) => log::warn!("the list of hosts can't be read: {e}"),
         }
-    });
-    receiver
+        let alone = members.view().borrow().members.len() <= 1;
+        let pause = if alone { ALONE_SPAN } else { HOSTS_SPAN };
+        time::sleep(pause.span()).await;
+    }
 }
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -128,6 +128,7 @@
     service: Option<bundle::Service>,
     verdicts: BTreeMap<ids::Ticket, tasks::mpsc::UnboundedSender<Verdict>>,
     published: clock::Millis,
+    draining: bool,
     armed: Option<(clock::Millis, task::JoinHandle<()>)>,
 }
 
@@ -152,6 +153,7 @@
             service: None,
             verdicts: BTreeMap::new(),
             published: clock::Millis::ZERO,
+            draining: false,
             armed: None,
         })
     }
@@ -168,6 +170,9 @@
         for action in actions {
             state.carry_out(&myself, action);
         }
+        if state.draining && state.verdicts.is_empty() {
+            myself.stop(None);
+        }
         state.publish(now);
         state.arm(&myself, now, ticked);
         Ok(())
@@ -217,7 +222,10 @@
             Message::Quarantined { fingerprint, span } => self
                 .cell
                 .handle(now, Event::Quarantined { fingerprint, span }),
-            Message::Drain => self.cell.handle(now, Event::Drain),
+            Message::Drain => {
+                self.draining = true;
+                self.cell.handle(now, Event::Drain)
+            }
             Message::Tick => self.cell.handle(now, Event::Tick),
         }
     }
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -16,6 +16,7 @@
 use tokio::{sync as tasks, task, time};
 
 use crate::coordination::cell::{Arrival, Outcome};
+use crate::coordination::{homes, member};
 use crate::daemon::cell;
 use crate::daemon::cell::{Message, Verdict};
 use crate::protocol::{frame, headers, peer, refusal};
@@ -43,12 +44,16 @@
 
 /// What the home works with.
 pub struct Options {
+    /// The daemon's name.
+    pub name: String,
     /// The daemon's clock.
     pub clock: clock::Clock,
     /// The daemon's time line.
     pub recorder: sync::Arc<timeline::Recorder>,
     /// The bundle in force.
     pub bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
+    /// The live daemons.
+    pub view: tasks::watch::Receiver<sync::Arc<member::View>>,
     /// The connections to targets.
     pub pool: pool::Pool,
     /// The ejection budget.
@@ -62,6 +67,7 @@
     options: Options,
     cells: tasks::Mutex<BTreeMap<ids::CellId, Handle>>,
     tickets: atomic::AtomicU64,
+    draining: atomic::AtomicBool,
     /// The requests in flight here.
     running: tasks::watch::Sender<usize>,
 }
@@ -69,6 +75,8 @@
 /// A running cell.
 #[derive(Clone)]
 struct Handle {
+    /// Whether this daemon ranked first for the cell when it last looked.
+    first: bool,
     actor: ActorRef<Message>,
     summary: sync::Arc<sync::RwLock<peer::Summary>>,
 }
@@ -92,17 +100,45 @@
             options,
             cells: tasks::Mutex::default(),
             tickets: atomic::AtomicU64::default(),
+            draining: atomic::AtomicBool::default(),
             running: tasks::watch::Sender::default(),
         }
     }
 
     /// Gives up all cells: what was not dispatched goes back to its entries.
     pub async fn drain(&self) {
+        self.draining.store(true, atomic::Ordering::Relaxed);
         for handle in self.cells.lock().await.values() {
             handle.tell(Message::Drain);
         }
     }
 
+    /// Gives up the cells for which another daemon ranks first now: what was not dispatched goes back to its entries,
+    /// what runs is finished, and a cell that comes back starts anew.
+    pub async fn follow(&self, view: &member::View) {
+        let mut cells = self.cells.lock().await;
+        cells.retain(|id, handle| {
+            let first = self.ranks_first(id, view);
+            if handle.first && !first {
+                handle.tell(Message::Drain);
+                self.options.recorder.record(
+                    timeline::Kind::Home,
+                    subject(id, None, None),
+                    "another daemon is home now",
+                );
+                return false;
+            }
+            handle.first = first;
+            true
+        });
+    }
+
+    fn ranks_first(&self, id: &ids::CellId, view: &member::View) -> bool {
+        homes::rank(id, view)
+            .first()
+            .is_some_and(|n| *n == self.options.name)
+    }
+
     /// Waits until no request is in flight here, for at most `patience`.
     pub async fn finish(&self, patience: clock::Millis) {
         let mut running = self.running.subscribe();
@@ -163,7 +199,12 @@
             summary: summary.clone(),
         };
         let (actor, _) = Actor::spawn(None, cell::Carrier, options).await.ok()?;
-        let handle = Handle { actor, summary };
+        let first = self.ranks_first(id, &self.options.view.borrow());
+        let handle = Handle {
+            first,
+            actor,
+            summary,
+        };
         cells.insert(id.clone(), handle.clone());
         self.options.recorder.record(
             timeline::Kind::Home,
@@ -188,6 +229,17 @@
             return frame::OutOfOrderSnafu.fail();
         };
         self.options.recorder.observe(head.stamp);
+        if self.draining.load(atomic::Ordering::Relaxed) {
+            let refusal = refusal::Refusal::not_run(refusal::Cause::Draining, Some(CONNECT_RETRY));
+            return frame::send(
+                &mut send,
+                &peer::FromHome::Refused {
+                    refusal,
+                    summary: None,
+                },
+            )
+            .await;
+        }
         let Some(handle) = self.cell(&head.cell).await else {
             let refusal = refusal::Refusal::not_run(refusal::Cause::NoTarget, Some(CONNECT_RETRY));
             return frame::send(
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -7,7 +7,8 @@
 use snafu::ResultExt;
 use tokio::{net as tcp, signal, sync as tasks, task, time};
 
-use crate::daemon::{admin, bootstrap, cell, claims, entry, home, links, metrics};
+use crate::coordination::member as membership;
+use crate::daemon::{admin, bootstrap, cell, claims, entry, home, links, member, metrics};
 use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, ids, settings, timeline};
 use crate::transport::{http, platform as client, pool, quic, tls};
@@ -44,6 +45,12 @@
         /// What is wrong.
         source: tls::Error,
     },
+    /// The membership could not start.
+    #[snafu(display("can't start the membership"))]
+    Member {
+        /// What is wrong.
+        source: member::Error,
+    },
     /// The metrics could not be set up.
     #[snafu(display("can't set up the metrics"))]
     Metrics {
@@ -70,6 +77,7 @@
     settings: settings::Settings,
     recorder: sync::Arc<timeline::Recorder>,
     peers: quic::Peers,
+    members: member::Handle,
     home: sync::Arc<home::Home>,
     entry: sync::Arc<entry::Entry>,
     admin: sync::Arc<admin::Admin>,
@@ -98,11 +106,25 @@
         let platform: sync::Arc<dyn platform::Platform> =
             sync::Arc::new(client::HttpPlatform::new(&settings.platform));
         let bundle = bootstrap::follow_bundle(platform.clone(), recorder.clone());
-        let view = bootstrap::follow_hosts(platform, settings, incarnation);
+        let members = member::spawn(member::Options {
+            name: settings.name.clone(),
+            peer: settings.peer,
+            domain: settings.domain.clone(),
+            incarnation,
+            seeds: seeds(settings),
+            peers: peers.clone(),
+            clock,
+            recorder: recorder.clone(),
+        })
+        .await
+        .context(MemberSnafu)?;
+        let view = members.view();
         let home = sync::Arc::new(home::Home::new(home::Options {
+            name: settings.name.clone(),
             clock,
             recorder: recorder.clone(),
             bundle: bundle.clone(),
+            view: view.clone(),
             pool: pool::Pool::new(clock, settings.limits.head_bytes),
             budget: sync::Arc::new(NoBudget),
             spread: sync::Arc::new(NoSpread),
@@ -129,21 +151,24 @@
             incarnation,
             token: settings.keys.admin_token.clone(),
             bundle: bundle.clone(),
-            view,
+            view: view.clone(),
             home: home.clone(),
             metrics,
             recorder: recorder.clone(),
             draining: draining_sender,
         });
         let tasks = vec![
-            tokio::spawn(accept_peers(incoming, home.clone())),
-            tokio::spawn(pass_on_bundles(bundle, home.clone())),
+            tokio::spawn(accept_peers(incoming, home.clone(), members.clone())),
+            tokio::spawn(pass_on_bundles(bundle, home.clone(), members.clone())),
+            tokio::spawn(bootstrap::follow_hosts(platform, members.clone())),
+            tokio::spawn(pass_on_views(view, home.clone())),
             tokio::spawn(sweep(home.clone())),
         ];
         Ok(Node {
             settings: settings.clone(),
             recorder,
             peers,
+            members,
             home,
             entry,
             admin,
@@ -190,6 +215,7 @@
         self.admin.draining.send_replace(true);
         self.recorder
             .record(timeline::Kind::Draining, timeline::Subject::default(), "");
+        self.members.leave().await;
         self.home.drain().await;
         time::sleep(LINGER_SPAN.span()).await;
         stop_public.send_replace(true);
@@ -221,6 +247,7 @@
 async fn accept_peers(
     mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
     home: sync::Arc<home::Home>,
+    members: member::Handle,
 ) {
     while let Some(item) = incoming.recv().await {
         match item {
@@ -237,7 +264,8 @@
                     }
                 });
             }
-            quic::Incoming::Stream { .. } | quic::Incoming::Datagram { .. } => {}
+            quic::Incoming::Datagram { from, bytes } => members.deliver(from, bytes),
+            quic::Incoming::Stream { .. } => {}
         }
     }
 }
@@ -245,13 +273,36 @@
 async fn pass_on_bundles(
     mut bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
     home: sync::Arc<home::Home>,
+    members: member::Handle,
 ) {
     while bundle.changed().await.is_ok() {
         let current = bundle.borrow_and_update().clone();
+        members.set_version(current.version);
         home.adopt(&current).await;
     }
 }
 
+async fn pass_on_views(
+    mut view: tasks::watch::Receiver<sync::Arc<membership::View>>,
+    home: sync::Arc<home::Home>,
+) {
+    while view.changed().await.is_ok() {
+        let current = view.borrow_and_update().clone();
+        home.follow(&current).await;
+    }
+}
+
+/// Returns the daemons that the settings name to join at.
+fn seeds(settings: &settings::Settings) -> Vec<membership::Seed> {
+    let seeds = settings.seeds.iter();
+    seeds
+        .map(|(name, peer)| membership::Seed {
+            name: name.clone(),
+            peer: *peer,
+        })
+        .collect()
+}
+
 async fn sweep(home: sync::Arc<home::Home>) {
     loop {
         time::sleep(SWEEP_SPAN.span()).await;
