--- a/crates/lab/src/replay/measures.rs
+++ b/crates/lab/src/replay/measures.rs
@@ -25,6 +25,8 @@
     pub harmed: usize,
     /// Requests by tier: all, and those served.
     pub tiers: BTreeMap<u8, Share>,
+    /// What callers were told in place of the target's answer, by tier and cause.
+    pub causes: BTreeMap<(u8, &'static str), usize>,
     /// Requests, resent ones included.
     pub requests: usize,
     /// Tries beyond the first of each request.
@@ -103,6 +105,8 @@
     pub ran_though_refused: usize,
     /// Restarts of targets that requests caused.
     pub crashes: usize,
+    /// What callers were told in place of the target's answer, by tier and cause.
+    pub causes: BTreeMap<String, usize>,
     /// The runs behind the line.
     pub seeds: usize,
 }
@@ -135,6 +139,7 @@
             ran_twice: count(|r| r.ran_twice),
             ran_though_refused: count(|r| r.ran_though_refused),
             crashes: count(|r| r.crashes),
+            causes: causes(runs),
             seeds: runs.len(),
         }
     }
@@ -170,6 +175,15 @@
     tiers.values().map(Share::value).collect()
 }
 
+/// Sums up by tier and cause what callers were told in place of the target's answer.
+fn causes(runs: &[Run]) -> BTreeMap<String, usize> {
+    let mut sums = BTreeMap::new();
+    for ((tier, cause), count) in runs.iter().flat_map(|r| &r.causes) {
+        *sums.entry(format!("{tier}-{cause}")).or_default() += count;
+    }
+    sums
+}
+
 /// Rounds to four decimal places.
 fn rounded(value: f64) -> f64 {
     (value * 10_000.0).round() / 10_000.0
--- a/crates/lab/src/replay/world.rs
+++ b/crates/lab/src/replay/world.rs
@@ -380,6 +380,10 @@
             share.served += usize::from(served);
             let late = self.now > request.at + request.work + self.scene.harm;
             self.run.harmed += usize::from(!served || late);
+            if !served {
+                let cause = cause(self.accounts[at].answer);
+                *self.run.causes.entry((request.tier, cause)).or_default() += 1;
+            }
         }
         if !served && request.resends > 0 {
             self.resend(&request);
@@ -489,3 +493,12 @@
         });
     }
 }
+
+/// Names what a caller was told in place of the target's answer.
+fn cause(answer: Option<Answer>) -> &'static str {
+    match answer {
+        Some(Answer::Refused(refusal)) => refusal.cause.as_str(),
+        Some(Answer::Failed) => "failed",
+        Some(Answer::Served) | None => "no-answer",
+    }
+}
