--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,3 +11,4 @@
 pub mod quarantine;
 pub mod retry;
 pub mod trial;
+mod random;
