coordination: a cell that refused is asked at no other home

Under overload an entry whose request was refused by a cell's home offered it to the second in rank of the same cell. That daemon became a second home, handed out the same slots again and filled the targets over: at 3x overload most failures of the paying tier were timeouts at targets, and targets shed. A home that refuses for its cell now closes the cell for the request; only a lost or draining home sends it to the next in rank.

--- a/crates/lab/src/replay/baseline.rs
+++ b/crates/lab/src/replay/baseline.rs
@@ -91,7 +91,7 @@
             world.answer(request, world::Answer::Refused(refusal));
             return;
         };
-        let id = world.dispatch(request, daemon, target);
+        let id = world.dispatch(request, daemon, target, false);
         let flight = Flight {
             request,
             target,
--- a/crates/lab/src/replay/fleet/entry.rs
+++ b/crates/lab/src/replay/fleet/entry.rs
@@ -31,7 +31,10 @@
         let offers = self.offers.entry(request).or_default();
         let tried: Vec<_> = offers
             .iter()
-            .map(|s| self.sends[*s].choice.clone())
+            .map(|s| homes::Tried {
+                choice: self.sends[*s].choice.clone(),
+                refused: self.sends[*s].refused,
+            })
             .collect();
         let scene = world.scene();
         let judge = &mut self.judges[wanted.entry];
@@ -58,6 +61,7 @@
             place: Place { daemon, cell },
             current: true,
             heard: now,
+            refused: false,
             claiming: false,
             gone: wanted.idempotent,
             granted: None,
@@ -163,6 +167,7 @@
                 if self.sends[send].gone {
                     self.settle(world, request, false);
                 }
+                self.sends[send].refused = refusal.cause != refusal::Cause::Draining;
                 if another_home_may_serve(refusal) {
                     return self.offer(world, request, refusal);
                 }
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -135,7 +135,12 @@
         let Some(target) = sending.granted.take() else {
             return;
         };
-        let id = world.dispatch(sending.request, place.daemon, target);
+        let ticket = ids::Ticket(send as u64);
+        let trial = self
+            .cells
+            .get(&place)
+            .is_some_and(|h| h.cell.is_trial(ticket));
+        let id = world.dispatch(sending.request, place.daemon, target, trial);
         sending.running = Some(id);
         self.tries.insert(id, send);
         self.drive(
--- a/crates/lab/src/replay/fleet/mod.rs
+++ b/crates/lab/src/replay/fleet/mod.rs
@@ -111,6 +111,8 @@
     current: bool,
     /// When the entry last had a sign of the home.
     heard: clock::Millis,
+    /// The home refused it for its whole cell.
+    refused: bool,
     /// The entry waits for the platform's table.
     claiming: bool,
     /// The entry has allowed the dispatch.
--- a/crates/lab/src/replay/measures.rs
+++ b/crates/lab/src/replay/measures.rs
@@ -31,7 +31,7 @@
     pub requests: usize,
     /// Tries beyond the first of each request.
     pub retries: usize,
-    /// Tries at ejected targets, by which the policy finds out whether they have recovered.
+    /// Trials: tries by which the policy finds out whether a target that is passed over has recovered.
     pub trials: usize,
     /// Ejections of targets with no fault of their own; a policy of daemons for themselves counts each daemon's share.
     pub false_ejections: f64,
@@ -95,7 +95,7 @@
     pub served_by_tier: Vec<f64>,
     /// Tries beyond the first, for each request.
     pub retries_per_request: f64,
-    /// Tries at ejected targets.
+    /// Trials at targets that are passed over.
     pub trials: usize,
     /// Times at which ejection took a service's targets below its floor.
     pub floor_breaches: usize,
--- a/crates/lab/src/replay/world.rs
+++ b/crates/lab/src/replay/world.rs
@@ -196,8 +196,14 @@
         }
     }
 
-    /// Sends a request from a daemon to a target.
-    pub fn dispatch(&mut self, request: usize, daemon: usize, target: usize) -> target::TryId {
+    /// Sends a request from a daemon to a target; a trial finds out whether a target that is passed over has recovered.
+    pub fn dispatch(
+        &mut self,
+        request: usize,
+        daemon: usize,
+        target: usize,
+        trial: bool,
+    ) -> target::TryId {
         let id = target::TryId(self.tries.len());
         self.tries.push(Try {
             request,
@@ -206,7 +212,7 @@
             over: false,
         });
         self.accounts[request].tries += 1;
-        self.note_new(daemon, target);
+        self.note_new(target, trial);
         if !self.scene.cut_off(daemon, false, self.now) {
             let span = self.target_latency(daemon, target);
             self.schedule(self.now + span, Due::Reach(id));
@@ -420,8 +426,8 @@
         self.run.ran_twice += usize::from(!request.idempotent && runs > 1);
     }
 
-    fn note_new(&mut self, daemon: usize, target: usize) {
-        if self.ejected.contains(&(daemon, target)) {
+    fn note_new(&mut self, target: usize, trial: bool) {
+        if trial {
             self.run.trials += 1;
             return;
         }
--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -50,6 +50,16 @@
     pub home: String,
 }
 
+/// A choice that did not bring an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tried {
+    /// Where the request was sent.
+    pub choice: Choice,
+    /// Whether the home refused it for its whole cell. No other home of that cell is asked then: it would hand out the
+    /// same slots a second time.
+    pub refused: bool,
+}
+
 /// One entry's judgement of homes and cells.
 #[derive(Debug)]
 pub struct Homes {
@@ -90,13 +100,13 @@
     ///
     /// The cell of the entry's own failure domain comes first, unless the better of two others drawn at random is
     /// better by a margin. Its home is the first in rank that the entry can reach, at last the entry itself.
-    /// Returns nothing once every cell was tried at every home.
+    /// Returns nothing once every cell has refused or was tried at every home.
     pub fn choose(
         &mut self,
         now: clock::Millis,
         service: &bundle::Service,
         view: &member::View,
-        tried: &[Choice],
+        tried: &[Tried],
     ) -> Option<Choice> {
         let cells = cells_with_targets(service);
         let offers = cells.iter().filter_map(|c| self.offer(now, c, view, tried));
@@ -155,9 +165,13 @@
         now: clock::Millis,
         cell: &ids::CellId,
         view: &member::View,
-        tried: &[Choice],
+        tried: &[Tried],
     ) -> Option<Offer> {
-        let untried = |home: &str| !tried.iter().any(|t| t.cell == *cell && t.home == home);
+        let before: Vec<_> = tried.iter().filter(|t| t.choice.cell == *cell).collect();
+        if before.iter().any(|t| t.refused) {
+            return None;
+        }
+        let untried = |home: &str| !before.iter().any(|t| t.choice.home == home);
         let fit = |home: &str| untried(home) && (home == self.me || self.judge.allows(now, home));
         let ranked = rank(cell, view);
         let candidates = ranked.iter().take(RANKS).copied().enumerate();
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -179,7 +179,7 @@
         let service = rules.index.service(&rules.bundle, &call.head.cell.service);
         let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         let mut tried = Vec::new();
-        let mut refused = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
+        let mut last = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
             let Some(choice) = self.choose(service, &tried) else {
                 break;
@@ -187,23 +187,27 @@
             call.head.peers = self.homes().peers(self.options.clock.now(), service);
             let attempt = self.attempt(&mut call, &choice).await;
             self.observe(&choice.home, &attempt);
+            let mut refused = false;
             match attempt {
                 Attempt::Answer { response, .. } => return Ok(response),
                 Attempt::Refused { refusal, .. } if !another_home_may_serve(refusal) => {
                     return Err(refusal);
                 }
-                Attempt::Refused { refusal, .. } => refused = refusal,
+                Attempt::Refused { refusal, .. } => {
+                    refused = refusal.cause != Cause::Draining;
+                    last = refusal;
+                }
                 Attempt::Lost { started, .. } if started && call.head.two_steps() => {
                     return Err(Refusal::unknown(Cause::HomeLost));
                 }
                 Attempt::Lost { .. } => log::debug!("the home {} is lost", choice.home),
             }
-            tried.push(choice);
+            tried.push(homes::Tried { choice, refused });
             if self.options.clock.now() >= call.deadline {
                 return Err(Refusal::not_run(Cause::DeadlinePassed, None));
             }
         }
-        Err(refused)
+        Err(last)
     }
 
     /// Returns the bundle in force with its look-ups, which are prepared with the first request after an adoption.
@@ -304,7 +308,7 @@
             .map_err(|_| passed)
     }
 
-    fn choose(&self, service: &bundle::Service, tried: &[homes::Choice]) -> Option<homes::Choice> {
+    fn choose(&self, service: &bundle::Service, tried: &[homes::Tried]) -> Option<homes::Choice> {
         let view = self.options.view.borrow().clone();
         self.homes()
             .choose(self.options.clock.now(), service, &view, tried)
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -117,12 +117,38 @@
     let ranked = homes::rank(&cell(HERE), &view);
     let mut tried = Vec::new();
     while let Some(choice) = homes.choose(Millis(1), &service, &view, &tried) {
-        tried.push(choice);
+        tried.push(homes::Tried {
+            choice,
+            refused: false,
+        });
     }
-    let order: Vec<_> = tried.iter().map(|c| c.home.as_str()).collect();
+    let order: Vec<_> = tried.iter().map(|t| t.choice.home.as_str()).collect();
     assert_eq!(order, [ranked[0], ranked[1], "d1"]);
 }
 
+#[test]
+fn a_cell_that_refused_is_asked_at_no_other_home() {
+    let (mut homes, view) = (homes::Homes::new("d1", THERE), view());
+    let service = service(&[HERE, THERE]);
+    let first = homes.choose(Millis(1), &service, &view, &[]).unwrap();
+    let refused = homes::Tried {
+        choice: first.clone(),
+        refused: true,
+    };
+    let second = homes
+        .choose(Millis(1), &service, &view, std::slice::from_ref(&refused))
+        .unwrap();
+    assert_ne!(second.cell, first.cell);
+    let both = [
+        refused,
+        homes::Tried {
+            choice: second,
+            refused: true,
+        },
+    ];
+    assert_eq!(homes.choose(Millis(1), &service, &view, &both), None);
+}
+
 #[test]
 fn a_lost_answer_moves_requests_and_one_trial_brings_them_back() {
     let (mut homes, service, view) = (homes::Homes::new("d1", THERE), service(&[HERE]), view());
