coordination: rank only the daemons of a cell's own failure domain

An entry ranked and sorted all daemons for each cell of each request. It needs the first two, and these stand in the cell's own failure domain while that has two alive.

--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -173,9 +173,8 @@
         }
         let untried = |home: &str| !before.iter().any(|t| t.choice.home == home);
         let fit = |home: &str| untried(home) && (home == self.me || self.judge.allows(now, home));
-        let ranked = rank(cell, view);
-        let candidates = ranked.iter().take(RANKS).copied().enumerate();
-        let found = candidates.into_iter().find(|(_, home)| fit(home));
+        let ranked = rank::leading(cell, view, RANKS);
+        let found = ranked.into_iter().enumerate().find(|(_, home)| fit(home));
         let (home, detour) = match found {
             Some((0, home)) => (home, 0.0),
             Some((_, home)) => (home, SECOND_HOME_MS),
--- a/src/coordination/homes/rank.rs
+++ b/src/coordination/homes/rank.rs
@@ -4,17 +4,18 @@
 use crate::coordination::random;
 use crate::state::ids;
 
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
 /// Hashes `parts` with FNV-1a and a finishing mix; the result is the same on all hosts and in all versions.
 pub fn hash(parts: &[&str]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    random::mix(parts.iter().fold(OFFSET, |h, part| absorb(h, part)))
+}
+
+/// Takes one more part into a hash before its finishing mix.
+fn absorb(state: u64, part: &str) -> u64 {
     const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let mut h = OFFSET;
-    for part in parts {
-        for byte in part.bytes().chain([0xff]) {
-            h = (h ^ u64::from(byte)).wrapping_mul(PRIME);
-        }
-    }
-    random::mix(h)
+    let bytes = part.bytes().chain([0xff]);
+    bytes.fold(state, |h, byte| (h ^ u64::from(byte)).wrapping_mul(PRIME))
 }
 
 /// Returns the names of the daemons that may be home of `cell`, best first.
@@ -39,3 +40,33 @@
     ranked.sort();
     ranked.into_iter().map(|(.., name)| name).collect()
 }
+
+/// Returns the first `count` of [`rank`], and looks at no other failure domain while the cell's own has as many alive.
+pub(super) fn leading<'a>(
+    cell: &ids::CellId,
+    view: &'a member::View,
+    count: usize,
+) -> Vec<&'a str> {
+    let state = absorb(absorb(OFFSET, &cell.service), &cell.domain);
+    let near = view
+        .members
+        .iter()
+        .filter(|(_, m)| m.liveness == member::Liveness::Alive && m.domain == cell.domain);
+    let mut ranked: Vec<_> = near
+        .map(|(name, _)| {
+            (
+                std::cmp::Reverse(random::mix(absorb(state, name))),
+                name.as_str(),
+            )
+        })
+        .collect();
+    if ranked.len() < count {
+        return rank(cell, view).into_iter().take(count).collect();
+    }
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, name)| name)
+        .collect()
+}
