--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -2,7 +2,9 @@
 
 use gumdrop::Options;
 
+mod curve;
 mod demo;
+mod policy;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -15,6 +17,10 @@
 pub(crate) enum Command {
     #[options(help = "show a fleet under load going through one fault after the other")]
     Demo(demo::Args),
+    #[options(help = "replay all traces under both policies and print their measures")]
+    Policy(policy::Args),
+    #[options(help = "draw detection time against false ejections over thresholds")]
+    Curve(curve::Args),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -26,6 +32,8 @@
         .build()?;
     match command {
         Command::Demo(args) => runtime.block_on(demo::exec(args)),
+        Command::Policy(args) => policy::exec(args),
+        Command::Curve(args) => curve::exec(args),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- /dev/null
+++ b/crates/lab/src/commands/policy.rs
@@ -0,0 +1,69 @@
+//! `policy`: replays the traces under the fleet's policy and the baseline.
+
+use std::path;
+
+use gumdrop::Options;
+use peridotspread_lab::replay::measures;
+use peridotspread_lab::replay::policy;
+
+use super::Error;
+
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print one JSON object a line")]
+    json: bool,
+    #[options(help = "the runs of each family, user and policy", default = "20")]
+    seeds: u64,
+    #[options(help = "the runs at a time", default = "4")]
+    threads: usize,
+    #[options(help = "only families whose names contain this")]
+    only: Option<String>,
+    #[options(help = "the directory of the traces", default = "tests/traces")]
+    dir: path::PathBuf,
+}
+
+pub(crate) fn exec(args: &Args) -> Result<(), Error> {
+    let options = policy::PolicyOptions {
+        dir: args.dir.clone(),
+        seeds: args.seeds,
+        only: args.only.clone(),
+        threads: args.threads,
+    };
+    let mut lines = Vec::new();
+    policy::run(&options, &mut |line| {
+        if !args.json {
+            println!("{}", describe(line));
+        } else if let Ok(text) = serde_json::to_string(line) {
+            println!("{text}");
+        }
+        lines.push(line.clone());
+    })?;
+    if lines.is_empty() {
+        return Err("no family has that name".into());
+    }
+    Ok(())
+}
+
+fn describe(line: &measures::Line) -> String {
+    let detected = line
+        .detect_p99_ms
+        .map_or("-".to_owned(), |ms| format!("{ms} ms"));
+    format!(
+        "{:<14} {:<13} {:<9} detected p99 {:>10}, never {}/{}, harmed {}/{}, false ejections {}, floor breaches {}, \
+         ran twice {}, ran though refused {}",
+        line.family,
+        line.user,
+        line.policy,
+        detected,
+        line.never,
+        line.gray,
+        line.harmed,
+        line.requests,
+        line.false_ejections,
+        line.floor_breaches,
+        line.ran_twice,
+        line.ran_though_refused,
+    )
+}
--- a/crates/lab/src/replay/mod.rs
+++ b/crates/lab/src/replay/mod.rs
@@ -6,6 +6,7 @@
 
 mod baseline;
 pub mod check;
+pub mod curve;
 mod fleet;
 pub mod measures;
 pub mod policy;
--- a/crates/lab/src/replay/policy.rs
+++ b/crates/lab/src/replay/policy.rs
@@ -22,18 +22,15 @@
     pub threads: usize,
 }
 
-/// One family on one user's fleet under one policy.
-struct Case<'a> {
-    trace: &'a trace::Trace,
-    fleet: &'a trace::Fleet,
-    policy: &'a dyn replay::Replay,
-}
-
 /// Replays the families, and hands each line of measures to `print` as it comes.
 ///
 /// # Errors
 ///
 /// Returns an error if a trace or a fleet does not read.
+///
+/// # Panics
+///
+/// Panics if a decision panics during a run.
 pub fn run(
     options: &PolicyOptions,
     print: &mut dyn FnMut(&measures::Line),
@@ -44,12 +41,8 @@
     for (trace, fleets) in all.iter().filter(|(t, _)| wanted(t)) {
         for fleet in fleets {
             for policy in &policies {
-                let case = Case {
-                    trace,
-                    fleet,
-                    policy: policy.as_ref(),
-                };
-                let runs = replay_all(&case, options.seeds, options.threads);
+                let one = |seed| check::run(policy.as_ref(), trace, fleet, seed);
+                let runs = run_seeds(options.seeds, options.threads, &one);
                 print(&measures::Line::new(
                     &trace.family,
                     &fleet.name,
@@ -62,8 +55,12 @@
     Ok(())
 }
 
-/// Replays one case for all seeds; the result does not depend on the number of threads.
-fn replay_all(case: &Case<'_>, seeds: u64, threads: usize) -> Vec<measures::Run> {
+/// Runs `one` for each of the first `seeds` seeds; the result does not depend on the number of threads.
+pub(crate) fn run_seeds(
+    seeds: u64,
+    threads: usize,
+    one: &(dyn Fn(u64) -> measures::Run + Sync),
+) -> Vec<measures::Run> {
     let next = atomic::AtomicU64::new(0);
     let work = || {
         let mut done = Vec::new();
@@ -72,15 +69,15 @@
             if seed >= seeds {
                 return done;
             }
-            done.push((seed, check::run(case.policy, case.trace, case.fleet, seed)));
+            done.push((seed, one(seed)));
         }
     };
     let mut all: Vec<_> = thread::scope(|scope| {
         let workers: Vec<_> = (0..threads.max(1)).map(|_| scope.spawn(work)).collect();
-        workers
+        let joined = workers
             .into_iter()
-            .flat_map(|w| w.join().unwrap_or_default())
-            .collect()
+            .map(|w| w.join().expect("no run panics"));
+        joined.flatten().collect()
     });
     all.sort_by_key(|(seed, _)| *seed);
     all.into_iter().map(|(_, run)| run).collect()
