coordination: properties of the membership under random faults, times and bytes

A round at its maximum starts a new incarnation in place of an overflow. The test of cuts in one direction fails with the probes through others removed, the one of pauses with the allowance for them removed.

--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -119,6 +119,13 @@
         self.set_paused(name, false);
     }
 
+    /// Lets all paused daemons go on.
+    pub fn wake_all(&mut self) {
+        for run in self.runs.values_mut() {
+            run.paused = false;
+        }
+    }
+
     fn set_paused(&mut self, name: &str, paused: bool) {
         if let Some(run) = self.runs.get_mut(name) {
             run.paused = paused;
@@ -267,21 +274,18 @@
         self.view(observer).members.get(name).map(|m| m.liveness)
     }
 
-    /// Returns whether every daemon sees exactly the daemons that run, all alive.
+    /// Returns whether every daemon sees exactly the daemons that run, each as it sees itself.
     pub fn agree(&self) -> bool {
+        let own = |name: &String| (name.clone(), self.seen(name, name));
+        let truth: BTreeMap<_, _> = self.runs.keys().map(own).collect();
         self.runs.keys().all(|observer| {
             let view = self.view(observer);
-            let alive = |m: &member::Member| m.liveness == member::Liveness::Alive;
-            view.members.keys().eq(self.runs.keys()) && view.members.values().all(alive)
+            let seen = view.members.into_iter();
+            seen.map(|(name, m)| (name, Some(m.liveness)))
+                .eq(truth.clone())
         })
     }
 
-    /// Returns whether every daemon sees exactly the daemons that run, some of them suspect perhaps.
-    pub fn agree_but_suspect(&self) -> bool {
-        let runs = |view: &member::View| view.members.keys().eq(self.runs.keys());
-        self.runs.keys().all(|observer| runs(&self.view(observer)))
-    }
-
     /// Returns whether every other daemon sees `name` as `liveness`; nothing stands for dead.
     pub fn all_see(&self, name: &str, liveness: Option<member::Liveness>) -> bool {
         let others = self.runs.keys().filter(|o| *o != name);
--- a/crates/lab/tests/testsuite/membership.rs
+++ b/crates/lab/tests/testsuite/membership.rs
@@ -64,13 +64,22 @@
 }
 
 #[test]
-fn a_cut_in_one_direction_takes_neither_from_the_fleet() {
+fn cuts_in_one_direction_do_not_even_raise_a_suspicion() {
     let mut fleet = fleet(12, 4);
-    for other in ["d01", "d02", "d03"] {
+    for other in ["d01", "d02", "d03", "d04", "d05"] {
         fleet.cut("d00", other);
     }
-    let gone = fleet.run_until(Millis(60_000), &|f| !f.agree_but_suspect());
-    assert_eq!(gone, None);
+    let before: Vec<_> = fleet
+        .names()
+        .iter()
+        .map(|n| fleet.records(n).len())
+        .collect();
+    fleet.run(Millis(60_000));
+    for (name, before) in fleet.names().iter().zip(before) {
+        let records = fleet.records(name);
+        let accused = records[before..].iter().any(|(_, r)| r.contains("suspect"));
+        assert!(!accused, "{name}: {records:?}");
+    }
 }
 
 #[test]
--- a/crates/lab/tests/testsuite/peers.rs
+++ b/crates/lab/tests/testsuite/peers.rs
@@ -81,12 +81,8 @@
     until("the killed daemon is dead", || all_see(&fleet, "e", None)).await;
     for observer in fleet.names() {
         for cut in ["a", "b"] {
-            let dead = recorded(
-                &fleet,
-                &observer,
-                timeline::Kind::Member,
-                &format!("{cut}: dead"),
-            );
+            let dead = format!("{cut}: dead");
+            let dead = recorded(&fleet, &observer, timeline::Kind::Member, &dead);
             assert!(!dead, "{observer} took {cut} for dead");
             assert!(fleet.view(&observer).members.contains_key(cut));
         }
--- a/src/coordination/member/table.rs
+++ b/src/coordination/member/table.rs
@@ -216,8 +216,8 @@
         for suspicion in self.suspicions.values_mut() {
             suspicion.since = now;
         }
-        self.me().round += 1;
-        self.updates.add(&self.name);
+        let said = self.own().clone();
+        self.outdo(&said);
         self.compare_at_once(now);
     }
 
@@ -302,20 +302,27 @@
 
     /// Refutes what others say about this daemon, unless it is true.
     fn defend(&mut self, said: &gossip::About) -> bool {
-        let own = self.me();
-        if said.rank() <= own.rank() {
+        if said.rank() <= self.own().rank() {
             return false;
         }
-        if said.incarnation > own.incarnation {
-            // An earlier run had a clock that was ahead.
-            own.incarnation = ids::Incarnation(said.incarnation.0 + 1);
-            own.round = 0;
-        } else {
-            own.round = said.round.saturating_add(1);
+        self.outdo(said);
+        true
+    }
+
+    /// Says of this daemon what prevails over `said`.
+    fn outdo(&mut self, said: &gossip::About) {
+        let own = self.me();
+        // An incarnation ahead is that of an earlier run whose host had a clock ahead.
+        let ahead = said.incarnation > own.incarnation;
+        match said.round.checked_add(1) {
+            Some(round) if !ahead => own.round = round,
+            _ => {
+                own.incarnation = ids::Incarnation(said.incarnation.0.saturating_add(1));
+                own.round = 0;
+            }
         }
         self.changed = true;
         self.updates.add(&self.name);
-        true
     }
 
     fn adopt(&mut self, now: clock::Millis, said: &gossip::Record, spread: bool) -> bool {
