--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod replay;
 pub mod rng;
 pub mod target;
+pub mod trial;
 pub mod watch;
