transport: connections between daemons that nobody uses are closed in agreement

Streams count themselves, so that a connection with a quiet stream stays; each end says that it opens no more streams, and stays for those that were opened meanwhile. The module is split by job.

--- /dev/null
+++ b/src/transport/quic/identity.rs
@@ -0,0 +1,86 @@
+//! The keys of this daemon, and the TLS that both ends of a connection demand.
+
+use std::sync::Arc;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rustls::server::WebPkiClientVerifier;
+use rustls_pki_types::CertificateDer;
+use snafu::{OptionExt, ResultExt, ensure};
+
+use crate::state::settings;
+use crate::transport::keys;
+use crate::transport::quic::error::{
+    Error, KeysSnafu, NameSnafu, SuiteSnafu, TlsSnafu, VerifierSnafu,
+};
+
+/// The protocol that both ends must speak.
+const ALPN: &[u8] = b"peridotspread/1";
+
+/// The keys of this daemon, as TLS needs them.
+pub(super) struct Identity {
+    provider: Arc<rustls::crypto::CryptoProvider>,
+    roots: Arc<rustls::RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: rustls_pki_types::PrivateKeyDer<'static>,
+}
+
+impl Identity {
+    pub(super) fn read(settings: &settings::Settings) -> Result<Identity, Error> {
+        let mut roots = rustls::RootCertStore::empty();
+        for certificate in keys::read_certificates(&settings.keys.authority).context(KeysSnafu)? {
+            roots.add(certificate).context(TlsSnafu)?;
+        }
+        let chain = keys::read_certificates(&settings.keys.certificate).context(KeysSnafu)?;
+        let first = chain
+            .first()
+            .context(keys::OneNameSnafu)
+            .context(KeysSnafu)?;
+        let certified = keys::name_of(first).context(KeysSnafu)?;
+        let name = &settings.name;
+        ensure!(certified == *name, NameSnafu { name, certified });
+        Ok(Identity {
+            provider: Arc::new(rustls::crypto::ring::default_provider()),
+            roots: Arc::new(roots),
+            chain,
+            key: keys::read_key(&settings.keys.key).context(KeysSnafu)?,
+        })
+    }
+
+    pub(super) fn server(
+        &self,
+        transport: &Arc<quinn::TransportConfig>,
+    ) -> Result<quinn::ServerConfig, Error> {
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(self.roots.clone(), self.provider.clone())
+                .build()
+                .context(VerifierSnafu)?;
+        let mut tls = rustls::ServerConfig::builder_with_provider(self.provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .context(TlsSnafu)?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .context(TlsSnafu)?;
+        tls.alpn_protocols = vec![ALPN.to_vec()];
+        let crypto = QuicServerConfig::try_from(tls).context(SuiteSnafu)?;
+        let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
+        config.transport_config(transport.clone());
+        Ok(config)
+    }
+
+    pub(super) fn client(
+        &self,
+        transport: &Arc<quinn::TransportConfig>,
+    ) -> Result<quinn::ClientConfig, Error> {
+        let mut tls = rustls::ClientConfig::builder_with_provider(self.provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .context(TlsSnafu)?
+            .with_root_certificates(self.roots.clone())
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .context(TlsSnafu)?;
+        tls.alpn_protocols = vec![ALPN.to_vec()];
+        let crypto = QuicClientConfig::try_from(tls).context(SuiteSnafu)?;
+        let mut config = quinn::ClientConfig::new(Arc::new(crypto));
+        config.transport_config(transport.clone());
+        Ok(config)
+    }
+}
--- /dev/null
+++ b/src/transport/quic/stream.rs
@@ -0,0 +1,108 @@
+//! Streams that tell their connection that they are open, so that it is not closed as idle.
+
+use std::io;
+use std::ops;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The sending half of a stream; its connection stays open as long as it lives.
+#[derive(Debug)]
+pub struct SendStream {
+    inner: quinn::SendStream,
+    _open: Arc<()>,
+}
+
+/// The receiving half of a stream; its connection stays open as long as it lives.
+#[derive(Debug)]
+pub struct RecvStream {
+    inner: quinn::RecvStream,
+    _open: Arc<()>,
+}
+
+/// Counts the streams of one connection.
+#[derive(Debug, Default)]
+pub(super) struct Streams {
+    open: Arc<()>,
+}
+
+impl Streams {
+    /// Counts a stream until both halves are dropped.
+    pub(super) fn count(
+        &self,
+        (send, recv): (quinn::SendStream, quinn::RecvStream),
+    ) -> (SendStream, RecvStream) {
+        let send = SendStream {
+            inner: send,
+            _open: self.open.clone(),
+        };
+        let recv = RecvStream {
+            inner: recv,
+            _open: self.open.clone(),
+        };
+        (send, recv)
+    }
+
+    /// Returns whether no stream is open.
+    pub(super) fn is_empty(&self) -> bool {
+        Arc::strong_count(&self.open) == 1
+    }
+}
+
+impl ops::Deref for SendStream {
+    type Target = quinn::SendStream;
+
+    fn deref(&self) -> &quinn::SendStream {
+        &self.inner
+    }
+}
+
+impl ops::DerefMut for SendStream {
+    fn deref_mut(&mut self) -> &mut quinn::SendStream {
+        &mut self.inner
+    }
+}
+
+impl ops::Deref for RecvStream {
+    type Target = quinn::RecvStream;
+
+    fn deref(&self) -> &quinn::RecvStream {
+        &self.inner
+    }
+}
+
+impl ops::DerefMut for RecvStream {
+    fn deref_mut(&mut self) -> &mut quinn::RecvStream {
+        &mut self.inner
+    }
+}
+
+impl AsyncWrite for SendStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        AsyncWrite::poll_write(Pin::new(&mut self.inner), cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        AsyncWrite::poll_flush(Pin::new(&mut self.inner), cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        AsyncWrite::poll_shutdown(Pin::new(&mut self.inner), cx)
+    }
+}
+
+impl AsyncRead for RecvStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        AsyncRead::poll_read(Pin::new(&mut self.inner), cx, bytes)
+    }
+}
--- a/tests/testsuite/quic.rs
+++ b/tests/testsuite/quic.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use peridotspread::protocol::peer;
+use peridotspread::state::clock;
 use peridotspread::transport::keys;
 use peridotspread::transport::quic;
 use tokio::sync::mpsc;
@@ -94,6 +95,35 @@
     from_a.recv().await.unwrap();
 }
 
+#[tokio::test]
+async fn a_connection_that_nobody_uses_is_closed_and_one_with_an_open_stream_is_not() {
+    let files = fleet::files("quic-idle");
+    let timing = quic::Timing {
+        idle: clock::Millis(200),
+        ..quic::Timing::default()
+    };
+    let (a, _at_a) = quic::Peers::bind_with(&files.settings("a"), &timing).unwrap();
+    let (b, mut at_b) = quic::Peers::bind_with(&files.settings("b"), &timing).unwrap();
+    let (c, mut at_c) = quic::Peers::bind_with(&files.settings("c"), &timing).unwrap();
+    let held = a.open("b", b.local(), peer::Purpose::Note).await.unwrap();
+    let brief = a.open("c", c.local(), peer::Purpose::Note).await.unwrap();
+    let at_b = at_b.recv().await.unwrap();
+    drop((brief, at_c.recv().await));
+    while a.connections() > 1 || c.connections() > 0 {
+        tokio::time::sleep(clock::Millis(10).span()).await;
+    }
+    let quic::Incoming::Stream { mut send, .. } = at_b else {
+        panic!("a stream was opened");
+    };
+    send.write_all(b"late").await.unwrap();
+    send.finish().unwrap();
+    let (_, mut recv) = held;
+    assert_eq!(recv.read_to_end(100).await.unwrap(), b"late");
+    let (_, mut again) = a.open("c", c.local(), peer::Purpose::Note).await.unwrap();
+    drop(at_c.recv().await.unwrap());
+    assert_eq!(again.read_to_end(100).await.unwrap(), b"");
+}
+
 #[tokio::test]
 async fn keys_of_another_name_are_refused_at_the_start() {
     let files = fleet::files("quic-other-name");
