--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -3,6 +3,7 @@
 use gumdrop::Options;
 
 mod demo;
+mod measure;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -15,6 +16,10 @@
 pub(crate) enum Command {
     #[options(help = "show a fleet under load going through one fault after the other")]
     Demo(demo::Args),
+    #[options(help = "measure the membership's cost and speed, tables only")]
+    Membership(measure::MembershipArgs),
+    #[options(help = "measure connections between daemons, on the loopback")]
+    Connections(measure::ConnectionsArgs),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -26,6 +31,8 @@
         .build()?;
     match command {
         Command::Demo(args) => runtime.block_on(demo::exec(args)),
+        Command::Membership(args) => measure::membership(args),
+        Command::Connections(args) => runtime.block_on(measure::connections(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -271,7 +271,13 @@
 
     /// Returns what `observer` sees of `name`; nothing if it takes it for dead.
     pub fn seen(&self, observer: &str, name: &str) -> Option<member::Liveness> {
-        self.view(observer).members.get(name).map(|m| m.liveness)
+        self.runs.get(observer)?.table.liveness(name)
+    }
+
+    /// Returns whether every daemon sees as many others as run.
+    pub fn count_all(&self) -> bool {
+        let all = self.runs.len();
+        self.runs.values().all(|r| r.table.live() == all)
     }
 
     /// Returns whether every daemon sees exactly the daemons that run, each as it sees itself.
@@ -292,6 +298,12 @@
         others.into_iter().all(|o| self.seen(o, name) == liveness)
     }
 
+    /// Returns whether any other daemon sees `name` as `liveness`.
+    pub fn any_sees(&self, name: &str, liveness: member::Liveness) -> bool {
+        let mut others = self.runs.keys().filter(|o| *o != name);
+        others.any(|o| self.seen(o, name) == Some(liveness))
+    }
+
     /// Returns what the daemon called `name` recorded for the time line.
     pub fn records(&self, name: &str) -> Vec<(Millis, String)> {
         self.runs
--- a/crates/lab/src/peers.rs
+++ b/crates/lab/src/peers.rs
@@ -18,6 +18,7 @@
 
 /// Why a daemon can't be started.
 #[derive(Debug, snafu::Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// Its files can't be written.
     #[snafu(display("can't write the daemon's files"))]
@@ -286,7 +287,10 @@
 }
 
 /// Hands datagrams to the membership, and keeps streams open until their sender ends them.
-async fn deliver(mut incoming: tasks::mpsc::Receiver<quic::Incoming>, member: member::Handle) {
+pub(crate) async fn deliver(
+    mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
+    member: member::Handle,
+) {
     while let Some(item) = incoming.recv().await {
         match item {
             quic::Incoming::Datagram { from, bytes } => member.deliver(from, bytes),
--- a/src/coordination/member/table.rs
+++ b/src/coordination/member/table.rs
@@ -193,6 +193,16 @@
         }
     }
 
+    /// Returns how the member called `name` is seen; nothing if it is dead or unknown.
+    pub fn liveness(&self, name: &str) -> Option<Liveness> {
+        liveness(self.members.get(name)?.about.state)
+    }
+
+    /// Returns the number of members that are not dead, as of the last tick.
+    pub fn live(&self) -> usize {
+        self.live
+    }
+
     /// Makes allowance for a time in which this daemon did not run.
     fn catch_up(&mut self, now: clock::Millis) {
         let gap = self.last.map_or(clock::Millis::ZERO, |last| now - last);
@@ -406,19 +416,22 @@
     }
 }
 
+fn liveness(state: gossip::State) -> Option<Liveness> {
+    match state {
+        gossip::State::Alive => Some(Liveness::Alive),
+        gossip::State::Suspect => Some(Liveness::Suspect),
+        gossip::State::Leaving => Some(Liveness::Leaving),
+        gossip::State::Dead => None,
+    }
+}
+
 /// Returns a member of the view; none if it is dead.
 fn member(about: &gossip::About) -> Option<Member> {
-    let liveness = match about.state {
-        gossip::State::Alive => Liveness::Alive,
-        gossip::State::Suspect => Liveness::Suspect,
-        gossip::State::Leaving => Liveness::Leaving,
-        gossip::State::Dead => return None,
-    };
     Some(Member {
         peer: about.peer,
         domain: about.domain.clone(),
         incarnation: about.incarnation,
-        liveness,
+        liveness: liveness(about.state)?,
         version: about.version,
     })
 }
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -95,6 +95,17 @@
     },
 }
 
+/// What connections have carried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// The UDP packets sent.
+    pub packets: u64,
+    /// The bytes sent, without the headers of UDP and IP.
+    pub sent: u64,
+    /// The bytes received, without the headers of UDP and IP.
+    pub received: u64,
+}
+
 /// The connections of this daemon to its peers.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -208,6 +219,18 @@
         self.inner.endpoint.open_connections()
     }
 
+    /// Returns what the pooled connections have sent and received so far.
+    pub fn traffic(&self) -> Traffic {
+        let mut traffic = Traffic::default();
+        for link in self.inner.pool.links() {
+            let stats = link.connection.stats();
+            traffic.packets += stats.udp_tx.datagrams;
+            traffic.sent += stats.udp_tx.bytes;
+            traffic.received += stats.udp_rx.bytes;
+        }
+        traffic
+    }
+
     /// Closes all connections, and with them all streams.
     pub async fn close(&self) {
         self.inner
--- a/src/transport/quic/pool.rs
+++ b/src/transport/quic/pool.rs
@@ -89,6 +89,13 @@
         slots.entry(peer.to_owned()).or_default().clone()
     }
 
+    /// Returns the connections in the pool.
+    pub(super) fn links(&self) -> Vec<Arc<Link>> {
+        let slots = self.slots.lock().expect("no holder panics");
+        let held = |slot: &Arc<Slot>| slot.link.lock().expect("no holder panics").clone();
+        slots.values().filter_map(held).collect()
+    }
+
     /// Takes a connection out of the pool, and forgets its peer if nobody dials it.
     pub(super) fn remove(&self, link: &Arc<Link>) {
         let mut slots = self.slots.lock().expect("no holder panics");
