--- a/src/coordination/member/table.rs
+++ b/src/coordination/member/table.rs
@@ -193,6 +193,16 @@
         }
     }
 
+    /// Returns how the member called `name` is seen; nothing if it is dead or unknown.
+    pub fn liveness(&self, name: &str) -> Option<Liveness> {
+        liveness(self.members.get(name)?.about.state)
+    }
+
+    /// Returns the number of members that are not dead, as of the last tick.
+    pub fn live(&self) -> usize {
+        self.live
+    }
+
     /// Makes allowance for a time in which this daemon did not run.
     fn catch_up(&mut self, now: clock::Millis) {
         let gap = self.last.map_or(clock::Millis::ZERO, |last| now - last);
@@ -216,8 +226,8 @@
         for suspicion in self.suspicions.values_mut() {
             suspicion.since = now;
         }
-        self.me().round += 1;
-        self.updates.add(&self.name);
+        let said = self.own().clone();
+        self.outdo(&said);
         self.compare_at_once(now);
     }
 
@@ -302,20 +312,27 @@
 
     /// Refutes what others say about this daemon, unless it is true.
     fn defend(&mut self, said: &gossip::About) -> bool {
-        let own = self.me();
-        if said.rank() <= own.rank() {
+        if said.rank() <= self.own().rank() {
             return false;
         }
-        if said.incarnation > own.incarnation {
-            // An earlier run had a clock that was ahead.
-            own.incarnation = ids::Incarnation(said.incarnation.0 + 1);
-            own.round = 0;
-        } else {
-            own.round = said.round.saturating_add(1);
+        self.outdo(said);
+        true
+    }
+
+    /// Says of this daemon what prevails over `said`.
+    fn outdo(&mut self, said: &gossip::About) {
+        let own = self.me();
+        // An incarnation ahead is that of an earlier run whose host had a clock ahead.
+        let ahead = said.incarnation > own.incarnation;
+        match said.round.checked_add(1) {
+            Some(round) if !ahead => own.round = round,
+            _ => {
+                own.incarnation = ids::Incarnation(said.incarnation.0.saturating_add(1));
+                own.round = 0;
+            }
         }
         self.changed = true;
         self.updates.add(&self.name);
-        true
     }
 
     fn adopt(&mut self, now: clock::Millis, said: &gossip::Record, spread: bool) -> bool {
@@ -399,19 +416,22 @@
     }
 }
 
+fn liveness(state: gossip::State) -> Option<Liveness> {
+    match state {
+        gossip::State::Alive => Some(Liveness::Alive),
+        gossip::State::Suspect => Some(Liveness::Suspect),
+        gossip::State::Leaving => Some(Liveness::Leaving),
+        gossip::State::Dead => None,
+    }
+}
+
 /// Returns a member of the view; none if it is dead.
 fn member(about: &gossip::About) -> Option<Member> {
-    let liveness = match about.state {
-        gossip::State::Alive => Liveness::Alive,
-        gossip::State::Suspect => Liveness::Suspect,
-        gossip::State::Leaving => Liveness::Leaving,
-        gossip::State::Dead => return None,
-    };
     Some(Member {
         peer: about.peer,
         domain: about.domain.clone(),
         incarnation: about.incarnation,
-        liveness,
+        liveness: liveness(about.state)?,
         version: about.version,
     })
 }
