coordination: adoption of bundles, which only rise and are pushed between peers

A daemon pushes to five partners whatever the fleet's size: the next two in a ring over all names, which alone reaches everyone, and three shortcuts. A property test with spoiled signatures, texts and versions holds that versions only rise. The limit of a frame rises to 16 MB, so that the bundle of 49,000 routes fits into one note.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Actors in [`crate::daemon`] carry the events and actions, and the replay of recorded traces drives the same code.
 
+pub mod adoption;
 pub mod cell;
 pub mod ejection;
 pub mod evidence;
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// The most bytes of one frame's payload.
-pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
 const KIND_CONTROL: u8 = 0;
 const KIND_DATA: u8 = 1;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,3 +7,4 @@
 pub mod platform;
 pub mod problem;
 pub mod refusal;
+pub mod rollout;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -166,7 +166,7 @@
 }
 
 /// A bundle with the signature that makes it worth adopting.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Signed {
     /// The version.
     pub version: u64,
--- /dev/null
+++ b/tests/testsuite/adoption.rs
@@ -0,0 +1,320 @@
+//! The bundle in force: versions only rise, only what is signed and valid is adopted, and a push reaches everyone.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync;
+
+use peridotspread::coordination::adoption::{self, Action, Adoption, Event};
+use peridotspread::coordination::member;
+use peridotspread::protocol::peer;
+use peridotspread::protocol::rollout;
+use peridotspread::state::clock;
+use peridotspread::state::ids;
+use proptest::prelude::*;
+
+use crate::support::bundles;
+
+/// Ten times today's fleet.
+const FLEET: usize = 460;
+
+const NOW: clock::Millis = clock::Millis(1_000);
+
+fn view(names: &[String]) -> sync::Arc<member::View> {
+    let member = |n: usize| member::Member {
+        peer: "127.0.0.1:1".parse().unwrap(),
+        domain: format!("lahore-{}", n % 7),
+        incarnation: ids::Incarnation(1),
+        liveness: member::Liveness::Alive,
+        version: 0,
+    };
+    let members = names.iter().enumerate();
+    sync::Arc::new(member::View {
+        members: members.map(|(n, name)| (name.clone(), member(n))).collect(),
+    })
+}
+
+fn adoption(name: &str, domain: &str, signer: &bundles::Signer) -> Adoption {
+    let options = adoption::Options {
+        name: name.to_owned(),
+        domain: domain.to_owned(),
+        operators: signer.operators(),
+    };
+    Adoption::new(NOW, options)
+}
+
+/// A fleet of state machines whose notes arrive in the order of their sending, but for those to and from the dead.
+struct Fleet {
+    daemons: BTreeMap<String, Adoption>,
+    adopted: BTreeMap<String, Vec<u64>>,
+    dead: Vec<String>,
+    notes: VecDeque<(u32, String, Action)>,
+    sent: BTreeMap<String, u32>,
+    rounds: u32,
+}
+
+impl Fleet {
+    fn new(size: usize, signer: &bundles::Signer) -> Fleet {
+        let names: Vec<_> = (0..size).map(|n| format!("entry-{n}")).collect();
+        let view = view(&names);
+        let daemon = |(name, member): (&String, &member::Member)| {
+            let mut daemon = adoption(name, &member.domain, signer);
+            daemon.handle(NOW, Event::Members(sync::Arc::clone(&view)));
+            (name.clone(), daemon)
+        };
+        Fleet {
+            daemons: view.members.iter().map(daemon).collect(),
+            adopted: BTreeMap::new(),
+            dead: Vec::new(),
+            notes: VecDeque::new(),
+            sent: BTreeMap::new(),
+            rounds: 0,
+        }
+    }
+
+    fn carry_out(&mut self, round: u32, name: &str, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Adopt(bundle) => {
+                    self.rounds = self.rounds.max(round);
+                    let adopted = self.adopted.entry(name.to_owned()).or_default();
+                    adopted.push(bundle.version);
+                }
+                Action::Reject { version, reason } => panic!("{version} rejected: {reason}"),
+                action => self.notes.push_back((round, name.to_owned(), action)),
+            }
+        }
+    }
+
+    /// Offers `signed` to one daemon, and delivers notes until none is left.
+    fn push(&mut self, to: &str, signed: &peer::Signed) {
+        let note = peer::Note::Bundle(Box::new(signed.clone()));
+        let (_, actions) = self.daemons.get_mut(to).unwrap().answer("operator", note);
+        self.carry_out(0, to, actions);
+        self.deliver();
+    }
+
+    fn deliver(&mut self) {
+        while let Some((round, from, action)) = self.notes.pop_front() {
+            let Action::Send { to, note } = action else {
+                continue;
+            };
+            *self.sent.entry(from.clone()).or_default() += 1;
+            if self.dead.contains(&to) {
+                continue;
+            }
+            let (reply, actions) = self.daemons.get_mut(&to).unwrap().answer(&from, note);
+            self.carry_out(round + 1, &to, actions);
+            let replied = Event::Replied {
+                from: to,
+                note: Some(reply),
+            };
+            let actions = self.daemons.get_mut(&from).unwrap().handle(NOW, replied);
+            self.carry_out(round + 1, &from, actions);
+        }
+    }
+
+    /// Tells the living of the death of the dead.
+    fn bury(&mut self) {
+        let names: Vec<_> = self.daemons.keys().cloned().collect();
+        let living: Vec<_> = names
+            .into_iter()
+            .filter(|n| !self.dead.contains(n))
+            .collect();
+        let view = view(&living);
+        for name in living {
+            let members = Event::Members(sync::Arc::clone(&view));
+            let actions = self.daemons.get_mut(&name).unwrap().handle(NOW, members);
+            self.carry_out(0, &name, actions);
+        }
+        self.deliver();
+    }
+
+    fn at(&self, version: u64) -> usize {
+        let live = self
+            .daemons
+            .iter()
+            .filter(|(name, _)| !self.dead.contains(name));
+        live.filter(|(_, d)| d.version() == version).count()
+    }
+}
+
+#[test]
+fn a_push_reaches_all_daemons_at_a_constant_cost() {
+    let signer = bundles::signer("anna");
+    let mut fleet = Fleet::new(FLEET, &signer);
+    fleet.push("entry-0", &signer.sign(&bundles::fees(3)));
+    assert_eq!(fleet.at(1), FLEET);
+    fleet.sent.clear();
+    fleet.rounds = 0;
+    fleet.push("entry-9", &signer.sign(&bundles::fees(4).version(2)));
+    assert_eq!(fleet.at(2), FLEET);
+    let most = fleet.sent.values().max().unwrap();
+    assert!(*most <= 6, "a daemon sent {most} notes");
+    assert!(fleet.rounds <= 16, "{} rounds", fleet.rounds);
+}
+
+#[test]
+fn a_push_reaches_all_the_living_once_a_tenth_of_the_fleet_is_known_to_be_dead() {
+    let signer = bundles::signer("anna");
+    let mut fleet = Fleet::new(FLEET, &signer);
+    fleet.dead = (0..46).map(|n| format!("entry-{}", n * 10 + 1)).collect();
+    fleet.push("entry-0", &signer.sign(&bundles::fees(3)));
+    assert!(fleet.at(1) > 400, "{}", fleet.at(1));
+    fleet.bury();
+    assert_eq!(fleet.at(1), 414);
+}
+
+#[test]
+fn a_daemon_that_starts_while_the_platform_is_down_takes_the_highest_version_of_its_peers() {
+    let signer = bundles::signer("anna");
+    let mut fleet = Fleet::new(12, &signer);
+    fleet.dead = vec!["entry-5".to_owned()];
+    for version in 1..=3 {
+        fleet.push("entry-0", &signer.sign(&bundles::fees(3).version(version)));
+    }
+    fleet.dead.clear();
+    let starting = fleet.daemons.get_mut("entry-5").unwrap();
+    assert_eq!(starting.version(), 0);
+    let actions = starting.handle(NOW, Event::Tick);
+    fleet.carry_out(0, "entry-5", actions);
+    fleet.push("entry-0", &signer.sign(&bundles::fees(3).version(2)));
+    assert_eq!(fleet.at(3), 12);
+}
+
+#[test]
+fn three_daemons_of_each_failure_domain_poll_the_row() {
+    let signer = bundles::signer("anna");
+    let fleet = Fleet::new(140, &signer);
+    let pollers = fleet.daemons.values().filter(|d| d.is_poller()).count();
+    assert_eq!(pollers, 7 * 3);
+    assert!(fleet.daemons.values().all(|d| d.partners().len() == 5));
+}
+
+#[test]
+fn the_row_brings_a_change_and_falls_back_to_the_whole_text() {
+    let signer = bundles::signer("anna");
+    let mut daemon = adoption("entry-1", "lahore-1", &signer);
+    let first = signer.sign(&bundles::fees(3));
+    daemon.answer("entry-2", peer::Note::Bundle(Box::new(first)));
+    let second = signer.sign(&bundles::fees(4).version(2));
+    let record = rollout::Record {
+        version: 2,
+        digest: second.digest.clone(),
+        signer: second.signer.clone(),
+        signature: second.signature.clone(),
+        token: "t".to_owned(),
+        time: NOW,
+        change: Some(rollout::ChangeRef {
+            from: 1,
+            digest: "change".to_owned(),
+        }),
+    };
+    let actions = daemon.handle(NOW, Event::Row(Some(record)));
+    assert!(matches!(&actions[..], [Action::Fetch(d)] if d == "change"));
+    let broken = Event::Object {
+        digest: "change".to_owned(),
+        content: Some(vec![9, 9]),
+    };
+    let actions = daemon.handle(NOW, broken);
+    assert!(matches!(&actions[..], [Action::Fetch(d)] if *d == second.digest));
+    let whole = Event::Object {
+        digest: second.digest.clone(),
+        content: Some(second.text.into_bytes()),
+    };
+    let actions = daemon.handle(NOW, whole);
+    assert!(matches!(&actions[0], Action::Adopt(b) if b.version == 2));
+}
+
+/// What the property test does to one daemon.
+#[derive(Clone, Debug)]
+enum Step {
+    Bundle { version: u64, fault: u8 },
+    Change { from: u64, version: u64, fault: u8 },
+    Row { version: u64 },
+    Object { version: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let version = 1..6_u64;
+    prop_oneof![
+        (version.clone(), 0..4_u8).prop_map(|(version, fault)| Step::Bundle { version, fault }),
+        (0..6_u64, version.clone(), 0..4_u8).prop_map(|(from, version, fault)| Step::Change {
+            from,
+            version,
+            fault
+        }),
+        version.clone().prop_map(|version| Step::Row { version }),
+        version.prop_map(|version| Step::Object { version }),
+    ]
+}
+
+/// Spoils a signed bundle: 1 its signature, 2 its text, 3 its version.
+fn spoil(mut signed: peer::Signed, fault: u8) -> peer::Signed {
+    match fault {
+        1 => signed.signature.replace_range(0..2, "zz"),
+        2 => signed.text.push_str("# more\n"),
+        3 => signed.version += 100,
+        _ => {}
+    }
+    signed
+}
+
+proptest! {
+    #![proptest_config(bundles::proptest_config(300))]
+
+    #[test]
+    fn versions_only_rise_and_nothing_unsigned_is_adopted(steps in prop::collection::vec(step(), 1..40)) {
+        let signer = bundles::signer("anna");
+        let text = |version| signer.sign(&bundles::fees(3).version(version));
+        let mut daemon = adoption("entry-1", "lahore-1", &signer);
+        let mut last = 0;
+        for step in steps {
+            let spoiled = matches!(step, Step::Bundle { fault, .. } | Step::Change { fault, .. } if fault > 0);
+            let actions = match step {
+                Step::Bundle { version, fault } => {
+                    let note = peer::Note::Bundle(Box::new(spoil(text(version), fault)));
+                    daemon.answer("entry-2", note).1
+                }
+                Step::Change { from, version, fault } => {
+                    let old = if from == 0 { peer::Signed::default() } else { text(from) };
+                    let new = spoil(text(version), fault);
+                    let change = peer::Change {
+                        from,
+                        version: new.version,
+                        digest: new.digest,
+                        signer: new.signer,
+                        signature: new.signature,
+                        edits: peridotspread::state::bundle::edits::between(&old.text, &new.text),
+                    };
+                    daemon.answer("entry-2", peer::Note::Change(Box::new(change))).1
+                }
+                Step::Row { version } => {
+                    let signed = text(version);
+                    let record = rollout::Record {
+                        version,
+                        digest: signed.digest,
+                        signer: signed.signer,
+                        signature: signed.signature,
+                        token: String::new(),
+                        time: NOW,
+                        change: None,
+                    };
+                    daemon.handle(NOW, Event::Row(Some(record)))
+                }
+                Step::Object { version } => {
+                    let signed = text(version);
+                    let content = Some(signed.text.into_bytes());
+                    daemon.handle(NOW, Event::Object { digest: signed.digest, content })
+                }
+            };
+            for action in actions {
+                if let Action::Adopt(bundle) = action {
+                    prop_assert!(!spoiled);
+                    prop_assert!(bundle.version > last);
+                    last = bundle.version;
+                }
+            }
+            prop_assert_eq!(daemon.version(), last);
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The test binary of the library: one module a topic.
 
+mod adoption;
 mod bundle;
 mod cell;
 mod check;
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -1,7 +1,9 @@
 //! Builders and fakes that the test modules share.
 
+use peridotspread::protocol::peer;
 use peridotspread::state::bundle;
 use peridotspread::state::clock;
+use peridotspread::state::operator;
 use proptest::test_runner;
 
 /// Starts a bundle of one service, `fees`, with `targets` targets in two failure domains.
@@ -98,3 +100,38 @@
         ..test_runner::Config::default()
     }
 }
+
+/// An operator who signs bundles in tests.
+#[derive(Debug)]
+pub(crate) struct Signer {
+    key: operator::Key,
+    pair: operator::Pair,
+}
+
+/// Draws the key of the operator called `name`.
+pub(crate) fn signer(name: &str) -> Signer {
+    let pair = operator::generate().expect("randomness");
+    let key = operator::Key::from_pem(name, &pair.private).expect("a private key");
+    Signer { key, pair }
+}
+
+impl Signer {
+    pub(crate) fn operators(&self) -> operator::Operators {
+        let mut operators = operator::Operators::default();
+        let added = operators.add_pem(&self.key.name, &self.pair.public);
+        added.expect("a public key");
+        operators
+    }
+
+    pub(crate) fn sign(&self, bundle: &BundleBuilder) -> peer::Signed {
+        let text = bundle.text();
+        let digest = operator::digest(&text);
+        peer::Signed {
+            version: bundle.version,
+            signature: self.key.sign(bundle.version, &digest),
+            signer: self.key.name.clone(),
+            digest,
+            text,
+        }
+    }
+}
