--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,6 @@
 pub mod judge;
 pub mod member;
 pub mod quarantine;
+mod random;
 pub mod retry;
 pub mod trial;
-mod random;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod entry;
 pub mod exchange;
+pub mod follower;
 pub mod home;
 pub mod links;
 pub mod member;
--- a/src/state/operator.rs
+++ b/src/state/operator.rs
@@ -94,7 +94,12 @@
 
 /// Returns the SHA-256 digest of a bundle's text, in hexadecimal.
 pub fn digest(text: &str) -> String {
-    hex::encode(sha2::Sha256::digest(text))
+    digest_bytes(text.as_bytes())
+}
+
+/// Returns the SHA-256 digest of an object's content, in hexadecimal.
+pub fn digest_bytes(content: &[u8]) -> String {
+    hex::encode(sha2::Sha256::digest(content))
 }
 
 /// Draws a new pair of keys.
