coordination: claims of keyed work in grouped writes, and leases of the ejection budget

Claims: one write in flight carries all claims and outcomes that wait; a conflict names the row to read, and a lost answer is resolved by the token. A failed call makes claims unavailable at once for a second, then one of them probes. 100 claims take at most 4 writes, and 100 claims during an outage at most 3 calls (crates/lab/tests/claims.rs, 8 tests).

--- /dev/null
+++ b/crates/lab/tests/claims.rs
@@ -0,0 +1,161 @@
+//! Claims against the platform's stand-in: at most one is fresh, through lost answers and outages.
+
+mod support;
+
+use peridotspread::daemon::claims::{self, Claimed, Claims, Settled};
+use peridotspread::protocol::problem;
+use peridotspread::state::clock;
+use peridotspread::state::ids;
+
+const SCOPE: [&str; 2] = ["kozi", "payout"];
+const WORK: ids::Fingerprint = ids::Fingerprint(7);
+
+async fn claims(platform: &support::Platform, name: &str) -> claims::Handle {
+    let options = claims::Options {
+        name: name.to_owned(),
+        clock: clock::Clock::start(),
+        platform: platform.client(),
+        members: support::members(&[name]),
+        recorder: support::recorder(name),
+    };
+    claims::spawn(options).await.unwrap()
+}
+
+fn row_count(platform: &support::Platform) -> usize {
+    platform.handle.rows("claims/").len()
+}
+
+#[tokio::test]
+async fn a_resend_gets_the_outcome_and_other_work_under_the_key_is_told() {
+    let platform = support::platform().await;
+    let (one, two) = (
+        claims(&platform, "e-1").await,
+        claims(&platform, "e-2").await,
+    );
+    let Claimed::Fresh(token) = one.claim(&SCOPE, "k", WORK).await else {
+        panic!("the key is free");
+    };
+    assert_eq!(two.claim(&SCOPE, "k", WORK).await, Claimed::Unknown);
+    assert_eq!(one.claim(&SCOPE, "k", WORK).await, Claimed::Unknown);
+    let other = two.claim(&SCOPE, "k", ids::Fingerprint(8)).await;
+    assert_eq!(other, Claimed::KeyReused);
+    one.settle(token, Settled::Ran(record(201)));
+    support::until(|| platform.handle.rows("claims/")[0].value.contains("201")).await;
+    assert_eq!(
+        two.claim(&SCOPE, "k", WORK).await,
+        Claimed::Ran(record(201))
+    );
+    let elsewhere = two.claim(&["kozi", "booking"], "k", WORK).await;
+    assert!(matches!(elsewhere, Claimed::Fresh(_)));
+}
+
+#[tokio::test]
+async fn work_that_did_not_run_frees_its_key() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    let Claimed::Fresh(token) = one.claim(&SCOPE, "k", WORK).await else {
+        panic!("the key is free");
+    };
+    one.settle(token, Settled::NotRun);
+    support::until(|| row_count(&platform) == 0).await;
+    assert!(matches!(
+        one.claim(&SCOPE, "k", WORK).await,
+        Claimed::Fresh(_)
+    ));
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_resolved_by_the_token() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    platform.handle.set(|o| o.lose_next = 1);
+    assert!(matches!(
+        one.claim(&SCOPE, "a", WORK).await,
+        Claimed::Fresh(_)
+    ));
+    platform.handle.set(|o| o.drop_next = 1);
+    assert!(matches!(
+        one.claim(&SCOPE, "b", WORK).await,
+        Claimed::Fresh(_)
+    ));
+    let counters = platform.handle.report().counters;
+    assert_eq!((counters.lost, counters.dropped), (1, 1));
+    assert_eq!(row_count(&platform), 2);
+}
+
+#[tokio::test]
+async fn of_many_claims_of_one_key_through_two_entries_one_is_fresh_though_answers_are_lost() {
+    let platform = support::platform().await;
+    platform.handle.set(|o| o.lose_share = 0.3);
+    let entries = [
+        claims(&platform, "e-1").await,
+        claims(&platform, "e-2").await,
+    ];
+    for round in 0..20 {
+        let key = format!("k-{round}");
+        let asked = (0..10).map(|n| entries[n % 2].claim(&SCOPE, &key, WORK));
+        let answers = futures_util::future::join_all(asked).await;
+        let fresh = answers.iter().filter(|a| matches!(a, Claimed::Fresh(_)));
+        assert_eq!(fresh.count(), 1, "{answers:?}");
+        let unknown = answers.iter().filter(|a| **a == Claimed::Unknown);
+        assert_eq!(unknown.count(), 9, "{answers:?}");
+    }
+}
+
+#[tokio::test]
+async fn claims_wait_for_one_write_together() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    platform.handle.set(|o| o.slow_ms = 20);
+    let keys: Vec<_> = (0..100).map(|n| format!("k-{n}")).collect();
+    let asked = keys.iter().map(|k| one.claim(&SCOPE, k, WORK));
+    let answers = futures_util::future::join_all(asked).await;
+    assert!(answers.iter().all(|a| matches!(a, Claimed::Fresh(_))));
+    let commits = platform.handle.report().counters.commits;
+    assert!(commits <= 4, "{commits} writes for 100 claims");
+}
+
+#[tokio::test]
+async fn an_outage_is_told_at_once_and_its_end_is_noticed() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    platform.handle.set(|o| o.down = true);
+    assert_eq!(one.claim(&SCOPE, "a", WORK).await, Claimed::Unavailable);
+    let before = platform.handle.report().counters.refused;
+    for _ in 0..100 {
+        assert_eq!(one.claim(&SCOPE, "a", WORK).await, Claimed::Unavailable);
+    }
+    let calls = platform.handle.report().counters.refused - before;
+    assert!(calls <= 3, "{calls} calls for 100 claims while down");
+    platform.handle.set(|o| o.down = false);
+    while !matches!(one.claim(&SCOPE, "a", WORK).await, Claimed::Fresh(_)) {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn a_claim_that_nobody_waits_for_is_taken_back() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    platform.handle.set(|o| o.slow_ms = 50);
+    let claiming = one.claim(&SCOPE, "a", WORK);
+    let gone = tokio::time::timeout(clock::Millis(10).span(), claiming).await;
+    assert!(gone.is_err());
+    support::until(|| platform.handle.report().counters.commits == 2).await;
+    support::until(|| row_count(&platform) == 0).await;
+}
+
+#[tokio::test]
+async fn a_write_that_landed_though_the_claim_was_refused_is_removed() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    platform.handle.set(|o| (o.lose_next, o.reads_s) = (1, 1));
+    platform.client().read("x").await.unwrap();
+    assert_eq!(one.claim(&SCOPE, "a", WORK).await, Claimed::Unavailable);
+    platform.handle.set(|o| o.reads_s = 0);
+    support::until(|| row_count(&platform) == 0).await;
+}
+
+fn record(status: u16) -> problem::Record {
+    problem::Record { status }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,10 +4,12 @@
 
 pub mod adoption;
 pub mod cell;
+pub mod claims;
 pub mod ejection;
 pub mod evidence;
 pub mod homes;
 pub mod judge;
+pub mod lease;
 pub mod member;
 pub mod quarantine;
 mod random;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod follower;
 pub mod home;
+pub mod lease;
 pub mod links;
 pub mod member;
 pub mod metrics;
