--- /dev/null
+++ b/crates/lab/tests/follower.rs
@@ -0,0 +1,162 @@
+//! Followers against the platform's stand-in, with notes between them carried in memory.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync;
+
+use futures_util::future;
+use peridotspread::daemon::follower;
+use peridotspread::ops;
+use peridotspread::protocol::peer;
+use peridotspread::state::bundle;
+use peridotspread::state::clock;
+use peridotspread::state::operator;
+
+type Handles = BTreeMap<String, follower::Handle>;
+
+/// Carries notes to the followers of the same test; those that are cut off get none and send none.
+#[derive(Default)]
+struct Wires {
+    handles: sync::Mutex<Handles>,
+    cut: sync::Mutex<Vec<String>>,
+}
+
+struct Wire {
+    from: String,
+    wires: sync::Arc<Wires>,
+}
+
+impl peer::NoteSender for Wire {
+    fn send<'a>(
+        &'a self,
+        to: &'a str,
+        note: peer::Note,
+    ) -> future::BoxFuture<'a, Result<peer::Note, peer::NoReply>> {
+        Box::pin(async move {
+            let cut = self.wires.cut.lock().unwrap().clone();
+            let handle = self.wires.handles.lock().unwrap().get(to).cloned();
+            match handle {
+                Some(handle) if !cut.iter().any(|c| c == to || *c == self.from) => {
+                    Ok(handle.note(&self.from, note).await)
+                }
+                _ => peer::NoReplySnafu { to, reason: "cut" }.fail(),
+            }
+        })
+    }
+}
+
+struct Fleet {
+    platform: support::Platform,
+    wires: sync::Arc<Wires>,
+    key: operator::Key,
+    operators: operator::Operators,
+    names: Vec<String>,
+}
+
+impl Fleet {
+    async fn new(size: usize) -> Fleet {
+        let pair = operator::generate().unwrap();
+        let mut operators = operator::Operators::default();
+        operators.add_pem("anna", &pair.public).unwrap();
+        Fleet {
+            platform: support::platform().await,
+            wires: sync::Arc::default(),
+            key: operator::Key::from_pem("anna", &pair.private).unwrap(),
+            operators,
+            names: (0..size).map(|n| format!("entry-{n}")).collect(),
+        }
+    }
+
+    async fn start(&self, name: &str) -> follower::Handle {
+        let names: Vec<_> = self.names.iter().map(String::as_str).collect();
+        let options = follower::Options {
+            name: name.to_owned(),
+            domain: "lahore-1".to_owned(),
+            clock: clock::Clock::start(),
+            platform: self.platform.client(),
+            members: support::members(&names),
+            operators: self.operators.clone(),
+            recorder: support::recorder(name),
+            sender: sync::Arc::new(Wire {
+                from: name.to_owned(),
+                wires: sync::Arc::clone(&self.wires),
+            }),
+        };
+        let handle = follower::spawn(options).await.unwrap();
+        let mut handles = self.wires.handles.lock().unwrap();
+        handles.insert(name.to_owned(), handle.clone());
+        handle
+    }
+
+    async fn rollout(&self, version: u64) {
+        let text = text(version);
+        let digest = operator::digest(&text);
+        let signed = peer::Signed {
+            version,
+            signature: self.key.sign(version, &digest),
+            signer: "anna".to_owned(),
+            digest,
+            text,
+        };
+        let client = self.platform.client();
+        let options = ops::RolloutOptions {
+            platform: client.as_ref(),
+            signed: &signed,
+            patience: clock::Millis(5_000),
+        };
+        let outcome = ops::rollout(&options).await.unwrap();
+        assert!(matches!(outcome, ops::rollout::Outcome::Accepted { .. }));
+    }
+}
+
+fn text(version: u64) -> String {
+    let targets = (0..50).map(|n| {
+        format!("[[services.targets]]\nname = \"t-{n}\"\naddress = \"127.0.0.1:{}\"\ndomain = \"d\"\nslots = 3\n", 9000 + n)
+    });
+    let targets: String = targets.collect();
+    format!(
+        "version = {version}\ntiers = [{{ name = \"a\" }}]\nroutes = [{{ prefix = \"/\", service = \"s\" }}]\n\
+         [[services]]\nname = \"s\"\nfloor = 1\n{targets}"
+    )
+}
+
+fn version(handle: &follower::Handle) -> u64 {
+    let bundle: sync::Arc<bundle::Bundle> = handle.bundle().borrow().clone();
+    bundle.version
+}
+
+#[tokio::test]
+async fn a_rollout_reaches_everyone_and_one_that_starts_during_an_outage() {
+    let fleet = Fleet::new(12).await;
+    let mut handles = Vec::new();
+    for name in &fleet.names[1..] {
+        handles.push(fleet.start(name).await);
+    }
+    fleet.rollout(1).await;
+    support::until(|| handles.iter().all(|h| version(h) == 1)).await;
+    let stores = fleet.platform.handle.report().counters.object_bytes;
+    fleet.rollout(2).await;
+    support::until(|| handles.iter().all(|h| version(h) == 2)).await;
+    let changes = fleet.platform.handle.report().counters.object_bytes - stores;
+    let whole = text(2).len() as u64;
+    assert!(
+        changes < 2 * whole,
+        "{changes} bytes for a change of one line in {whole}"
+    );
+    fleet.platform.handle.set(|o| o.down = true);
+    let late = fleet.start("entry-0").await;
+    support::until(|| version(&late) == 2).await;
+}
+
+#[tokio::test]
+async fn a_follower_cut_off_from_its_peers_follows_the_row() {
+    let fleet = Fleet::new(12).await;
+    let mut handles = Vec::new();
+    for name in &fleet.names {
+        handles.push(fleet.start(name).await);
+    }
+    fleet.wires.cut.lock().unwrap().push("entry-3".to_owned());
+    fleet.rollout(1).await;
+    support::until(|| handles.iter().all(|h| version(h) == 1)).await;
+}
--- /dev/null
+++ b/src/bin/peridotspread/commands/keys.rs
@@ -0,0 +1,126 @@
+//! `peridotspread keys`: makes the keys of a fleet.
+
+use std::fs;
+use std::path;
+
+use gumdrop::Options;
+use peridotspread::state::operator;
+use peridotspread::transport::keys;
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::commands::{self, Command};
+use crate::output::{self, Failure, Outcome, Status};
+
+/// The random bytes of a token.
+const TOKEN_BYTES: usize = 32;
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(free, required, help = "authority, daemon, operator or token")]
+    kind: String,
+    #[options(free, help = "the daemon's or operator's name")]
+    name: Option<String>,
+    #[options(no_short, meta = "DIR", default = ".", help = "where the files go")]
+    dir: path::PathBuf,
+    #[options(no_short, help = "print one JSON object")]
+    json: bool,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Report {
+    Files(Vec<path::PathBuf>),
+    Token { token: String, digest: String },
+}
+
+pub(crate) fn cli() -> Command {
+    Command {
+        name: "keys",
+        about: "Makes the keys of a fleet: its authority, daemons, operators and tokens",
+        usage: "peridotspread keys authority|daemon NAME|operator NAME|token [--dir DIR] [--json]\n\n\
+                authority  the fleet's certificate authority: authority.pem, authority.key.pem\n\
+                daemon     a daemon's certificate and key by that authority: NAME.pem, NAME.key.pem\n\
+                operator   a pair that signs bundles: NAME.pem (private), NAME.pub.pem\n\
+                token      a token for callers or operators, and the digest that bundle or settings name",
+        exec,
+    }
+}
+
+fn exec(args: &[&str]) -> Outcome {
+    let args: Args = match commands::parse(&cli(), args) {
+        Ok(args) => args,
+        Err(status) => return Ok(status),
+    };
+    let report = match (args.kind.as_str(), args.name.as_deref()) {
+        ("authority", None) => authority(&args.dir)?,
+        ("daemon", Some(name)) => daemon(&args.dir, name)?,
+        ("operator", Some(name)) => operator(&args.dir, name)?,
+        ("token", None) => token()?,
+        _ => {
+            eprintln!("error: what keys, and whose? See `peridotspread keys --help`");
+            return Ok(Status::Usage);
+        }
+    };
+    output::report(args.json, &report, &line(&report));
+    Ok(Status::Good)
+}
+
+fn line(report: &Report) -> String {
+    match report {
+        Report::Files(files) => {
+            let files: Vec<_> = files.iter().map(|f| f.display().to_string()).collect();
+            format!("wrote {}", files.join(" and "))
+        }
+        Report::Token { token, digest } => format!("token  {token}\ndigest {digest}"),
+    }
+}
+
+fn authority(dir: &path::Path) -> Result<Report, Failure> {
+    let authority = keys::authority().map_err(|e| Failure::new(Status::System, e))?;
+    write_pair(
+        dir,
+        ["authority.key.pem", "authority.pem"],
+        [&authority.key(), authority.certificate()],
+    )
+}
+
+fn daemon(dir: &path::Path, name: &str) -> Result<Report, Failure> {
+    let certificate = commands::read(&dir.join("authority.pem"))?;
+    let key = commands::read(&dir.join("authority.key.pem"))?;
+    let input = |e| Failure::new(Status::Input, e);
+    let authority = keys::Authority::load(&certificate, &key).map_err(input)?;
+    let issued = authority.issue(name).map_err(input)?;
+    let files = [format!("{name}.key.pem"), format!("{name}.pem")];
+    write_pair(
+        dir,
+        [&files[0], &files[1]],
+        [&issued.key, &issued.certificate],
+    )
+}
+
+fn operator(dir: &path::Path, name: &str) -> Result<Report, Failure> {
+    let pair = operator::generate().map_err(|e| Failure::new(Status::System, e))?;
+    let files = [format!("{name}.pem"), format!("{name}.pub.pem")];
+    write_pair(dir, [&files[0], &files[1]], [&pair.private, &pair.public])
+}
+
+fn token() -> Result<Report, Failure> {
+    let mut bytes = [0; TOKEN_BYTES];
+    getrandom::fill(&mut bytes).map_err(|e| Failure::new(Status::System, e.to_string()))?;
+    let token = hex::encode(bytes);
+    let digest = operator::digest(&token);
+    Ok(Report::Token { token, digest })
+}
+
+fn write_pair(dir: &path::Path, names: [&str; 2], texts: [&str; 2]) -> Result<Report, Failure> {
+    let made = fs::create_dir_all(dir).context(commands::WriteSnafu { path: dir });
+    made.map_err(|e| Failure::new(Status::System, e))?;
+    let mut files = Vec::new();
+    for (name, text) in names.iter().zip(texts) {
+        let path = dir.join(name);
+        commands::write_new(&path, text)?;
+        files.push(path);
+    }
+    Ok(Report::Files(files))
+}
--- /dev/null
+++ b/src/bin/peridotspread/commands/mod.rs
@@ -0,0 +1,178 @@
+//! The subcommands, one file each with its `cli()` and `exec()`.
+
+mod check;
+mod diff;
+mod keys;
+mod rollout;
+mod sign;
+
+use std::fs;
+use std::path;
+
+use gumdrop::Options;
+use peridotspread::protocol::peer;
+use peridotspread::state::bundle;
+use peridotspread::state::findings;
+use snafu::ResultExt;
+
+use crate::output::{self, Failure, Outcome, Status};
+
+/// One subcommand.
+pub(crate) struct Command {
+    /// Its name.
+    pub(crate) name: &'static str,
+    /// What it does, in a line.
+    pub(crate) about: &'static str,
+    /// How its command line is written.
+    pub(crate) usage: &'static str,
+    /// Runs it.
+    pub(crate) exec: fn(&[&str]) -> Outcome,
+}
+
+/// All subcommands in the order of the help.
+fn all() -> Vec<Command> {
+    vec![
+        check::cli(),
+        diff::cli(),
+        sign::cli(),
+        rollout::cli(),
+        keys::cli(),
+    ]
+}
+
+/// Runs the subcommand that `args` name.
+pub(crate) fn run(args: &[&str]) -> Status {
+    let Some((name, rest)) = args.split_first() else {
+        eprint!("{}", help());
+        return Status::Usage;
+    };
+    if matches!(*name, "--help" | "-h" | "help") {
+        print!("{}", help());
+        return Status::Good;
+    }
+    let Some(command) = all().into_iter().find(|c| c.name == *name) else {
+        eprintln!("error: no command is called `{name}`; see `peridotspread --help`");
+        return Status::Usage;
+    };
+    (command.exec)(rest).unwrap_or_else(|failure| {
+        output::fail(&failure);
+        failure.status
+    })
+}
+
+fn help() -> String {
+    let mut text = String::from(
+        "Operates a peridotspread fleet.\n\nUsage: peridotspread COMMAND [OPTIONS]\n\nCommands:\n",
+    );
+    for command in all() {
+        text.push_str(&format!("  {:<10} {}\n", command.name, command.about));
+    }
+    text.push_str(
+        "\nSee `peridotspread COMMAND --help` for one command, and docs/EXIT-STATUSES.md for exit statuses.\n",
+    );
+    text
+}
+
+/// Parses the options of `command`; `Err` holds the status to end with, once the help or the fault is printed.
+fn parse<T: Options>(command: &Command, args: &[&str]) -> Result<T, Status> {
+    if args.iter().any(|a| matches!(*a, "--help" | "-h")) {
+        println!(
+            "{}\n\nUsage: {}\n\n{}",
+            command.about,
+            command.usage,
+            T::usage()
+        );
+        return Err(Status::Good);
+    }
+    T::parse_args_default(args).map_err(|e| {
+        eprintln!("error: {e}; see `peridotspread {} --help`", command.name);
+        Status::Usage
+    })
+}
+
+/// Why a file is of no use.
+#[derive(Debug, snafu::Snafu)]
+enum FileError {
+    #[snafu(display("can't read {}; check the path", path.display()))]
+    Read {
+        path: path::PathBuf,
+        source: std::io::Error,
+    },
+    #[snafu(display("can't write {}; check the directory", path.display()))]
+    Write {
+        path: path::PathBuf,
+        source: std::io::Error,
+    },
+    #[snafu(display("the bundle {} has findings; correct them first", path.display()))]
+    Findings {
+        path: path::PathBuf,
+        source: findings::Findings,
+    },
+    #[snafu(display("{} holds no signature; make one with `peridotspread sign`", path.display()))]
+    Signature {
+        path: path::PathBuf,
+        source: serde_json::Error,
+    },
+    #[snafu(display("{} exists; a key is never overwritten", path.display()))]
+    Exists { path: path::PathBuf },
+}
+
+fn read(path: &path::Path) -> Result<String, Failure> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path });
+    text.map_err(|e| Failure::new(Status::Input, e))
+}
+
+/// Writes a new file that only its owner may read.
+fn write_new(path: &path::Path, text: &str) -> Result<(), Failure> {
+    use std::io::Write;
+    use std::os::unix::fs::OpenOptionsExt;
+
+    if path.exists() {
+        let exists = ExistsSnafu { path }.build();
+        return Err(Failure::new(Status::Input, exists));
+    }
+    let opened = fs::OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(0o600)
+        .open(path);
+    let written = opened.and_then(|mut file| file.write_all(text.as_bytes()));
+    let written = written.context(WriteSnafu { path });
+    written.map_err(|e| Failure::new(Status::System, e))
+}
+
+/// Reads and checks a bundle, whose findings end the run.
+fn checked(path: &path::Path) -> Result<(String, bundle::Bundle), Failure> {
+    let text = read(path)?;
+    let parsed = bundle::parse(&path.display().to_string(), &text).context(FindingsSnafu { path });
+    let bundle = parsed.map_err(|e| Failure::new(Status::Negative, e))?;
+    Ok((text, bundle))
+}
+
+/// Returns the file that holds the signature of a bundle's file.
+fn signature_path(bundle: &path::Path) -> path::PathBuf {
+    let mut name = bundle.as_os_str().to_owned();
+    name.push(".sig");
+    path::PathBuf::from(name)
+}
+
+/// A bundle's signature, as it is kept beside the bundle's file.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+struct Signature {
+    version: u64,
+    digest: String,
+    signer: String,
+    signature: String,
+}
+
+impl Signature {
+    fn with(self, text: String) -> peer::Signed {
+        peer::Signed {
+            version: self.version,
+            digest: self.digest,
+            signer: self.signer,
+            signature: self.signature,
+            text,
+        }
+    }
+}
