--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! Actors in [`crate::daemon`] carry the events and actions, and the replay of recorded traces drives the same code.
 
+pub mod adoption;
 pub mod cell;
+pub mod claims;
 pub mod ejection;
 pub mod evidence;
 pub mod homes;
 pub mod judge;
+pub mod lease;
 pub mod member;
 pub mod quarantine;
 mod random;
