--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -2,7 +2,10 @@
 
 use gumdrop::Options;
 
+mod curve;
 mod demo;
+mod policy;
+mod measure;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -15,6 +18,14 @@
 pub(crate) enum Command {
     #[options(help = "show a fleet under load going through one fault after the other")]
     Demo(demo::Args),
+    #[options(help = "replay all traces under both policies and print their measures")]
+    Policy(policy::Args),
+    #[options(help = "draw detection time against false ejections over thresholds")]
+    Curve(curve::Args),
+    #[options(help = "measure the membership's cost and speed, tables only")]
+    Membership(measure::MembershipArgs),
+    #[options(help = "measure connections between daemons, on the loopback")]
+    Connections(measure::ConnectionsArgs),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -26,6 +37,10 @@
         .build()?;
     match command {
         Command::Demo(args) => runtime.block_on(demo::exec(args)),
+        Command::Policy(args) => policy::exec(args),
+        Command::Curve(args) => curve::exec(args),
+        Command::Membership(args) => measure::membership(args),
+        Command::Connections(args) => runtime.block_on(measure::connections(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 
 use crate::coordination::member;
+use crate::coordination::random::Random;
 use crate::protocol::peer;
 use crate::state::bundle;
 use crate::state::clock;
@@ -49,6 +50,16 @@
     pub home: String,
 }
 
+/// A choice that did not bring an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tried {
+    /// Where the request was sent.
+    pub choice: Choice,
+    /// Whether the home refused it for its whole cell. No other home of that cell is asked then: it would hand out the
+    /// same slots a second time.
+    pub refused: bool,
+}
+
 /// One entry's judgement of homes and cells.
 #[derive(Debug)]
 pub struct Homes {
@@ -56,7 +67,7 @@
     domain: String,
     judge: Judge,
     cells: BTreeMap<ids::CellId, Seen>,
-    draws: u64,
+    random: Random,
 }
 
 /// The last summary of a cell.
@@ -81,7 +92,7 @@
             domain: domain.to_owned(),
             judge: Judge::default(),
             cells: BTreeMap::new(),
-            draws: hash(&[me]),
+            random: Random::new(hash(&[me])),
         }
     }
 
@@ -89,13 +100,13 @@
     ///
     /// The cell of the entry's own failure domain comes first, unless the better of two others drawn at random is
     /// better by a margin. Its home is the first in rank that the entry can reach, at last the entry itself.
-    /// Returns nothing once every cell was tried at every home.
+    /// Returns nothing once every cell has refused or was tried at every home.
     pub fn choose(
         &mut self,
         now: clock::Millis,
         service: &bundle::Service,
         view: &member::View,
-        tried: &[Choice],
+        tried: &[Tried],
     ) -> Option<Choice> {
         let cells = cells_with_targets(service);
         let offers = cells.iter().filter_map(|c| self.offer(now, c, view, tried));
@@ -103,7 +114,7 @@
             offers.partition(|o| o.choice.cell.domain == self.domain);
         for _ in 0..2 {
             if !others.is_empty() {
-                let at = self.draw(others.len());
+                let at = self.random.index(others.len());
                 own.push(others.swap_remove(at));
             }
         }
@@ -154,13 +165,16 @@
         now: clock::Millis,
         cell: &ids::CellId,
         view: &member::View,
-        tried: &[Choice],
+        tried: &[Tried],
     ) -> Option<Offer> {
-        let untried = |home: &str| !tried.iter().any(|t| t.cell == *cell && t.home == home);
+        let before: Vec<_> = tried.iter().filter(|t| t.choice.cell == *cell).collect();
+        if before.iter().any(|t| t.refused) {
+            return None;
+        }
+        let untried = |home: &str| !before.iter().any(|t| t.choice.home == home);
         let fit = |home: &str| untried(home) && (home == self.me || self.judge.allows(now, home));
-        let ranked = rank(cell, view);
-        let candidates = ranked.iter().take(RANKS).copied().enumerate();
-        let found = candidates.into_iter().find(|(_, home)| fit(home));
+        let ranked = rank::leading(cell, view, RANKS);
+        let found = ranked.into_iter().enumerate().find(|(_, home)| fit(home));
         let (home, detour) = match found {
             Some((0, home)) => (home, 0.0),
             Some((_, home)) => (home, SECOND_HOME_MS),
@@ -189,12 +203,6 @@
         let age = (now - seen.made).0 as f64 / LOAD_AGE.0 as f64;
         (1.0 - age).max(0.0) * expected_cost(&seen.summary)
     }
-
-    /// Draws a number below `bound`; the sequence depends on the daemon's name alone.
-    fn draw(&mut self, bound: usize) -> usize {
-        self.draws = rank::mix(self.draws.wrapping_add(rank::STEP));
-        (self.draws % bound as u64) as usize
-    }
 }
 
 /// Returns the service's cells that have targets which take work.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,8 +10,11 @@
 pub mod claims;
 pub mod entry;
 pub mod exchange;
+pub mod follower;
 pub mod home;
+pub mod lease;
 pub mod links;
+pub mod member;
 pub mod metrics;
 mod node;
 
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,8 +1,10 @@
 //! What the bytes mean: messages between daemons, refusals to callers, header fields, and the platform's interface.
 
 pub mod frame;
+pub mod gossip;
 pub mod headers;
 pub mod peer;
 pub mod platform;
 pub mod problem;
 pub mod refusal;
+pub mod rollout;
