coordination: a sick home steps aside, honest end after a lost try, trials rare in quiet services

Requests went on to a cell whose home had lost its link to all targets; that home now hands them back as not run while other cells are well. A request that waited got a slot too late to finish; it is refused when no time for an ordinary run is left. In a service with a request a minute trials took a large share of the requests; they now wait for requests elsewhere as well as time.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -4,8 +4,8 @@
 
 mod curve;
 mod demo;
-mod policy;
 mod measure;
+mod policy;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -163,6 +163,10 @@
         if trial {
             target.trial.grant();
         }
+        let others = self.targets.iter_mut().filter(|(n, _)| *n != name);
+        for (_, other) in others.filter(|(_, t)| !t.is_normal()) {
+            other.trial.pass_by();
+        }
         if work.tries == 0 {
             self.budget.earn();
         }
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -176,8 +176,8 @@
         self.pause(now, &run.target);
         let mut work = run.work;
         work.excluded.push(run.target);
-        let granted = self.may_rerun(now, &work) && self.budget.funded();
-        self.requeue(now, work, granted, actions);
+        let again = self.may_rerun(now, &work) && self.budget.funded() && self.holds_more();
+        self.requeue(now, work, again, actions);
     }
 
     fn unconnected(
@@ -196,10 +196,11 @@
         work.excluded.push(run.target);
         // Nothing was sent: another try is no second run, and no load on any target.
         work.since = now;
-        if self.may_retry(now, &work) && self.queue.len() < self.rules.queue {
+        work.expiry = self.expiry(now, work.arrival.deadline);
+        if self.may_retry(now, &work) && self.holds_more() {
             self.queue.push(work);
         } else {
-            actions.push(cell::Action::GiveUp { ticket });
+            actions.push(give_up(&work));
         }
     }
 
@@ -226,8 +227,11 @@
         }
         let mut work = run.work;
         work.excluded.push(name);
-        work.lost = Some(refusal::Cause::TargetBroke);
-        let again = !guilty && self.may_rerun(now, &work) && self.budget.funded();
+        let again = !guilty && self.may_rerun(now, &work);
+        let again = again && self.budget.funded() && self.holds_more();
+        if again {
+            work.lost = Some(refusal::Cause::TargetBroke);
+        }
         self.requeue(now, work, again, actions);
     }
 
@@ -275,14 +279,13 @@
         actions: &mut Vec<cell::Action>,
     ) {
         work.since = now;
-        if again && self.queue.len() < self.rules.queue {
+        work.expiry = self.expiry(now, work.arrival.deadline);
+        if again {
             self.budget.spend();
             self.queue.push(work);
             return;
         }
-        actions.push(cell::Action::GiveUp {
-            ticket: work.arrival.ticket,
-        });
+        actions.push(give_up(&work));
     }
 
     /// Returns whether a request that may have run, or whose body was sent, may be tried again.
@@ -290,6 +293,11 @@
         work.arrival.idempotent && work.arrival.replayable && self.may_retry(now, work)
     }
 
+    /// Returns whether the queue has room for a retry.
+    fn holds_more(&self) -> bool {
+        self.queue.len() < self.rules.queue
+    }
+
     /// Returns whether tries and time are left, and a target that was not tried.
     pub(super) fn may_retry(&self, now: clock::Millis, work: &queue::Waiting) -> bool {
         let untried = |(name, target): (&String, &target::Target)| {
@@ -320,3 +328,15 @@
         }
     }
 }
+
+/// Ends a request whose last try failed: what that try showed is passed on, unless an earlier one may have run.
+fn give_up(work: &queue::Waiting) -> cell::Action {
+    let ticket = work.arrival.ticket;
+    match work.lost {
+        Some(lost) => cell::Action::Refuse {
+            ticket,
+            refusal: refusal::Refusal::unknown(lost),
+        },
+        None => cell::Action::GiveUp { ticket },
+    }
+}
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -206,12 +206,21 @@
         targets.peek().is_some() && targets.all(|t| !t.is_normal())
     }
 
+    /// Returns whether the home steps aside: its targets all look sick, and another cell of the service is well.
+    ///
+    /// It then takes one idempotent request at a time, to see whether its targets are well again. All others are refused
+    /// at once, so that their entries try another cell.
+    fn steps_aside(&self, now: clock::Millis) -> bool {
+        self.is_sick() && self.peers_well(now)
+    }
+
     fn arrive(&mut self, now: clock::Millis, arrival: Arrival, actions: &mut Vec<Action>) {
         self.count += 1;
         match self.admit(now, &arrival) {
             Ok(()) => self.queue.push(queue::Waiting {
                 arrival,
                 since: now,
+                expiry: self.expiry(now, arrival.deadline),
                 place: self.count,
                 tries: 0,
                 excluded: Vec::new(),
@@ -235,16 +244,25 @@
         if arrival.deadline <= now {
             return refuse(refusal::Cause::DeadlinePassed, None);
         }
-        if self.slots(now) == 0 {
+        let probes = self.running.is_empty() && arrival.idempotent;
+        if self.slots(now) == 0 || (self.steps_aside(now) && !probes) {
             return refuse(refusal::Cause::NoTarget, Some(clock::Millis(1_000)));
         }
         let wait = self.wait(now, arrival.tier);
-        if wait > clock::Millis::ZERO && now + wait >= arrival.deadline {
+        let run = clock::Millis(self.hold.unwrap_or_default() as u64);
+        if wait > clock::Millis::ZERO && now + wait + run >= arrival.deadline {
             return refuse(refusal::Cause::DeadlineTooShort, Some(retry_after(wait)));
         }
         Ok(())
     }
 
+    /// Returns when a slot comes too late for a request that comes to wait now: when no time is left for an ordinary run,
+    /// or for half of what is left now where that is shorter.
+    fn expiry(&self, now: clock::Millis, deadline: clock::Millis) -> clock::Millis {
+        let run = clock::Millis(self.hold.unwrap_or_default() as u64);
+        deadline - run.min(clock::Millis((deadline - now).0 / 2))
+    }
+
     /// Returns the wait that a new request of `tier` is to expect.
     fn wait(&self, now: clock::Millis, tier: u8) -> clock::Millis {
         let ahead = self.queue.ahead(tier);
@@ -267,12 +285,16 @@
         newest: Option<ids::Ticket>,
         actions: &mut Vec<Action>,
     ) {
-        while self.queue.len() > self.rules.queue {
+        let aside = self.steps_aside(now);
+        let limit = if aside { 0 } else { self.rules.queue };
+        while self.queue.len() > limit {
             let wait = retry_after(self.wait(now, u8::MAX));
             let Some(work) = self.queue.pop_last() else {
                 return;
             };
-            let cause = if newest == Some(work.arrival.ticket) {
+            let cause = if aside {
+                refusal::Cause::NoTarget
+            } else if newest == Some(work.arrival.ticket) {
                 refusal::Cause::QueueFull
             } else {
                 refusal::Cause::Displaced
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -14,6 +14,8 @@
     pub(super) arrival: cell::Arrival,
     /// When it came to wait.
     pub(super) since: clock::Millis,
+    /// When a slot would come too late for it.
+    pub(super) expiry: clock::Millis,
     /// Its place among all arrivals; a retried request keeps it.
     pub(super) place: u64,
     /// The tries that it had.
@@ -72,7 +74,7 @@
     pub(super) fn push(&mut self, work: Waiting) {
         let key = (work.arrival.tier, work.place);
         self.by_ticket.insert(work.arrival.ticket, key);
-        self.deadlines.insert((work.arrival.deadline, key));
+        self.deadlines.insert((work.expiry, key));
         self.since.insert((work.since, key));
         *self.tiers.entry(key.0).or_default() += 1;
         self.waiting.insert(key, work);
@@ -94,7 +96,7 @@
         self.take(key)
     }
 
-    /// Takes out one request whose deadline has come.
+    /// Takes out one request for which a slot would come too late.
     pub(super) fn pop_expired(&mut self, now: clock::Millis) -> Option<Waiting> {
         let (deadline, key) = *self.deadlines.first()?;
         if deadline > now {
@@ -103,7 +105,7 @@
         self.take(key)
     }
 
-    /// Returns the earliest deadline.
+    /// Returns when the next request is to be taken out so.
     pub(super) fn deadline(&self) -> clock::Millis {
         self.deadlines.first().map_or(clock::Millis::MAX, |d| d.0)
     }
@@ -117,7 +119,7 @@
         let work = self.waiting.remove(&key)?;
         self.by_ticket.remove(&work.arrival.ticket);
         self.since.remove(&(work.since, key));
-        self.deadlines.remove(&(work.arrival.deadline, key));
+        self.deadlines.remove(&(work.expiry, key));
         if let Some(count) = self.tiers.get_mut(&key.0) {
             *count -= 1;
         }
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -9,7 +9,7 @@
 /// The pause after a target shed a request or took no connection; it doubles with each one in a row.
 const FIRST_PAUSE: clock::Millis = clock::Millis(50);
 /// The doublings after which the pause no longer grows.
-const MOST_DOUBLINGS: u32 = 6;
+const MOST_DOUBLINGS: u32 = 3;
 /// Connections that break within this time are one crash of the target.
 const CRASH_SPAN: clock::Millis = clock::Millis(100);
 
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -8,6 +8,7 @@
 use crate::state::clock;
 use crate::state::ids;
 
+use super::queue;
 use super::{Cell, Phase, Running};
 
 /// A tick that comes later than this after it was due shows that the home itself was paused.
@@ -144,6 +145,15 @@
         }
     }
 
+    /// Refuses a request that waited until a slot would come too late for it.
+    fn expire(&self, now: clock::Millis, work: &queue::Waiting) -> cell::Action {
+        if work.arrival.deadline <= now {
+            return super::refuse(work, refusal::Cause::DeadlinePassed, None);
+        }
+        let wait = super::retry_after(self.wait(now, work.arrival.tier));
+        super::refuse(work, refusal::Cause::DeadlineTooShort, Some(wait))
+    }
+
     /// Frees, refuses and lapses what is over.
     pub(super) fn elapse(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
         while let Some(lingering) = self.lingering.first() {
@@ -155,10 +165,10 @@
                 target.busy -= 1;
             }
         }
-        let cause = refusal::Cause::DeadlinePassed;
         while let Some(work) = self.queue.pop_expired(now) {
-            actions.push(super::refuse(&work, cause, None));
+            actions.push(self.expire(now, &work));
         }
+        let cause = refusal::Cause::DeadlinePassed;
         while let Some((deadline, ticket)) = self.held.first().copied() {
             if deadline > now {
                 break;
--- a/src/coordination/trial.rs
+++ b/src/coordination/trial.rs
@@ -15,6 +15,11 @@
 const PASS_RATIO: f64 = 2.8;
 /// The log-likelihood ratio for health that each further doubling of the wait asks for on top.
 const MORE_PASS_RATIO: f64 = 1.4;
+/// The requests that other targets get before the first trial; they double with the wait, so that trials stay a small
+/// share of the requests of a quiet service.
+const FIRST_OTHERS: u32 = 2;
+/// The requests that other targets get while a due trial finds none before the target moves up untried.
+const UNTRIED_OTHERS: u32 = 16;
 /// The good time that takes one doubling back.
 const FORGIVE_SPAN: clock::Millis = clock::Millis(30_000);
 /// How long a due trial waits for an idempotent request before the target moves up untried.
@@ -33,6 +38,8 @@
     good_since: clock::Millis,
     next: clock::Millis,
     passed: f64,
+    others: u32,
+    needed: u32,
     running: bool,
 }
 
@@ -51,7 +58,12 @@
 
     /// Returns whether a trial may be granted.
     pub fn due(&self, now: clock::Millis) -> bool {
-        !self.running && self.next <= now
+        !self.running && self.next <= now && self.others >= self.needed
+    }
+
+    /// Counts a request that another target got.
+    pub fn pass_by(&mut self) {
+        self.others = self.others.saturating_add(1);
     }
 
     /// Notes that a trial was granted.
@@ -96,14 +108,24 @@
 
     /// Returns when the target moves up untried because no request fit for a trial came.
     pub fn untried(&self) -> clock::Millis {
+        if self.others < self.needed + UNTRIED_OTHERS {
+            return clock::Millis::MAX;
+        }
+        self.untried_alone()
+    }
+
+    /// Returns the same where no other target gets requests either.
+    pub fn untried_alone(&self) -> clock::Millis {
         let span = clock::Millis(UNTRIED_SPAN.0 << self.doublings.saturating_sub(1));
         self.next() + span.min(MOST_UNTRIED_SPAN)
     }
 
     fn wait(&mut self, now: clock::Millis) {
         let wait = clock::Millis(FIRST_WAIT.0 << self.doublings).min(LONGEST_WAIT);
-        self.doublings = (self.doublings + 1).min(MOST_DOUBLINGS);
         self.next = now + wait;
+        self.needed = FIRST_OTHERS << self.doublings;
+        self.doublings = (self.doublings + 1).min(MOST_DOUBLINGS);
+        self.others = 0;
         self.passed = 0.0;
     }
 
--- a/tests/testsuite/cell/retry.rs
+++ b/tests/testsuite/cell/retry.rs
@@ -24,6 +24,15 @@
     assert!(gave_up(&actions), "no target is left that was not tried");
 }
 
+#[test]
+fn a_failed_connection_after_a_lost_try_is_no_proof() {
+    let mut desk = Desk::new(&service(2, 1, 0));
+    let (_, actions) = desk.run(arrival(1), 5, Outcome::Broken);
+    assert!(granted(&actions).is_some());
+    let (_, refusal) = refused(&desk.done(1, Outcome::ConnectFailed)).unwrap();
+    assert_eq!(refusal.outcome, refusal::Outcome::Unknown);
+}
+
 #[test]
 fn a_body_that_cannot_be_sent_again_is_not_retried() {
     let mut desk = Desk::new(&service(2, 1, 0));
