lab: arrivals timed by a thread of their own; a fleet behind the relay

The runtime's timers are good to a millisecond, which would stand beside an added latency of about one. Settings get `advertise`, the address at which other daemons reach this one where it is not `peer`, so that the relay stands between daemons as processes.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -166,9 +166,8 @@
     }
 
     /// Tells what callers were told since `before`.
-    fn tally(&self, before: &load::Report) {
-        let now = self.trial.report().total;
-        let old = &before.total;
+    fn tally(&self, old: &load::Group) {
+        let now = self.totals();
         self.say(&format!(
             "    callers: {} sent, {} served, {} not run, {} unknown",
             now.sent - old.sent,
@@ -178,12 +177,16 @@
         ));
     }
 
+    fn totals(&self) -> load::Group {
+        self.trial.read(|r| r.total.clone())
+    }
+
     async fn calm(&self) {
         tokio::time::sleep(CALM).await;
     }
 
     async fn gray(&mut self) -> Result<(), fleet::Error> {
-        let before = self.trial.report();
+        let before = self.totals();
         self.say(&format!(
             "target {SICK} goes gray: it answers probes, and requests stall"
         ));
@@ -201,7 +204,7 @@
     }
 
     async fn kill(&mut self) -> Result<(), fleet::Error> {
-        let before = self.trial.report();
+        let before = self.totals();
         self.say(&format!("daemon {KILLED} is killed"));
         self.trial.fleet.kill(KILLED).await?;
         tokio::time::sleep(AWAY).await;
@@ -219,7 +222,7 @@
     }
 
     async fn freeze(&mut self) -> Result<(), fleet::Error> {
-        let before = self.trial.report();
+        let before = self.totals();
         self.say(&format!("daemon {FROZEN} is frozen where it stands"));
         self.trial.fleet.freeze(FROZEN)?;
         tokio::time::sleep(AWAY).await;
@@ -231,7 +234,7 @@
     }
 
     async fn roll_out(&mut self) -> Result<(), fleet::Error> {
-        let before = self.trial.report();
+        let before = self.totals();
         self.say(&format!("a bundle is rolled out: target {LEAVER} leaves"));
         let start = time::Instant::now();
         let version = self.trial.leave(LEAVER).await?;
@@ -249,7 +252,7 @@
     }
 
     async fn outage(&mut self) -> Result<(), fleet::Error> {
-        let before = self.trial.report();
+        let before = self.totals();
         self.say("the platform is away: table, object store and list of hosts");
         self.trial.fleet.platform.set(|o| o.down = true);
         tokio::time::sleep(OUTAGE).await;
@@ -260,7 +263,7 @@
     }
 
     async fn drain(&mut self) -> Result<(), fleet::Error> {
-        let before = self.trial.report();
+        let before = self.totals();
         self.say(&format!(
             "daemon {DRAINED} shuts down gracefully; the balancer still sends to it for {} ms",
             STALE.as_millis()
--- a/crates/lab/src/fleet/files.rs
+++ b/crates/lab/src/fleet/files.rs
@@ -24,6 +24,7 @@
     pub(crate) domain: String,
     pub(crate) listen: net::SocketAddr,
     pub(crate) peer: net::SocketAddr,
+    pub(crate) advertise: Option<net::SocketAddr>,
     pub(crate) admin: net::SocketAddr,
     pub(crate) platform: net::SocketAddr,
     pub(crate) seeds: BTreeMap<String, net::SocketAddr>,
@@ -68,6 +69,7 @@
             domain: place.domain.clone(),
             listen: place.listen,
             peer: place.peer,
+            advertise: place.advertise,
             admin: place.admin,
             platform: settings::Platform {
                 address: place.platform,
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::load;
 use crate::platform;
+use crate::relay;
 use crate::target;
 use crate::watch;
 
@@ -108,6 +109,7 @@
     domains: usize,
     services: Vec<sizes::Service>,
     platform: platform::Options,
+    relayed: bool,
     seed: u64,
 }
 
@@ -119,6 +121,7 @@
         domains: 1,
         services: vec![sizes::Service::new("fees", 4, 3)],
         platform: platform::Options::default(),
+        relayed: false,
         seed: 1,
     }
 }
@@ -132,7 +135,7 @@
     pub domain: String,
     /// Its address for callers.
     pub listen: net::SocketAddr,
-    /// Its address for peers.
+    /// The address at which peers reach it.
     pub peer: net::SocketAddr,
     /// Its address for operators.
     pub admin: net::SocketAddr,
@@ -155,6 +158,8 @@
     pub services: Vec<sizes::Service>,
     /// The bundle that was rolled out last.
     pub bundle: bundle::Bundle,
+    /// The relay between the daemons, where there is one.
+    pub relay: Option<relay::Relay>,
     place: net::SocketAddr,
     operator: Operator,
     files: files::Files,
@@ -184,6 +189,14 @@
         Builder { platform, ..self }
     }
 
+    /// Puts a relay between the daemons, which can cut the ways between them.
+    pub fn relayed(self) -> Builder {
+        Builder {
+            relayed: true,
+            ..self
+        }
+    }
+
     /// Sets the seed of service times.
     pub fn seed(self, seed: u64) -> Builder {
         Builder { seed, ..self }
@@ -210,12 +223,14 @@
             targets,
             daemons: BTreeMap::new(),
             services: self.services.clone(),
+            relay: self.relayed.then(relay::Relay::default),
             place,
             operator,
             files,
         };
         for i in 0..self.daemons {
-            fleet.add(&format!("d{i:03}"), &domain(i % self.domains), address)?;
+            let name = format!("d{i:03}");
+            fleet.add(&name, &domain(i % self.domains), address).await?;
         }
         fleet.list_hosts();
         let first = fleet.bundle.clone();
@@ -340,11 +355,17 @@
 }
 
 impl Fleet {
-    fn add(&mut self, name: &str, domain: &str, address: net::IpAddr) -> Result<(), Error> {
+    async fn add(&mut self, name: &str, domain: &str, address: net::IpAddr) -> Result<(), Error> {
+        let peer = free_udp(address).context(PortSnafu)?;
+        let advertise = match &mut self.relay {
+            Some(relay) => Some(relay.open(name, peer).await.context(PortSnafu)?),
+            None => None,
+        };
         let place = files::Place {
             domain: domain.to_owned(),
             listen: free_tcp(address).context(PortSnafu)?,
-            peer: free_udp(address).context(PortSnafu)?,
+            peer,
+            advertise,
             admin: free_tcp(address).context(PortSnafu)?,
             platform: self.place,
             seeds: self.seeds(),
@@ -355,7 +376,7 @@
             name: name.to_owned(),
             domain: place.domain,
             listen: place.listen,
-            peer: place.peer,
+            peer: advertise.unwrap_or(peer),
             admin: place.admin,
             settings,
             process: None,
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -7,10 +7,14 @@
 use std::collections::BTreeMap;
 use std::net;
 use std::sync;
+use std::sync::atomic;
+use std::thread;
 use std::time;
 
 use peridotspread::state::clock;
-use tokio::task::JoinSet;
+use tokio::runtime;
+use tokio::sync::mpsc;
+use tokio::task;
 
 mod client;
 mod entries;
@@ -19,7 +23,7 @@
 
 pub use client::Proto;
 pub use entries::Entries;
-pub use report::{Attempt, Report, Result, Verdict};
+pub use report::{Attempt, Group, Report, Result, Verdict};
 
 use crate::rng;
 
@@ -116,15 +120,23 @@
 /// A running load.
 #[derive(Debug)]
 pub struct Load {
-    stop: tokio::sync::watch::Sender<bool>,
-    task: tokio::task::JoinHandle<()>,
+    stop: sync::Arc<atomic::AtomicBool>,
+    arrivals: thread::JoinHandle<()>,
+    finished: mpsc::Receiver<()>,
     report: sync::Arc<sync::Mutex<Report>>,
 }
 
 /// Starts a load on `entries`; times are read from `clock`.
+///
+/// Arrivals are timed by a thread of their own, because the runtime's timers are only good to a millisecond.
+///
+/// # Panics
+///
+/// Panics if called outside a runtime.
 pub fn start(plan: &Plan, entries: sync::Arc<Entries>, clock: clock::Clock) -> Load {
-    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let stop = sync::Arc::new(atomic::AtomicBool::default());
     let report = sync::Arc::new(sync::Mutex::new(Report::default()));
+    let (running, finished) = mpsc::channel(1);
     let sender = sync::Arc::new(send::Sender {
         clients: client::Clients::new(plan.proto),
         entries,
@@ -132,8 +144,19 @@
         report: report.clone(),
         resends: plan.resends,
     });
-    let task = tokio::spawn(arrive(plan.clone(), sender, stopped));
-    Load { stop, task, report }
+    let arrivals = Arrivals {
+        plan: plan.clone(),
+        sender,
+        runtime: runtime::Handle::current(),
+        stop: stop.clone(),
+        running,
+    };
+    Load {
+        stop,
+        arrivals: thread::spawn(move || arrivals.send_all()),
+        finished,
+        report,
+    }
 }
 
 impl Load {
@@ -142,49 +165,57 @@
     /// # Panics
     ///
     /// Panics if a task of the load panicked.
-    pub async fn stop(self) -> Report {
-        self.stop.send_replace(true);
-        self.task.await.expect("no task of the load panicked");
+    pub async fn stop(mut self) -> Report {
+        self.stop.store(true, atomic::Ordering::Relaxed);
+        let joined = task::spawn_blocking(|| self.arrivals.join()).await;
+        joined
+            .expect("the runtime runs")
+            .expect("no task of the load panicked");
+        // The channel ends with the last request in flight.
+        let finish = self.finished.recv();
+        if tokio::time::timeout(LINGER, finish).await.is_err() {
+            log::warn!("requests are still in flight {LINGER:?} after the last arrival");
+        }
         let report = self.report.lock().expect("no task of the load panicked");
         report.clone()
     }
 
-    /// Copies the report as it stands.
+    /// Reads the report as it stands.
     ///
     /// # Panics
     ///
     /// Panics if a task of the load panicked.
-    pub fn report(&self) -> Report {
-        let report = self.report.lock().expect("no task of the load panicked");
-        report.clone()
+    pub fn read<T>(&self, read: impl FnOnce(&Report) -> T) -> T {
+        read(&self.report.lock().expect("no task of the load panicked"))
     }
 }
 
-/// Sends each request at its time until told to stop, then lets those in flight finish.
-async fn arrive(
+/// Sends each request at its time.
+struct Arrivals {
     plan: Plan,
     sender: sync::Arc<send::Sender>,
-    mut stopped: tokio::sync::watch::Receiver<bool>,
-) {
-    let mut rng = rng::Rng::new(plan.seed);
-    let mut running = JoinSet::new();
-    let mut due = tokio::time::Instant::now();
-    let mut count = 0u64;
-    while !*stopped.borrow_and_update() {
-        due += time::Duration::from_secs_f64(rng.exponential(1.0 / plan.rate));
-        tokio::select! {
-            () = tokio::time::sleep_until(due) => {}
-            _ = stopped.changed() => break,
+    runtime: runtime::Handle,
+    stop: sync::Arc<atomic::AtomicBool>,
+    running: mpsc::Sender<()>,
+}
+
+impl Arrivals {
+    fn send_all(self) {
+        let mut rng = rng::Rng::new(self.plan.seed);
+        let mut due = time::Instant::now();
+        for count in 0.. {
+            due += time::Duration::from_secs_f64(rng.exponential(1.0 / self.plan.rate));
+            thread::sleep(due.saturating_duration_since(time::Instant::now()));
+            if self.stop.load(atomic::Ordering::Relaxed) {
+                return;
+            }
+            let request = draw(&self.plan, &mut rng, count);
+            let (sender, running) = (self.sender.clone(), self.running.clone());
+            self.runtime.spawn(async move {
+                sender.carry(&request, due).await;
+                drop(running);
+            });
         }
-        let request = draw(&plan, &mut rng, count);
-        count += 1;
-        let sender = sender.clone();
-        running.spawn(async move { sender.carry(&request, due.into_std()).await });
-        while running.try_join_next().is_some() {}
-    }
-    let finish = async { while running.join_next().await.is_some() {} };
-    if tokio::time::timeout(LINGER, finish).await.is_err() {
-        log::warn!("requests are still in flight {LINGER:?} after the last arrival");
     }
 }
 
--- a/crates/lab/src/peers.rs
+++ b/crates/lab/src/peers.rs
@@ -107,6 +107,7 @@
             domain: "lahore-1".to_owned(),
             listen: free(),
             peer: free(),
+            advertise: None,
             admin: free(),
             platform: free(),
             seeds: BTreeMap::new(),
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -73,9 +73,9 @@
         }
     }
 
-    /// Copies what callers were told so far.
-    pub fn report(&self) -> load::Report {
-        self.load.report()
+    /// Reads what callers were told so far.
+    pub fn read<T>(&self, read: impl FnOnce(&load::Report) -> T) -> T {
+        self.load.read(read)
     }
 
     /// Copies what was seen of ejections so far.
@@ -120,8 +120,8 @@
         more: u64,
     ) -> Result<(), fleet::Error> {
         let start = time::Instant::now();
-        let from = read(&self.load.report());
-        while read(&self.load.report()) < from + more {
+        let from = self.load.read(&read);
+        while self.load.read(&read) < from + more {
             if start.elapsed() > PATIENCE {
                 return Err(fleet::Error::Late {
                     what: what.to_owned(),
--- a/crates/lab/tests/testsuite/standins.rs
+++ b/crates/lab/tests/testsuite/standins.rs
@@ -37,7 +37,7 @@
         name: "direct".to_owned(),
     };
     let load = load::start(&plan, entries, clock);
-    while load.report().attempts.len() < 60 {
+    while load.read(|r| r.attempts.len()) < 60 {
         tokio::time::sleep(std::time::Duration::from_millis(10)).await;
     }
     let report = load.stop().await;
--- a/src/daemon/bootstrap.rs
+++ b/src/daemon/bootstrap.rs
@@ -56,7 +56,7 @@
     incarnation: ids::Incarnation,
 ) -> tasks::watch::Receiver<sync::Arc<member::View>> {
     let own = member::Member {
-        peer: settings.peer,
+        peer: settings.reachable(),
         domain: settings.domain.clone(),
         incarnation,
         liveness: member::Liveness::Alive,
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -23,6 +23,9 @@
     pub listen: net::SocketAddr,
     /// The address for other daemons, QUIC.
     pub peer: net::SocketAddr,
+    /// The address at which other daemons reach this one, where it is not `peer`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<net::SocketAddr>,
     /// The address for operators, HTTP.
     pub admin: net::SocketAddr,
     /// Where the platform answers.
@@ -107,6 +110,13 @@
     }
 }
 
+impl Settings {
+    /// Returns the address at which other daemons reach this one.
+    pub fn reachable(&self) -> net::SocketAddr {
+        self.advertise.unwrap_or(self.peer)
+    }
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
@@ -143,7 +153,17 @@
 
 fn check_root(root: reader::Table<'_>) {
     root.known(&[
-        "name", "domain", "listen", "peer", "admin", "platform", "keys", "limits", "log", "seeds",
+        "name",
+        "domain",
+        "listen",
+        "peer",
+        "advertise",
+        "admin",
+        "platform",
+        "keys",
+        "limits",
+        "log",
+        "seeds",
     ]);
     for key in ["name", "domain"] {
         if let Some(value) = root.required(key) {
@@ -156,6 +176,9 @@
     if let Some(peer) = root.required("peer") {
         check_reachable(peer);
     }
+    if let Some(advertise) = root.optional("advertise") {
+        check_reachable(advertise);
+    }
     if let Some(platform) = root.required("platform").and_then(|p| p.table()) {
         check_platform(platform);
     }
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -39,6 +39,7 @@
             domain: "lahore-1".to_owned(),
             listen: free,
             peer: free,
+            advertise: None,
             admin: free,
             platform: settings::Platform {
                 address: free,
