--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -3,6 +3,9 @@
 use gumdrop::Options;
 
 mod demo;
+mod fleet;
+mod latency;
+mod slopes;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -15,6 +18,12 @@
 pub(crate) enum Command {
     #[options(help = "show a fleet under load going through one fault after the other")]
     Demo(demo::Args),
+    #[options(help = "measure what a whole fleet costs and how fast it acts")]
+    Fleet(fleet::Args),
+    #[options(help = "measure what the fleet adds to a request's time")]
+    Latency(latency::Args),
+    #[options(help = "measure how the bundle's costs grow")]
+    Slopes(slopes::Args),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -26,6 +35,9 @@
         .build()?;
     match command {
         Command::Demo(args) => runtime.block_on(demo::exec(args)),
+        Command::Fleet(args) => runtime.block_on(fleet::exec(args)),
+        Command::Latency(args) => runtime.block_on(latency::exec(args)),
+        Command::Slopes(args) => runtime.block_on(slopes::exec(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -215,7 +215,7 @@
         let back = self.trial.fleet.settled().await?;
         self.say(&format!(
             "daemon {KILLED} serves after {} ms",
-            back.as_millis()
+            back.last().as_millis()
         ));
         self.tally(&before);
         Ok(())
@@ -240,7 +240,7 @@
         let version = self.trial.leave(LEAVER).await?;
         let accepted = start.elapsed();
         let spread = self.trial.fleet.in_force(version).await?;
-        self.outcome.rollout_ms = clock::Millis::from(spread).0;
+        self.outcome.rollout_ms = clock::Millis::from(spread.last()).0;
         self.say(&format!(
             "bundle {} was accepted within {} ms and in force everywhere {} ms later",
             version,
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -107,6 +107,7 @@
     name: String,
     daemons: usize,
     domains: usize,
+    spread: Option<usize>,
     services: Vec<sizes::Service>,
     platform: platform::Options,
     relayed: bool,
@@ -119,6 +120,7 @@
         name: name.to_owned(),
         daemons: 3,
         domains: 1,
+        spread: None,
         services: vec![sizes::Service::new("fees", 4, 3)],
         platform: platform::Options::default(),
         relayed: false,
@@ -176,6 +178,14 @@
         Builder { domains, ..self }
     }
 
+    /// Puts targets only into the first of the failure domains, as many as given.
+    pub fn targets_in(self, domains: usize) -> Builder {
+        Builder {
+            spread: Some(domains),
+            ..self
+        }
+    }
+
     /// Sets the services.
     pub fn services(self, services: &[sizes::Service]) -> Builder {
         Builder {
@@ -289,7 +299,7 @@
             Some(bundle::Target {
                 address: targets.address(&name)?,
                 name,
-                domain: domain(i % self.domains),
+                domain: domain(i % self.spread.unwrap_or(self.domains)),
                 slots: service.slots,
                 connections: CONNECTIONS,
                 leaving: false,
@@ -543,6 +553,15 @@
         self.daemons.values().filter(|d| d.process.is_some())
     }
 
+    /// Sums what the system accounts to the daemons that run.
+    pub fn usage(&self) -> process::Usage {
+        let each = self.ids().into_iter().filter_map(process::usage);
+        each.fold(process::Usage::default(), |sum, one| process::Usage {
+            cpu_s: sum.cpu_s + one.cpu_s,
+            rss: sum.rss + one.rss,
+        })
+    }
+
     /// Returns the process ids of the daemons that run.
     pub fn ids(&self) -> Vec<u32> {
         let processes = self.daemons.values().filter_map(|d| d.process.as_ref());
@@ -576,7 +595,7 @@
     /// # Errors
     ///
     /// Returns an error if that does not come true in time.
-    pub async fn settled(&self) -> Result<time::Duration, Error> {
+    pub async fn settled(&self) -> Result<Spans, Error> {
         let alive: Vec<_> = self.running().map(|d| d.name.clone()).collect();
         let version = self.bundle.version;
         self.each("the fleet's coming up", |status| {
@@ -586,12 +605,12 @@
         .await
     }
 
-    /// Waits until each running daemon has `version` in force; returns how long the last took.
+    /// Waits until each running daemon has `version` in force; returns how long each took.
     ///
     /// # Errors
     ///
     /// Returns an error if that does not come true in time.
-    pub async fn in_force(&self, version: u64) -> Result<time::Duration, Error> {
+    pub async fn in_force(&self, version: u64) -> Result<Spans, Error> {
         self.each("the bundle's coming into force", |s| s.version >= version)
             .await
     }
@@ -601,7 +620,7 @@
     /// # Errors
     ///
     /// Returns an error if that does not come true in time.
-    pub async fn seen_as(&self, name: &str, liveness: &[&str]) -> Result<time::Duration, Error> {
+    pub async fn seen_as(&self, name: &str, liveness: &[&str]) -> Result<Spans, Error> {
         let what = format!("the sight of {name} as {liveness:?}");
         let others = self.running().filter(|d| d.name != name);
         self.those(others, &what, |status| {
@@ -617,7 +636,7 @@
         &self,
         what: &str,
         holds: impl Fn(&admin::Status) -> bool,
-    ) -> Result<time::Duration, Error> {
+    ) -> Result<Spans, Error> {
         self.those(self.running(), what, holds).await
     }
 
@@ -627,26 +646,40 @@
         daemons: impl Iterator<Item = &'a Daemon>,
         what: &str,
         holds: impl Fn(&admin::Status) -> bool,
-    ) -> Result<time::Duration, Error> {
+    ) -> Result<Spans, Error> {
         let start = time::Instant::now();
         let holds = &holds;
         let waits = daemons.map(|daemon| async move {
             loop {
                 let status = admin::status(daemon.admin, ADMIN_TOKEN).await;
                 if status.is_some_and(|s| holds(&s)) {
-                    return;
+                    return start.elapsed();
                 }
                 tokio::time::sleep(LOOK).await;
             }
         });
         let all = futures_util::future::join_all(waits);
         match tokio::time::timeout(PATIENCE, all).await {
-            Ok(_) => Ok(start.elapsed()),
+            Ok(list) => Ok(Spans { list }),
             Err(_) => LateSnafu { what }.fail(),
         }
     }
 }
 
+/// How long each daemon took until a condition held there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spans {
+    /// The spans, one a daemon.
+    pub list: Vec<time::Duration>,
+}
+
+impl Spans {
+    /// Returns how long the last daemon took.
+    pub fn last(&self) -> time::Duration {
+        self.list.iter().max().copied().unwrap_or_default()
+    }
+}
+
 /// Waits until `holds` returns true.
 ///
 /// # Errors
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -180,6 +180,17 @@
     }
 }
 
+/// Runs the lab itself with `arguments`, and returns what it printed; none where it failed.
+pub fn lab(arguments: &[&str]) -> Option<String> {
+    let program = std::env::current_exe().ok()?;
+    let output = process::Command::new(program)
+        .args(arguments)
+        .output()
+        .ok()?;
+    let text = String::from_utf8(output.stdout).ok()?;
+    output.status.success().then_some(text)
+}
+
 /// What the system accounts to one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod echo;
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod members;
 pub mod peers;
 pub mod platform;
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time;
 
@@ -29,6 +30,8 @@
     names: Mutex<BTreeMap<net::SocketAddr, String>>,
     /// The addresses that the daemons are bound to.
     bound: Mutex<BTreeMap<String, net::SocketAddr>>,
+    /// The bytes of all packets that came, without what UDP and IP add.
+    bytes: AtomicU64,
 }
 
 /// The way from one daemon to another.
@@ -100,6 +103,11 @@
         self.set(from, to, Fault::Delay(span));
     }
 
+    /// Counts the bytes that daemons sent to each other, without what UDP and IP add.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
     /// Mends all ways.
     ///
     /// # Panics
@@ -178,6 +186,7 @@
                 pair
             }
         };
+        shared.bytes.fetch_add(len as u64, Ordering::Relaxed);
         let fault = shared.fault(&pair.from, &name);
         let shared = shared.clone();
         pass(fault, packet[..len].to_vec(), move |bytes| async move {
@@ -196,6 +205,7 @@
         let Ok(len) = pair.back.recv(&mut packet).await else {
             continue;
         };
+        shared.bytes.fetch_add(len as u64, Ordering::Relaxed);
         let fault = shared.fault(&pair.name, &pair.from);
         let pair = pair.clone();
         pass(fault, packet[..len].to_vec(), move |bytes| async move {
