--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -108,7 +108,7 @@
         let bundle = bootstrap::follow_bundle(platform.clone(), recorder.clone());
         let members = member::spawn(member::Options {
             name: settings.name.clone(),
-            peer: settings.peer,
+            peer: settings.reachable(),
             domain: settings.domain.clone(),
             incarnation,
             seeds: seeds(settings),
