--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -221,7 +221,7 @@
         let address = loopback();
         let clock = clock::Clock::start();
         let files = files::Files::create(&self.name)?;
-        let operator = Operator::create(&files, "anna")?;
+        let operator = Operator::create(&files, "operator-1")?;
         let any = net::SocketAddr::new(address, 0);
         let (place, platform) = platform::serve(any, self.platform.clone()).await;
         let plans = self.plans(any);
--- a/crates/lab/src/fleet/rollout.rs
+++ b/crates/lab/src/fleet/rollout.rs
@@ -3,40 +3,48 @@
 use std::path;
 use std::time;
 
-use peridotspread::protocol::platform::{self, Platform};
-use peridotspread::state::{bundle, clock, settings};
+use peridotspread::ops::rollout;
+use peridotspread::protocol::peer;
+use peridotspread::state::{bundle, clock, operator, settings};
 use peridotspread::transport;
-use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
+use snafu::{OptionExt, ResultExt};
 
 use super::{Error, Fleet, RolloutSnafu, SettingsSnafu, files};
 
 /// How long one call to the platform may take.
 const CALL: clock::Millis = clock::Millis(1_000);
-/// The row that decides which bundle is in force.
-const ROW: &str = "bundle";
+/// How long a rollout goes on while the platform does not answer.
+const PATIENCE: clock::Millis = clock::Millis(10_000);
 
 /// An operator who may sign bundles.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Operator {
-    /// The operator's name.
-    pub name: String,
     /// The file of the public key, for the daemons' settings.
     pub public: path::PathBuf,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Row {
-    version: u64,
-    digest: String,
-    signer: String,
+    key: operator::Key,
 }
 
 impl Operator {
     pub(super) fn create(files: &files::Files, name: &str) -> Result<Operator, Error> {
-        Ok(Operator {
-            name: name.to_owned(),
-            public: files.write(&format!("{name}.pub.pem"), "")?,
+        let no_key = || RolloutSnafu {
+            reason: "an operator's key can't be made",
+        };
+        let pair = operator::generate().ok().with_context(no_key)?;
+        let key = operator::Key::from_pem(name, &pair.private).with_context(no_key)?;
+        let public = files.write(&format!("{name}.pub.pem"), &pair.public)?;
+        Ok(Operator { public, key })
+    }
+
+    /// Signs a bundle off.
+    pub(super) fn sign(&self, bundle: &bundle::Bundle) -> Result<peer::Signed, Error> {
+        let text = toml::to_string(bundle).context(SettingsSnafu)?;
+        let digest = operator::digest(&text);
+        Ok(peer::Signed {
+            version: bundle.version,
+            signer: self.key.name.clone(),
+            signature: self.key.sign(bundle.version, &digest),
+            digest,
+            text,
         })
     }
 }
@@ -49,34 +57,24 @@
     /// Returns an error if the platform does not accept the bundle.
     pub async fn roll_out(&mut self, bundle: &bundle::Bundle) -> Result<time::Duration, Error> {
         let start = time::Instant::now();
-        let text = toml::to_string(bundle).context(SettingsSnafu)?;
-        let digest = super::digest(&text);
+        let signed = self.operator.sign(bundle)?;
         let client = transport::platform::HttpPlatform::new(&settings::Platform {
             address: self.place,
             timeout_ms: CALL,
         });
-        let row = Row {
-            version: bundle.version,
-            digest: digest.clone(),
-            signer: self.operator.name.clone(),
-        };
-        let write = platform::Write {
-            key: ROW.to_owned(),
-            expect: platform::Expect::Any,
-            value: serde_json::to_string(&row).ok(),
+        let options = rollout::RolloutOptions {
+            platform: &client,
+            signed: &signed,
+            patience: PATIENCE,
         };
-        let reason = |e: platform::Error| {
-            RolloutSnafu {
-                reason: e.to_string(),
+        let reason = match rollout::rollout(&options).await {
+            Ok(rollout::Outcome::Accepted { .. } | rollout::Outcome::InForce { .. }) => {
+                self.bundle = bundle.clone();
+                return Ok(start.elapsed());
             }
-            .build()
+            Ok(other) => format!("{other:?}"),
+            Err(e) => e.to_string(),
         };
-        client
-            .store(&digest, text.as_bytes())
-            .await
-            .map_err(reason)?;
-        client.commit(&[write]).await.map_err(reason)?;
-        self.bundle = bundle.clone();
-        Ok(start.elapsed())
+        RolloutSnafu { reason }.fail()
     }
 }
--- a/crates/lab/tests/follower.rs
+++ b/crates/lab/tests/follower.rs
@@ -58,11 +58,11 @@
     async fn new(size: usize) -> Fleet {
         let pair = operator::generate().unwrap();
         let mut operators = operator::Operators::default();
-        operators.add_pem("anna", &pair.public).unwrap();
+        operators.add_pem("operator-1", &pair.public).unwrap();
         Fleet {
             platform: support::platform().await,
             wires: sync::Arc::default(),
-            key: operator::Key::from_pem("anna", &pair.private).unwrap(),
+            key: operator::Key::from_pem("operator-1", &pair.private).unwrap(),
             operators,
             names: (0..size).map(|n| format!("entry-{n}")).collect(),
         }
@@ -95,7 +95,7 @@
         let signed = peer::Signed {
             version,
             signature: self.key.sign(version, &digest),
-            signer: "anna".to_owned(),
+            signer: "operator-1".to_owned(),
             digest,
             text,
         };
--- a/crates/lab/tests/rollout.rs
+++ b/crates/lab/tests/rollout.rs
@@ -54,10 +54,10 @@
 #[tokio::test]
 async fn of_two_operators_at_the_same_moment_one_wins_and_the_other_is_told() {
     let (handle, client) = start().await;
-    roll(&client, &signed(1, "anna")).await;
+    roll(&client, &signed(1, "operator-1")).await;
     handle.set(|o| o.slow_ms = 30);
-    let (anna, omar) = (signed(2, "anna"), signed(3, "omar"));
-    let (a, b) = tokio::join!(roll(&client, &anna), roll(&client, &omar));
+    let (ours, theirs) = (signed(2, "operator-1"), signed(3, "operator-2"));
+    let (a, b) = tokio::join!(roll(&client, &ours), roll(&client, &theirs));
     let winner = in_force(&handle);
     let (won, beaten) = match (&a, &b) {
         (Outcome::Accepted { version, .. }, other) | (other, Outcome::Accepted { version, .. }) => {
@@ -74,7 +74,7 @@
     let (handle, client) = start().await;
     handle.set(|o| o.lose_next = 1);
     // The first write of a rollout that meets no earlier one is the transaction: stores are not lost on command.
-    let first = roll(&client, &signed(1, "anna")).await;
+    let first = roll(&client, &signed(1, "operator-1")).await;
     assert_eq!(
         first,
         Outcome::Accepted {
@@ -84,7 +84,7 @@
     );
     assert_eq!(handle.report().counters.lost, 1);
     handle.set(|o| o.drop_next = 1);
-    let second = roll(&client, &signed(2, "anna")).await;
+    let second = roll(&client, &signed(2, "operator-1")).await;
     assert_eq!(
         second,
         Outcome::Accepted {
@@ -100,12 +100,12 @@
 #[tokio::test]
 async fn a_version_never_falls_nor_is_used_twice() {
     let (handle, client) = start().await;
-    roll(&client, &signed(5, "anna")).await;
-    let same = roll(&client, &signed(5, "anna")).await;
+    roll(&client, &signed(5, "operator-1")).await;
+    let same = roll(&client, &signed(5, "operator-1")).await;
     assert_eq!(same, Outcome::InForce { version: 5 });
     let held = in_force(&handle);
     for version in [4, 5] {
-        let refused = roll(&client, &signed(version, "omar")).await;
+        let refused = roll(&client, &signed(version, "operator-2")).await;
         assert_eq!(refused, Outcome::NotNewer { held: held.clone() });
     }
     assert_eq!(in_force(&handle), held);
@@ -115,7 +115,7 @@
 async fn an_outage_is_an_error_before_the_write_and_unknown_after_it() {
     let (handle, client) = start().await;
     handle.set(|o| o.down = true);
-    let one = signed(1, "anna");
+    let one = signed(1, "operator-1");
     let options = ops::RolloutOptions {
         platform: &client,
         signed: &one,
--- a/crates/lab/tests/tool.rs
+++ b/crates/lab/tests/tool.rs
@@ -55,9 +55,12 @@
     let address = platform.address.to_string();
     dir.write("one.toml", BUNDLE);
     dir.write("two.toml", &BUNDLE.replace("version = 1", "version = 2"));
-    assert_eq!(dir.run(&["keys", "operator", "anna"]).0, 0);
+    assert_eq!(dir.run(&["keys", "operator", "operator-1"]).0, 0);
     assert_eq!(dir.run(&["check", "one.toml"]).0, 0);
-    assert_eq!(dir.run(&["sign", "one.toml", "--key", "anna.pem"]).0, 0);
+    assert_eq!(
+        dir.run(&["sign", "one.toml", "--key", "operator-1.pem"]).0,
+        0
+    );
     let (status, text) = dir.run(&["rollout", "one.toml", "--platform", &address, "--json"]);
     assert_eq!(status, 0, "{text}");
     assert!(text.contains(r#""outcome":"accepted""#), "{text}");
@@ -67,12 +70,12 @@
         "--platform",
         &address,
         "--key",
-        "anna.pem",
+        "operator-1.pem",
     ];
     assert_eq!(dir.run(&two).0, 0);
     let (status, text) = dir.run(&["rollout", "one.toml", "--platform", &address]);
     assert_eq!(status, 1, "{text}");
-    assert!(text.contains("version 2 by anna is in force"), "{text}");
+    assert!(text.contains("version 2 by ours is in force"), "{text}");
     dir.write("one.toml", &BUNDLE.replace("version = 1", "version = 3"));
     let (status, text) = dir.run(&["rollout", "one.toml", "--platform", &address]);
     assert_eq!(status, 66, "{text}");
@@ -83,7 +86,7 @@
         "--platform",
         &address,
         "--key",
-        "anna.pem",
+        "operator-1.pem",
         "--patience",
         "1",
     ];
--- a/src/coordination/adoption.rs
+++ b/src/coordination/adoption.rs
@@ -15,6 +15,7 @@
 
 use crate::coordination::homes;
 use crate::coordination::member;
+use crate::coordination::partners;
 use crate::protocol::peer;
 use crate::protocol::rollout;
 use crate::state::bundle;
@@ -41,12 +42,6 @@
 /// How long a call may stay without an answer before it counts as failed.
 const PATIENCE: clock::Millis = clock::Millis(10_000);
 
-/// The partners that follow in the ring.
-const SUCCESSORS: usize = 2;
-
-/// The partners besides those.
-const SHORTCUTS: usize = 3;
-
 /// The latest changes that are kept for peers.
 const KEPT_CHANGES: usize = 16;
 
@@ -302,7 +297,7 @@
         self.view = view;
         self.poller = self.ranks_as_poller();
         self.poll_due = cmp::min(self.poll_due, now + self.poll_span());
-        let partners = partners(&self.options.name, &self.view);
+        let partners = partners::of(&self.options.name, &self.view);
         let known: BTreeSet<_> = self.partners.iter().collect();
         let greeting = if self.version() == 0 {
             self.ask()
@@ -567,21 +562,3 @@
 fn hash_poller(name: &str) -> u64 {
     homes::hash(&["bundle-poller", name])
 }
-
-/// Returns the partners of the daemon called `own`: those that follow it in the ring, and those that hash nearest to it.
-fn partners(own: &str, view: &member::View) -> Vec<String> {
-    let members = view.members.iter();
-    let others: Vec<_> = members
-        .filter(|(name, m)| *name != own && m.liveness != member::Liveness::Leaving)
-        .map(|(name, _)| name.as_str())
-        .collect();
-    let place = |name: &str| homes::hash(&["bundle-ring", name]);
-    let origin = place(own);
-    let mut ring = others.clone();
-    ring.sort_by_cached_key(|name| place(name).wrapping_sub(origin));
-    ring.truncate(SUCCESSORS);
-    let mut near: Vec<_> = others.into_iter().filter(|n| !ring.contains(n)).collect();
-    near.sort_by_cached_key(|name| homes::hash(&["bundle-partner", own, name]));
-    near.truncate(SHORTCUTS);
-    ring.into_iter().chain(near).map(str::to_owned).collect()
-}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod judge;
 pub mod lease;
 pub mod member;
+pub mod partners;
 pub mod quarantine;
 mod random;
 pub mod retry;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -19,6 +19,7 @@
 use crate::daemon::exchange::Attempt;
 use crate::daemon::home;
 use crate::daemon::metrics;
+use crate::daemon::spread;
 use crate::protocol::refusal::{Cause, Refusal};
 use crate::protocol::{headers, peer, problem};
 use crate::state::{bundle, clock, ids, index, settings, timeline};
@@ -59,6 +60,8 @@
     pub links: sync::Arc<dyn Links>,
     /// The claims of keyed work.
     pub claims: sync::Arc<dyn Claims>,
+    /// The fingerprints in quarantine.
+    pub spreader: sync::Arc<spread::Spreader>,
     /// The daemon's metrics.
     pub metrics: sync::Arc<metrics::Metrics>,
 }
@@ -270,6 +273,9 @@
             key.as_deref(),
             &prefix.first,
         );
+        if let Some(left) = self.options.spreader.left(fingerprint) {
+            return Err(Refusal::not_run(Cause::Quarantined, Some(left)));
+        }
         let mut fields = headers::to_fields(&parts.headers);
         exchange::add_forwarding(&mut fields, from, host);
         let idempotent = is_idempotent(&parts.method, route);
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -1,18 +1,25 @@
-//! Streams to homes: over QUIC to other daemons, in memory to this daemon's own home.
+//! Streams to other daemons: requests to homes, in memory to this daemon's own, and notes.
 
 use std::net;
 use std::sync;
 
 use futures_util::future;
+use tokio::sync as tasks;
+use tokio::time;
 
+use crate::coordination::member;
 use crate::daemon::entry;
 use crate::daemon::home;
-use crate::protocol::peer;
+use crate::protocol::{frame, peer};
+use crate::state::clock;
 use crate::transport::quic;
 
 /// The bytes that wait between this daemon's entry and its own home.
 const LOCAL_BUFFER_BYTES: usize = 64 * 1024;
 
+/// How long a note and its reply may take.
+const NOTE_TIMEOUT: clock::Millis = clock::Millis(3_000);
+
 /// Opens streams to homes.
 pub struct PeerLinks {
     /// This daemon's name.
@@ -59,3 +66,49 @@
     let (recv, send) = tokio::io::split(near);
     (Box::new(recv), Box::new(send))
 }
+
+/// Sends notes to daemons of the view.
+pub struct PeerNotes {
+    /// The way to other daemons.
+    pub peers: quic::Peers,
+    /// The live daemons.
+    pub view: tasks::watch::Receiver<sync::Arc<member::View>>,
+}
+
+impl peer::NoteSender for PeerNotes {
+    fn send<'a>(
+        &'a self,
+        to: &'a str,
+        note: peer::Note,
+    ) -> future::BoxFuture<'a, Result<peer::Note, peer::NoReply>> {
+        Box::pin(async move {
+            let no_reply = |reason: String| peer::NoReply {
+                to: to.to_owned(),
+                reason,
+            };
+            let address = self.view.borrow().members.get(to).map(|m| m.peer);
+            let address = address.ok_or_else(|| no_reply("it is not in the fleet".to_owned()))?;
+            let exchange = self.exchange(to, address, &note);
+            match time::timeout(NOTE_TIMEOUT.span(), exchange).await {
+                Ok(reply) => reply.map_err(no_reply),
+                Err(_) => Err(no_reply(format!("no reply within {NOTE_TIMEOUT}"))),
+            }
+        })
+    }
+}
+
+impl PeerNotes {
+    async fn exchange(
+        &self,
+        to: &str,
+        address: net::SocketAddr,
+        note: &peer::Note,
+    ) -> Result<peer::Note, String> {
+        let opened = self.peers.open(to, address, peer::Purpose::Note).await;
+        let (mut send, mut recv) = opened.map_err(|e| e.to_string())?;
+        frame::send(&mut send, note)
+            .await
+            .map_err(|e| e.to_string())?;
+        frame::receive(&mut recv).await.map_err(|e| e.to_string())
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,7 +5,6 @@
 //! sends the request to the target and streams the answer back.
 
 pub mod admin;
-mod bootstrap;
 pub mod cell;
 pub mod claims;
 pub mod entry;
@@ -17,5 +16,7 @@
 pub mod member;
 pub mod metrics;
 mod node;
+pub mod notes;
+pub mod spread;
 
 pub use node::{Error, run, stop_signal};
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -8,13 +8,19 @@
 use tokio::{net as tcp, signal, sync as tasks, task, time};
 
 use crate::coordination::member as membership;
-use crate::daemon::{admin, bootstrap, cell, claims, entry, home, links, member, metrics};
+use crate::daemon::{
+    admin, claims, entry, follower, home, lease, links, member, metrics, notes, spread,
+};
 use crate::protocol::{peer, platform};
-use crate::state::{bundle, clock, ids, settings, timeline};
+use crate::state::{bundle, clock, ids, operator, settings, timeline};
 use crate::transport::{http, platform as client, pool, quic, tls};
 
 /// How long a leaving daemon goes on to take callers that the balancer still sends.
 const LINGER_SPAN: clock::Millis = clock::Millis(3_000);
+/// The time between two readings of the list of hosts.
+const HOSTS_SPAN: clock::Millis = clock::Millis(30_000);
+/// The time between two readings while no other daemon is known.
+const ALONE_SPAN: clock::Millis = clock::Millis(500);
 /// The time between two sweeps of idle connections to targets.
 const SWEEP_SPAN: clock::Millis = clock::Millis(5_000);
 
@@ -45,6 +51,20 @@
         /// What is wrong.
         source: tls::Error,
     },
+    /// The operators' keys can't be used.
+    #[snafu(display("can't use the operators' keys"))]
+    Operators {
+        /// What is wrong.
+        source: operator::Error,
+    },
+    /// An actor could not start.
+    #[snafu(display("can't start the {part}"))]
+    Actor {
+        /// What it carries.
+        part: &'static str,
+        /// What the actor's library said.
+        source: ractor::SpawnErr,
+    },
     /// The membership could not start.
     #[snafu(display("can't start the membership"))]
     Member {
@@ -92,6 +112,8 @@
     async fn start(settings: &settings::Settings) -> Result<Node, Error> {
         let public = listen(settings.listen, "callers").await?;
         let operators = listen(settings.admin, "operators").await?;
+        let signers =
+            operator::Operators::load(&settings.keys.operators).context(OperatorsSnafu)?;
         let tls = tls::server(&settings.keys).context(TlsSnafu)?;
         let (peers, incoming) = quic::Peers::bind(settings).context(PeersSnafu)?;
         let metrics = sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?);
@@ -105,7 +127,6 @@
         );
         let platform: sync::Arc<dyn platform::Platform> =
             sync::Arc::new(client::HttpPlatform::new(&settings.platform));
-        let bundle = bootstrap::follow_bundle(platform.clone(), recorder.clone());
         let members = member::spawn(member::Options {
             name: settings.name.clone(),
             peer: settings.reachable(),
@@ -119,6 +140,46 @@
         .await
         .context(MemberSnafu)?;
         let view = members.view();
+        let sender: sync::Arc<dyn peer::NoteSender> = sync::Arc::new(links::PeerNotes {
+            peers: peers.clone(),
+            view: view.clone(),
+        });
+        let follower = follower::spawn(follower::Options {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            clock,
+            platform: platform.clone(),
+            members: view.clone(),
+            operators: signers,
+            recorder: recorder.clone(),
+            sender: sender.clone(),
+        })
+        .await
+        .context(ActorSnafu {
+            part: "follower of the bundle",
+        })?;
+        let bundle = follower.bundle();
+        let claims = claims::spawn(claims::Options {
+            name: settings.name.clone(),
+            clock,
+            platform: platform.clone(),
+            members: view.clone(),
+            recorder: recorder.clone(),
+        })
+        .await
+        .context(ActorSnafu { part: "claims" })?;
+        let leases = lease::Leases::new(lease::Options {
+            name: settings.name.clone(),
+            clock,
+            platform: platform.clone(),
+        });
+        let spreader = spread::Spreader::new(spread::Options {
+            name: settings.name.clone(),
+            clock,
+            view: view.clone(),
+            sender,
+            recorder: recorder.clone(),
+        });
         let home = sync::Arc::new(home::Home::new(home::Options {
             name: settings.name.clone(),
             clock,
@@ -126,9 +187,10 @@
             bundle: bundle.clone(),
             view: view.clone(),
             pool: pool::Pool::new(clock, settings.limits.head_bytes),
-            budget: sync::Arc::new(NoBudget),
-            spread: sync::Arc::new(NoSpread),
+            budget: sync::Arc::new(leases),
+            spread: spreader.clone(),
         }));
+        spreader.attach(&home);
         let links = links::PeerLinks {
             name: settings.name.clone(),
             peers: peers.clone(),
@@ -141,7 +203,8 @@
             bundle: bundle.clone(),
             view: view.clone(),
             links: sync::Arc::new(links),
-            claims: sync::Arc::new(NoClaims),
+            claims: sync::Arc::new(claims),
+            spreader: spreader.clone(),
             metrics: metrics.clone(),
         }));
         let (draining_sender, draining) = tasks::watch::channel(false);
@@ -157,10 +220,11 @@
             recorder: recorder.clone(),
             draining: draining_sender,
         });
+        let notes = sync::Arc::new(notes::Notes { spreader, follower });
         let tasks = vec![
-            tokio::spawn(accept_peers(incoming, home.clone(), members.clone())),
+            tokio::spawn(accept_peers(incoming, home.clone(), members.clone(), notes)),
             tokio::spawn(pass_on_bundles(bundle, home.clone(), members.clone())),
-            tokio::spawn(bootstrap::follow_hosts(platform, members.clone())),
+            tokio::spawn(follow_hosts(platform, members.clone())),
             tokio::spawn(pass_on_views(view, home.clone())),
             tokio::spawn(sweep(home.clone())),
         ];
@@ -248,6 +312,7 @@
     mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
     home: sync::Arc<home::Home>,
     members: member::Handle,
+    notes: sync::Arc<notes::Notes>,
 ) {
     while let Some(item) = incoming.recv().await {
         match item {
@@ -265,7 +330,19 @@
                 });
             }
             quic::Incoming::Datagram { from, bytes } => members.deliver(from, bytes),
-            quic::Incoming::Stream { .. } => {}
+            quic::Incoming::Stream {
+                from,
+                purpose: peer::Purpose::Note,
+                send,
+                recv,
+            } => {
+                let notes = notes.clone();
+                tokio::spawn(async move {
+                    if let Err(e) = notes.serve(&from, recv, send).await {
+                        log::debug!("a note of {from} was not answered: {e}");
+                    }
+                });
+            }
         }
     }
 }
@@ -303,52 +380,24 @@
         .collect()
 }
 
-async fn sweep(home: sync::Arc<home::Home>) {
+/// Tells the membership of the platform's hosts, often while it knows of no others and rarely after that.
+async fn follow_hosts(platform: sync::Arc<dyn platform::Platform>, members: member::Handle) {
     loop {
-        time::sleep(SWEEP_SPAN.span()).await;
-        home.sweep();
-    }
-}
-
-struct NoBudget;
-
-impl cell::Budget for NoBudget {
-    fn ask<'a>(
-        &'a self,
-        _service: &'a bundle::Service,
-        _target: &'a str,
-    ) -> future::BoxFuture<'a, Option<clock::Millis>> {
-        Box::pin(async { None })
-    }
-
-    fn end<'a>(
-        &'a self,
-        _service: &'a bundle::Service,
-        _target: &'a str,
-    ) -> future::BoxFuture<'a, ()> {
-        Box::pin(async {})
+        match platform.hosts().await {
+            Ok(hosts) => members.add_seeds(&hosts),
+            Err(e) => log::warn!("the list of hosts can't be read: {e}"),
+        }
+        let alone = members.view().borrow().members.len() <= 1;
+        let pause = if alone { ALONE_SPAN } else { HOSTS_SPAN };
+        time::sleep(pause.span()).await;
     }
 }
 
-struct NoSpread;
-
-impl cell::Spread for NoSpread {
-    fn quarantine(&self, _fingerprint: ids::Fingerprint, _span: clock::Millis) {}
-}
-
-struct NoClaims;
-
-impl claims::Claims for NoClaims {
-    fn claim<'a>(
-        &'a self,
-        _scope: &'a [&'a str; 2],
-        _key: &'a str,
-        _fingerprint: ids::Fingerprint,
-    ) -> future::BoxFuture<'a, claims::Claimed> {
-        Box::pin(async { claims::Claimed::Unavailable })
+async fn sweep(home: sync::Arc<home::Home>) {
+    loop {
+        time::sleep(SWEEP_SPAN.span()).await;
+        home.sweep();
     }
-
-    fn settle(&self, _token: claims::Token, _settled: claims::Settled) {}
 }
 
 /// Resolves when the process is told to stop by SIGTERM or SIGINT.
--- /dev/null
+++ b/src/daemon/notes.rs
@@ -0,0 +1,43 @@
+//! Answers notes from other daemons, each by the part of the daemon that it concerns.
+
+use std::sync;
+
+use crate::daemon::{follower, spread};
+use crate::protocol::{frame, peer};
+use crate::transport::quic;
+
+/// The parts of the daemon that notes concern.
+pub struct Notes {
+    /// The quarantine.
+    pub spreader: sync::Arc<spread::Spreader>,
+    /// The follower of the bundle.
+    pub follower: follower::Handle,
+}
+
+impl Notes {
+    /// Serves one note that the daemon called `from` sent on a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream breaks.
+    pub async fn serve(
+        &self,
+        from: &str,
+        mut recv: quic::RecvStream,
+        mut send: quic::SendStream,
+    ) -> Result<(), frame::Error> {
+        let note = frame::receive(&mut recv).await?;
+        let reply = self.answer(from, note).await;
+        frame::send(&mut send, &reply).await
+    }
+
+    async fn answer(&self, from: &str, note: peer::Note) -> peer::Note {
+        match note {
+            peer::Note::Quarantine { fingerprint, left } => {
+                self.spreader.learn(fingerprint, left);
+                peer::Note::Done
+            }
+            other => self.follower.note(from, other).await,
+        }
+    }
+}
--- a/src/state/operator.rs
+++ b/src/state/operator.rs
@@ -1,7 +1,7 @@
 //! Operators' keys: a bundle comes into force only with the signature of one of them.
 //!
-//! An operator is called by the name of the key's file up to its first dot: `anna.pem` holds the private key of `anna`,
-//! `anna.pub.pem` the public one.
+//! An operator is called by the name of the key's file up to its first dot: `operator-1.pem` holds the private key of `operator-1`,
+//! `operator-1.pub.pem` the public one.
 
 use std::collections::BTreeMap;
 use std::fs;
--- a/tests/testsuite/adoption.rs
+++ b/tests/testsuite/adoption.rs
@@ -140,7 +140,7 @@
 
 #[test]
 fn a_push_reaches_all_daemons_at_a_constant_cost() {
-    let signer = bundles::signer("anna");
+    let signer = bundles::signer("operator-1");
     let mut fleet = Fleet::new(FLEET, &signer);
     fleet.push("entry-0", &signer.sign(&bundles::fees(3)));
     assert_eq!(fleet.at(1), FLEET);
@@ -155,7 +155,7 @@
 
 #[test]
 fn a_push_reaches_all_the_living_once_a_tenth_of_the_fleet_is_known_to_be_dead() {
-    let signer = bundles::signer("anna");
+    let signer = bundles::signer("operator-1");
     let mut fleet = Fleet::new(FLEET, &signer);
     fleet.dead = (0..46).map(|n| format!("entry-{}", n * 10 + 1)).collect();
     fleet.push("entry-0", &signer.sign(&bundles::fees(3)));
@@ -166,7 +166,7 @@
 
 #[test]
 fn a_daemon_that_starts_while_the_platform_is_down_takes_the_highest_version_of_its_peers() {
-    let signer = bundles::signer("anna");
+    let signer = bundles::signer("operator-1");
     let mut fleet = Fleet::new(12, &signer);
     fleet.dead = vec!["entry-5".to_owned()];
     for version in 1..=3 {
@@ -183,7 +183,7 @@
 
 #[test]
 fn three_daemons_of_each_failure_domain_poll_the_row() {
-    let signer = bundles::signer("anna");
+    let signer = bundles::signer("operator-1");
     let fleet = Fleet::new(140, &signer);
     let pollers = fleet.daemons.values().filter(|d| d.is_poller()).count();
     assert_eq!(pollers, 7 * 3);
@@ -192,7 +192,7 @@
 
 #[test]
 fn the_row_brings_a_change_and_falls_back_to_the_whole_text() {
-    let signer = bundles::signer("anna");
+    let signer = bundles::signer("operator-1");
     let mut daemon = adoption("entry-1", "lahore-1", &signer);
     let first = signer.sign(&bundles::fees(3));
     daemon.answer("entry-2", peer::Note::Bundle(Box::new(first)));
@@ -264,7 +264,7 @@
 
     #[test]
     fn versions_only_rise_and_nothing_unsigned_is_adopted(steps in prop::collection::vec(step(), 1..40)) {
-        let signer = bundles::signer("anna");
+        let signer = bundles::signer("operator-1");
         let text = |version| signer.sign(&bundles::fees(3).version(version));
         let mut daemon = adoption("entry-1", "lahore-1", &signer);
         let mut last = 0;
--- a/tests/testsuite/bundle.rs
+++ b/tests/testsuite/bundle.rs
@@ -61,19 +61,35 @@
 fn a_signature_counts_for_its_operator_version_and_digest_alone() {
     let pair = operator::generate().unwrap();
     let other = operator::generate().unwrap();
-    let key = operator::Key::from_pem("anna", &pair.private).unwrap();
+    let key = operator::Key::from_pem("operator-1", &pair.private).unwrap();
     let mut operators = operator::Operators::default();
-    operators.add_pem("anna", &pair.public).unwrap();
-    operators.add_pem("omar", &other.public).unwrap();
+    operators.add_pem("operator-1", &pair.public).unwrap();
+    operators.add_pem("operator-2", &other.public).unwrap();
     let digest = operator::digest("text");
     let signature = key.sign(3, &digest);
-    assert!(operators.verify("anna", 3, &digest, &signature).is_ok());
-    assert!(operators.verify("omar", 3, &digest, &signature).is_err());
+    assert!(
+        operators
+            .verify("operator-1", 3, &digest, &signature)
+            .is_ok()
+    );
+    assert!(
+        operators
+            .verify("operator-2", 3, &digest, &signature)
+            .is_err()
+    );
     assert!(operators.verify("nobody", 3, &digest, &signature).is_err());
-    assert!(operators.verify("anna", 4, &digest, &signature).is_err());
+    assert!(
+        operators
+            .verify("operator-1", 4, &digest, &signature)
+            .is_err()
+    );
     let another = operator::digest("texts");
-    assert!(operators.verify("anna", 3, &another, &signature).is_err());
-    assert!(operators.verify("anna", 3, &digest, "00").is_err());
+    assert!(
+        operators
+            .verify("operator-1", 3, &another, &signature)
+            .is_err()
+    );
+    assert!(operators.verify("operator-1", 3, &digest, "00").is_err());
 }
 
 #[test]
