daemon: a request that may have run is never refused as not run

Idempotent work that broke at one target, and could not connect to the next, was refused as not run, by the outcome of its last try alone; and so was work that one home may have run before it fell silent, once another home refused it. Both now keep why the earlier try was lost, and the refusal becomes unknown.

--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -11,6 +11,13 @@
 use super::{Cell, Rules};
 
 impl Cell {
+    /// Returns the names of the targets that the cell ejects.
+    pub fn ejections(&self) -> impl Iterator<Item = &str> {
+        let ejected = self.targets.iter();
+        let ejected = ejected.filter(|(_, t)| t.ejection.is_ejected());
+        ejected.map(|(name, _)| name.as_str())
+    }
+
     /// Adopts the service's rules and targets.
     ///
     /// A target that is leaving, or is listed no more, gets no new work; it is forgotten once nothing runs there.
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -179,6 +179,8 @@
         let service = rules.index.service(&rules.bundle, &call.head.cell.service);
         let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         let mut tried = Vec::new();
+        // Why it is not proven that idempotent work did not run at a home tried before.
+        let mut lost = None;
         let mut last = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
             let Some(choice) = self.choose(service, &tried) else {
@@ -191,7 +193,7 @@
             match attempt {
                 Attempt::Answer { response, .. } => return Ok(response),
                 Attempt::Refused { refusal, .. } if !another_home_may_serve(refusal) => {
-                    return Err(refusal);
+                    return Err(refusal.despite(lost));
                 }
                 Attempt::Refused { refusal, .. } => {
                     refused = refusal.cause != Cause::Draining;
@@ -200,14 +202,17 @@
                 Attempt::Lost { started, .. } if started && call.head.two_steps() => {
                     return Err(Refusal::unknown(Cause::HomeLost));
                 }
-                Attempt::Lost { .. } => log::debug!("the home {} is lost", choice.home),
+                Attempt::Lost { started, .. } => {
+                    log::debug!("the home {} is lost", choice.home);
+                    lost = lost.or(started.then_some(Cause::HomeLost));
+                }
             }
             tried.push(homes::Tried { choice, refused });
             if self.options.clock.now() >= call.deadline {
-                return Err(Refusal::not_run(Cause::DeadlinePassed, None));
+                return Err(Refusal::not_run(Cause::DeadlinePassed, None).despite(lost));
             }
         }
-        Err(last)
+        Err(last.despite(lost))
     }
 
     /// Returns the bundle in force with its look-ups, which are prepared with the first request after an adoption.
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -226,6 +226,7 @@
             pieces: Some(inbound.pieces),
             go: Some(inbound.go),
             verdicts: receiver,
+            lost: None,
             notices: notices(),
         };
         tokio::select! {
@@ -376,6 +377,8 @@
     pieces: Option<tasks::mpsc::Receiver<body::Piece>>,
     go: Option<tasks::oneshot::Receiver<()>>,
     verdicts: tasks::mpsc::UnboundedReceiver<Verdict>,
+    /// Why it is not proven that earlier tries did not run.
+    lost: Option<refusal::Cause>,
     /// Falls due when the entry is to be told that the home is alive.
     notices: time::Interval,
 }
@@ -451,13 +454,19 @@
                             if outcome == Outcome::Answered {
                                 return self.pass_on(*answer).await;
                             }
+                            if outcome == Outcome::Failed {
+                                self.lost = Some(refusal::Cause::TargetBroke);
+                            }
                             last = Some(Last::Answer(answer));
                         }
                         Try::Failed { outcome, refusal } => {
                             self.held.done(outcome);
+                            if refusal.outcome == refusal::Outcome::Unknown {
+                                self.lost = Some(refusal.cause);
+                            }
                             last = Some(Last::Refusal(refusal));
                         }
-                        Try::Abandoned => {}
+                        Try::Abandoned => self.lost = Some(refusal::Cause::TargetTimeout),
                     }
                 }
                 // The verdict crossed with the end of its try.
@@ -583,6 +592,7 @@
     async fn refuse(mut self, refusal: refusal::Refusal) -> Result<(), frame::Error> {
         self.held.release();
         let summary = self.held.handle.summary();
+        let refusal = refusal.despite(self.lost);
         frame::send(
             &mut self.send,
             &peer::FromHome::Refused { refusal, summary },
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,4 +6,5 @@
 mod findings;
 mod homes;
 mod quic;
+mod refusal;
 mod support;
