--- a/crates/lab/src/replay/fleet/entry.rs
+++ b/crates/lab/src/replay/fleet/entry.rs
@@ -44,7 +44,8 @@
             None
         };
         let Some(choice) = choice else {
-            world.answer(request, world::Answer::Refused(refused));
+            let refusal = refused.despite(self.lost(request));
+            world.answer(request, world::Answer::Refused(refusal));
             return;
         };
         let cell = self.ids.iter().position(|c| *c == choice.cell);
@@ -62,11 +63,13 @@
             current: true,
             heard: now,
             refused: false,
+            silent: false,
             claiming: false,
             gone: wanted.idempotent,
             granted: None,
             running: None,
             last: None,
+            lost: None,
             over: false,
         });
         world.send(wanted.entry, daemon, Message::Head { send, peers });
@@ -175,9 +178,20 @@
             world::Answer::Refused(_) => {}
             world::Answer::Served | world::Answer::Failed => self.settle(world, request, true),
         }
+        let answer = match answer {
+            world::Answer::Refused(r) => world::Answer::Refused(r.despite(self.lost(request))),
+            _ => answer,
+        };
         world.answer(request, answer);
     }
 
+    /// Returns why it is not proven that a request did not run at a home that fell silent.
+    fn lost(&self, request: usize) -> Option<refusal::Cause> {
+        let mut offers = self.offers.get(&request).into_iter().flatten();
+        let silent = offers.any(|s| self.sends[*s].silent);
+        silent.then_some(refusal::Cause::HomeLost)
+    }
+
     /// Turns to another home if this one is silent; work in two steps is not offered again once it was allowed.
     pub(super) fn lose_patience(&mut self, world: &mut World, send: SendId) {
         let sending = &self.sends[send];
@@ -198,6 +212,7 @@
             &sending.choice.home,
             homes::Observation::Stalled,
         );
+        self.sends[send].silent = self.sends[send].gone;
         self.withdraw(world, send);
         let none = refusal::Refusal::not_run(refusal::Cause::NoHome, Some(fleet::RETRY_SOON));
         self.offer(world, request, none);
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -1,11 +1,12 @@
 //! The home's part of the fleet's policy: drives a cell as `peridotspread::daemon::home` does.
 
+use std::collections::BTreeSet;
+
 use peridotspread::coordination::cell;
 use peridotspread::protocol::peer;
 use peridotspread::protocol::refusal;
 use peridotspread::state::clock;
 use peridotspread::state::ids;
-use peridotspread::state::timeline;
 
 use crate::replay::fleet;
 use crate::replay::fleet::{Fleet, Home, Message, Place, Quarantined, SendId, World};
@@ -41,6 +42,7 @@
             home.armed = due;
             world.after(due - now, place.daemon, Message::Tick { place, at: due });
         }
+        note_ejections(world, place, home);
         for action in actions {
             self.carry_out(world, place, action);
         }
@@ -58,6 +60,7 @@
             place,
             Home {
                 cell,
+                ejected: BTreeSet::new(),
                 armed: clock::Millis::ZERO,
             },
         );
@@ -77,7 +80,7 @@
                     self.table.release(&target, place.daemon);
                 }
             }
-            cell::Action::Record { kind, target, .. } => record(world, place, kind, &target),
+            cell::Action::Record { .. } => {}
             cell::Action::Quarantine { fingerprint, span } => {
                 let until = world.now() + span;
                 for daemon in 0..self.judges.len() {
@@ -158,6 +161,15 @@
         let ticket = ids::Ticket(send as u64);
         self.sends[send].running = None;
         self.sends[send].last = Some(outcome);
+        match outcome {
+            cell::Outcome::Failed | cell::Outcome::Broken => {
+                self.sends[send].lost = Some(refusal::Cause::TargetBroke);
+            }
+            cell::Outcome::TimedOut => {
+                self.sends[send].lost = Some(refusal::Cause::TargetTimeout);
+            }
+            cell::Outcome::Answered | cell::Outcome::Shed | cell::Outcome::ConnectFailed => {}
+        }
         self.drive(world, place, cell::Event::Done { ticket, outcome });
         if outcome == cell::Outcome::Answered {
             self.drive(world, place, cell::Event::Release(ticket));
@@ -188,6 +200,7 @@
         if let Some(id) = self.sends[send].running.take() {
             self.tries.remove(&id);
             world.cancel(id);
+            self.sends[send].lost = Some(refusal::Cause::TargetTimeout);
         }
     }
 
@@ -212,6 +225,10 @@
             return;
         };
         let summary = home.cell.summary(world.now());
+        let answer = match answer {
+            world::Answer::Refused(r) => world::Answer::Refused(r.despite(self.sends[send].lost)),
+            _ => answer,
+        };
         self.tell(
             world,
             send,
@@ -282,15 +299,17 @@
     }
 }
 
-/// Notes in the world's account what a cell says of its target.
-fn record(world: &mut World, place: Place, kind: timeline::Kind, target: &str) {
-    let Some(target) = world.scene().target(target) else {
+/// Brings the world's account of a cell's ejections up to date.
+fn note_ejections(world: &mut World, place: Place, home: &mut Home) {
+    let now: BTreeSet<_> = home.cell.ejections().map(str::to_owned).collect();
+    if now == home.ejected {
         return;
-    };
-    match kind {
-        timeline::Kind::Ejected => world.mark_ejected(place.daemon, target, true),
-        timeline::Kind::Reinstated => world.mark_ejected(place.daemon, target, false),
-        _ => {}
+    }
+    let before = std::mem::replace(&mut home.ejected, now);
+    for name in before.union(&home.ejected) {
+        if let Some(target) = world.scene().target(name) {
+            world.mark_ejected(place.daemon, target, home.ejected.contains(name));
+        }
     }
 }
 
@@ -302,8 +321,8 @@
 fn final_answer(last: Option<cell::Outcome>) -> world::Answer {
     let refusal = match last {
         Some(cell::Outcome::Answered) => return world::Answer::Served,
-        Some(cell::Outcome::Failed) => return world::Answer::Failed,
-        Some(cell::Outcome::Shed | cell::Outcome::ConnectFailed) => {
+        Some(cell::Outcome::Failed | cell::Outcome::Shed) => return world::Answer::Failed,
+        Some(cell::Outcome::ConnectFailed) => {
             refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(fleet::RETRY_SOON))
         }
         Some(cell::Outcome::TimedOut) => refusal::Refusal::unknown(refusal::Cause::TargetTimeout),
--- a/crates/lab/src/replay/fleet/mod.rs
+++ b/crates/lab/src/replay/fleet/mod.rs
@@ -3,11 +3,12 @@
 //! Each home drives a [`cell::Cell`] as `peridotspread::daemon` does; what is faked here is only what lies between the
 //! decisions: messages, timers and the platform's table.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::homes;
 use peridotspread::protocol::peer;
+use peridotspread::protocol::refusal;
 use peridotspread::state::clock;
 use peridotspread::state::ids;
 
@@ -91,6 +92,8 @@
 #[derive(Debug)]
 struct Home {
     cell: cell::Cell,
+    /// The targets that the cell ejects.
+    ejected: BTreeSet<String>,
     armed: clock::Millis,
 }
 
@@ -113,6 +116,8 @@
     heard: clock::Millis,
     /// The home refused it for its whole cell.
     refused: bool,
+    /// The home fell silent after it was allowed to dispatch.
+    silent: bool,
     /// The entry waits for the platform's table.
     claiming: bool,
     /// The entry has allowed the dispatch.
@@ -122,6 +127,8 @@
     running: Option<target::TryId>,
     /// How the last try ended.
     last: Option<cell::Outcome>,
+    /// Why it is not proven that earlier tries did not run.
+    lost: Option<refusal::Cause>,
     /// The home has said its last word.
     over: bool,
 }
--- a/crates/lab/src/replay/fleet/table.rs
+++ b/crates/lab/src/replay/fleet/table.rs
@@ -5,6 +5,8 @@
 use peridotspread::state::bundle;
 use peridotspread::state::clock;
 
+use crate::replay::fleet;
+
 /// What is known of a claimed key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Claim {
@@ -45,7 +47,7 @@
         if !held && self.holds.len() >= budget {
             return false;
         }
-        let until = now + service.ejection.lease_ms;
+        let until = now + fleet::TABLE_LATENCY + service.ejection.lease_ms;
         self.holds.insert(target.to_owned(), Hold { daemon, until });
         true
     }
