--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -4,7 +4,11 @@
 
 mod curve;
 mod demo;
+mod fleet;
+mod latency;
+mod measure;
 mod policy;
+mod slopes;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -21,6 +25,16 @@
     Policy(policy::Args),
     #[options(help = "draw detection time against false ejections over thresholds")]
     Curve(curve::Args),
+    #[options(help = "measure the membership's cost and speed, tables only")]
+    Membership(measure::MembershipArgs),
+    #[options(help = "measure connections between daemons, on the loopback")]
+    Connections(measure::ConnectionsArgs),
+    #[options(help = "measure what a whole fleet costs and how fast it acts")]
+    Fleet(fleet::Args),
+    #[options(help = "measure what the fleet adds to a request's time")]
+    Latency(latency::Args),
+    #[options(help = "measure how the bundle's costs grow")]
+    Slopes(slopes::Args),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -34,6 +48,11 @@
         Command::Demo(args) => runtime.block_on(demo::exec(args)),
         Command::Policy(args) => policy::exec(args),
         Command::Curve(args) => curve::exec(args),
+        Command::Membership(args) => measure::membership(args),
+        Command::Connections(args) => runtime.block_on(measure::connections(args)),
+        Command::Fleet(args) => runtime.block_on(fleet::exec(args)),
+        Command::Latency(args) => runtime.block_on(latency::exec(args)),
+        Command::Slopes(args) => runtime.block_on(slopes::exec(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::load;
 use crate::platform;
+use crate::relay;
 use crate::target;
 use crate::watch;
 
@@ -106,8 +107,10 @@
     name: String,
     daemons: usize,
     domains: usize,
+    spread: Option<usize>,
     services: Vec<sizes::Service>,
     platform: platform::Options,
+    relayed: bool,
     seed: u64,
 }
 
@@ -117,8 +120,10 @@
         name: name.to_owned(),
         daemons: 3,
         domains: 1,
+        spread: None,
         services: vec![sizes::Service::new("fees", 4, 3)],
         platform: platform::Options::default(),
+        relayed: false,
         seed: 1,
     }
 }
@@ -132,7 +137,7 @@
     pub domain: String,
     /// Its address for callers.
     pub listen: net::SocketAddr,
-    /// Its address for peers.
+    /// The address at which peers reach it.
     pub peer: net::SocketAddr,
     /// Its address for operators.
     pub admin: net::SocketAddr,
@@ -155,6 +160,8 @@
     pub services: Vec<sizes::Service>,
     /// The bundle that was rolled out last.
     pub bundle: bundle::Bundle,
+    /// The relay between the daemons, where there is one.
+    pub relay: Option<relay::Relay>,
     place: net::SocketAddr,
     operator: Operator,
     files: files::Files,
@@ -171,6 +178,14 @@
         Builder { domains, ..self }
     }
 
+    /// Puts targets only into the first of the failure domains, as many as given.
+    pub fn targets_in(self, domains: usize) -> Builder {
+        Builder {
+            spread: Some(domains),
+            ..self
+        }
+    }
+
     /// Sets the services.
     pub fn services(self, services: &[sizes::Service]) -> Builder {
         Builder {
@@ -184,6 +199,14 @@
         Builder { platform, ..self }
     }
 
+    /// Puts a relay between the daemons, which can cut the ways between them.
+    pub fn relayed(self) -> Builder {
+        Builder {
+            relayed: true,
+            ..self
+        }
+    }
+
     /// Sets the seed of service times.
     pub fn seed(self, seed: u64) -> Builder {
         Builder { seed, ..self }
@@ -210,12 +233,14 @@
             targets,
             daemons: BTreeMap::new(),
             services: self.services.clone(),
+            relay: self.relayed.then(relay::Relay::default),
             place,
             operator,
             files,
         };
         for i in 0..self.daemons {
-            fleet.add(&format!("d{i:03}"), &domain(i % self.domains), address)?;
+            let name = format!("d{i:03}");
+            fleet.add(&name, &domain(i % self.domains), address).await?;
         }
         fleet.list_hosts();
         let first = fleet.bundle.clone();
@@ -274,7 +299,7 @@
             Some(bundle::Target {
                 address: targets.address(&name)?,
                 name,
-                domain: domain(i % self.domains),
+                domain: domain(i % self.spread.unwrap_or(self.domains)),
                 slots: service.slots,
                 connections: CONNECTIONS,
                 leaving: false,
@@ -340,11 +365,17 @@
 }
 
 impl Fleet {
-    fn add(&mut self, name: &str, domain: &str, address: net::IpAddr) -> Result<(), Error> {
+    async fn add(&mut self, name: &str, domain: &str, address: net::IpAddr) -> Result<(), Error> {
+        let peer = free_udp(address).context(PortSnafu)?;
+        let advertise = match &mut self.relay {
+            Some(relay) => Some(relay.open(name, peer).await.context(PortSnafu)?),
+            None => None,
+        };
         let place = files::Place {
             domain: domain.to_owned(),
             listen: free_tcp(address).context(PortSnafu)?,
-            peer: free_udp(address).context(PortSnafu)?,
+            peer,
+            advertise,
             admin: free_tcp(address).context(PortSnafu)?,
             platform: self.place,
             seeds: self.seeds(),
@@ -355,7 +386,7 @@
             name: name.to_owned(),
             domain: place.domain,
             listen: place.listen,
-            peer: place.peer,
+            peer: advertise.unwrap_or(peer),
             admin: place.admin,
             settings,
             process: None,
@@ -522,6 +553,15 @@
         self.daemons.values().filter(|d| d.process.is_some())
     }
 
+    /// Sums what the system accounts to the daemons that run.
+    pub fn usage(&self) -> process::Usage {
+        let each = self.ids().into_iter().filter_map(process::usage);
+        each.fold(process::Usage::default(), |sum, one| process::Usage {
+            cpu_s: sum.cpu_s + one.cpu_s,
+            rss: sum.rss + one.rss,
+        })
+    }
+
     /// Returns the process ids of the daemons that run.
     pub fn ids(&self) -> Vec<u32> {
         let processes = self.daemons.values().filter_map(|d| d.process.as_ref());
@@ -555,7 +595,7 @@
     /// # Errors
     ///
     /// Returns an error if that does not come true in time.
-    pub async fn settled(&self) -> Result<time::Duration, Error> {
+    pub async fn settled(&self) -> Result<Spans, Error> {
         let alive: Vec<_> = self.running().map(|d| d.name.clone()).collect();
         let version = self.bundle.version;
         self.each("the fleet's coming up", |status| {
@@ -565,12 +605,12 @@
         .await
     }
 
-    /// Waits until each running daemon has `version` in force; returns how long the last took.
+    /// Waits until each running daemon has `version` in force; returns how long each took.
     ///
     /// # Errors
     ///
     /// Returns an error if that does not come true in time.
-    pub async fn in_force(&self, version: u64) -> Result<time::Duration, Error> {
+    pub async fn in_force(&self, version: u64) -> Result<Spans, Error> {
         self.each("the bundle's coming into force", |s| s.version >= version)
             .await
     }
@@ -580,7 +620,7 @@
     /// # Errors
     ///
     /// Returns an error if that does not come true in time.
-    pub async fn seen_as(&self, name: &str, liveness: &[&str]) -> Result<time::Duration, Error> {
+    pub async fn seen_as(&self, name: &str, liveness: &[&str]) -> Result<Spans, Error> {
         let what = format!("the sight of {name} as {liveness:?}");
         let others = self.running().filter(|d| d.name != name);
         self.those(others, &what, |status| {
@@ -596,7 +636,7 @@
         &self,
         what: &str,
         holds: impl Fn(&admin::Status) -> bool,
-    ) -> Result<time::Duration, Error> {
+    ) -> Result<Spans, Error> {
         self.those(self.running(), what, holds).await
     }
 
@@ -606,26 +646,40 @@
         daemons: impl Iterator<Item = &'a Daemon>,
         what: &str,
         holds: impl Fn(&admin::Status) -> bool,
-    ) -> Result<time::Duration, Error> {
+    ) -> Result<Spans, Error> {
         let start = time::Instant::now();
         let holds = &holds;
         let waits = daemons.map(|daemon| async move {
             loop {
                 let status = admin::status(daemon.admin, ADMIN_TOKEN).await;
                 if status.is_some_and(|s| holds(&s)) {
-                    return;
+                    return start.elapsed();
                 }
                 tokio::time::sleep(LOOK).await;
             }
         });
         let all = futures_util::future::join_all(waits);
         match tokio::time::timeout(PATIENCE, all).await {
-            Ok(_) => Ok(start.elapsed()),
+            Ok(list) => Ok(Spans { list }),
             Err(_) => LateSnafu { what }.fail(),
         }
     }
 }
 
+/// How long each daemon took until a condition held there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spans {
+    /// The spans, one a daemon.
+    pub list: Vec<time::Duration>,
+}
+
+impl Spans {
+    /// Returns how long the last daemon took.
+    pub fn last(&self) -> time::Duration {
+        self.list.iter().max().copied().unwrap_or_default()
+    }
+}
+
 /// Waits until `holds` returns true.
 ///
 /// # Errors
--- a/crates/lab/src/peers.rs
+++ b/crates/lab/src/peers.rs
@@ -18,6 +18,7 @@
 
 /// Why a daemon can't be started.
 #[derive(Debug, snafu::Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// Its files can't be written.
     #[snafu(display("can't write the daemon's files"))]
@@ -107,6 +108,7 @@
             domain: "lahore-1".to_owned(),
             listen: free(),
             peer: free(),
+            advertise: None,
             admin: free(),
             platform: free(),
             seeds: BTreeMap::new(),
@@ -286,7 +288,10 @@
 }
 
 /// Hands datagrams to the membership, and keeps streams open until their sender ends them.
-async fn deliver(mut incoming: tasks::mpsc::Receiver<quic::Incoming>, member: member::Handle) {
+pub(crate) async fn deliver(
+    mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
+    member: member::Handle,
+) {
     while let Some(item) = incoming.recv().await {
         match item {
             quic::Incoming::Datagram { from, bytes } => member.deliver(from, bytes),
