lab: latencies over two milliseconds are no longer cut off

`saturating_record` clamps to the range that a growing histogram has at first, 2,047 µs, so every case of `cargo lab latency` showed 0.0 ms added. The values are recorded with the histogram growing; a test with answers of 40 ms failed before (median 2 ms).

--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -83,6 +83,13 @@
     Histogram::new(SIGNIFICANT_DIGITS).expect("three digits are allowed")
 }
 
+/// Records a value; the histogram grows as far as it needs.
+fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram
+        .record(value)
+        .expect("the histogram grows to any value that occurs");
+}
+
 impl Default for Report {
     fn default() -> Report {
         Report {
@@ -131,9 +138,9 @@
             Result::Served | Result::Replayed => {
                 self.each(service, tier, |g| g.served += 1);
                 let us = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-                self.latency.saturating_record(us);
+                record(&mut self.latency, us);
                 let wait = self.waits.entry(tier.to_owned());
-                wait.or_insert_with(histogram).saturating_record(us);
+                record(wait.or_insert_with(histogram), us);
             }
             Result::NotRun => self.each(service, tier, |g| g.not_run += 1),
             Result::Unknown | Result::Lost => self.each(service, tier, |g| g.unknown += 1),
--- a/crates/lab/tests/testsuite/standins.rs
+++ b/crates/lab/tests/testsuite/standins.rs
@@ -56,6 +56,14 @@
     assert_eq!(counted.targets[NAME].runs, report.total.sent);
 }
 
+#[tokio::test]
+async fn a_slow_answer_counts_with_its_whole_time() {
+    let slow = target::Fault::Slow { factor: 40.0 };
+    let (report, _) = run(&slow, load::Kind::get("ledger", "/fees", 1.0)).await;
+    let median_ms = report.latency.value_at_quantile(0.5) / 1_000;
+    assert!(median_ms >= 30, "{median_ms} ms");
+}
+
 #[tokio::test]
 async fn a_truncated_answer_is_seen_and_its_resend_counts_as_a_second_run() {
     let fault = target::Fault::Truncate { share: 1.0 };
