--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -1,10 +1,13 @@
-//! Measurements: what one request costs, what a fleet costs at rest, and how costs grow.
+//! Measurements: what one request costs, what a fleet costs at rest, and how the costs of single parts grow.
 
 use std::time;
 
+pub mod connections;
 pub mod fleet;
 pub mod latency;
+pub mod membership;
 pub mod slopes;
+mod usage;
 
 /// Returns the quantile `q` of `spans` in milliseconds; zero where there are none.
 fn quantile_ms(spans: &mut [time::Duration], q: f64) -> f64 {
--- a/crates/lab/src/replay/measures.rs
+++ b/crates/lab/src/replay/measures.rs
@@ -25,11 +25,13 @@
     pub harmed: usize,
     /// Requests by tier: all, and those served.
     pub tiers: BTreeMap<u8, Share>,
+    /// What callers were told in place of the target's answer, by tier and cause.
+    pub causes: BTreeMap<(u8, &'static str), usize>,
     /// Requests, resent ones included.
     pub requests: usize,
     /// Tries beyond the first of each request.
     pub retries: usize,
-    /// Tries at ejected targets, by which the policy finds out whether they have recovered.
+    /// Trials: tries by which the policy finds out whether a target that is passed over has recovered.
     pub trials: usize,
     /// Ejections of targets with no fault of their own; a policy of daemons for themselves counts each daemon's share.
     pub false_ejections: f64,
@@ -93,7 +95,7 @@
     pub served_by_tier: Vec<f64>,
     /// Tries beyond the first, for each request.
     pub retries_per_request: f64,
-    /// Tries at ejected targets.
+    /// Trials at targets that are passed over.
     pub trials: usize,
     /// Times at which ejection took a service's targets below its floor.
     pub floor_breaches: usize,
@@ -103,6 +105,8 @@
     pub ran_though_refused: usize,
     /// Restarts of targets that requests caused.
     pub crashes: usize,
+    /// What callers were told in place of the target's answer, by tier and cause.
+    pub causes: BTreeMap<String, usize>,
     /// The runs behind the line.
     pub seeds: usize,
 }
@@ -135,6 +139,7 @@
             ran_twice: count(|r| r.ran_twice),
             ran_though_refused: count(|r| r.ran_though_refused),
             crashes: count(|r| r.crashes),
+            causes: causes(runs),
             seeds: runs.len(),
         }
     }
@@ -170,6 +175,15 @@
     tiers.values().map(Share::value).collect()
 }
 
+/// Sums up by tier and cause what callers were told in place of the target's answer.
+fn causes(runs: &[Run]) -> BTreeMap<String, usize> {
+    let mut sums = BTreeMap::new();
+    for ((tier, cause), count) in runs.iter().flat_map(|r| &r.causes) {
+        *sums.entry(format!("{tier}-{cause}")).or_default() += count;
+    }
+    sums
+}
+
 /// Rounds to four decimal places.
 fn rounded(value: f64) -> f64 {
     (value * 10_000.0).round() / 10_000.0
