--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -35,8 +35,6 @@
 const DIAL_PAUSE: clock::Millis = clock::Millis(250);
 /// How long [`Peers::close`] waits for peers to learn of it.
 const CLOSE_TIMEOUT: clock::Millis = clock::Millis(500);
-/// The streams that a peer may hold open at a time.
-const STREAMS: u32 = 1_024;
 /// The streams in one direction that a peer may hold open at a time; they only end connections.
 const SIGNALS: u32 = 2;
 /// The bytes of one stream that wait to be read.
@@ -277,7 +275,7 @@
     config
         .max_idle_timeout(timing.silence.span().try_into().ok())
         .keep_alive_interval(Some(timing.alive.span()))
-        .max_concurrent_bidi_streams(STREAMS.into())
+        .max_concurrent_bidi_streams(pool::FIRST_STREAMS.into())
         .max_concurrent_uni_streams(SIGNALS.into())
         .stream_receive_window(STREAM_WINDOW_BYTES.into())
         .receive_window(CONNECTION_WINDOW_BYTES.into())
--- a/src/transport/quic/pool.rs
+++ b/src/transport/quic/pool.rs
@@ -2,11 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::net;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time;
 
 use crate::transport::quic::stream::Streams;
 
+/// The streams that a peer may hold open at first; each one takes memory before it is opened.
+pub(super) const FIRST_STREAMS: u32 = 32;
+/// The streams that a peer may hold open at most.
+const MOST_STREAMS: u32 = 4_096;
+
 /// One connection to a peer.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -15,6 +21,8 @@
     pub(super) streams: Streams,
     /// The address that was dialled; none where the peer dialled.
     dialled: Option<net::SocketAddr>,
+    /// The streams that the peer may hold open.
+    allowed: AtomicU32,
 }
 
 impl Link {
@@ -28,9 +36,20 @@
             connection,
             streams: Streams::default(),
             dialled,
+            allowed: AtomicU32::new(FIRST_STREAMS),
         })
     }
 
+    /// Allows the peer more streams once half of those that it may open are in use.
+    pub(super) fn allow_more(&self) {
+        let allowed = self.allowed.load(Ordering::Relaxed);
+        if allowed < MOST_STREAMS && self.streams.halves() >= allowed as usize {
+            self.allowed.store(allowed * 2, Ordering::Relaxed);
+            self.connection
+                .set_max_concurrent_bi_streams((allowed * 2).into());
+        }
+    }
+
     fn is_live(&self) -> bool {
         self.connection.close_reason().is_none()
     }
--- a/src/transport/quic/serve.rs
+++ b/src/transport/quic/serve.rs
@@ -89,6 +89,7 @@
         stream = link.connection.accept_bi() => match stream {
             Ok(stream) => {
                 let (send, recv) = link.streams.count(stream);
+                link.allow_more();
                 tokio::spawn(accept_stream(inner.clone(), from, send, recv));
                 true
             }
--- a/src/transport/quic/stream.rs
+++ b/src/transport/quic/stream.rs
@@ -47,7 +47,12 @@
 
     /// Returns whether no stream is open.
     pub(super) fn is_empty(&self) -> bool {
-        Arc::strong_count(&self.open) == 1
+        self.halves() == 0
+    }
+
+    /// Returns the number of halves of streams that are open.
+    pub(super) fn halves(&self) -> usize {
+        Arc::strong_count(&self.open) - 1
     }
 }
 
--- a/tests/testsuite/quic.rs
+++ b/tests/testsuite/quic.rs
@@ -95,6 +95,22 @@
     from_a.recv().await.unwrap();
 }
 
+#[tokio::test]
+async fn more_streams_are_allowed_as_they_are_used() {
+    let files = fleet::files("quic-many");
+    let (a, _at_a) = bind(&files, "a");
+    let (b, mut at_b) = bind(&files, "b");
+    let mut held = Vec::new();
+    for _ in 0..1_000 {
+        let opened = a
+            .open("b", b.local(), peer::Purpose::Request)
+            .await
+            .unwrap();
+        held.push((opened, at_b.recv().await.unwrap()));
+    }
+    assert_eq!((a.connections(), held.len()), (1, 1_000));
+}
+
 #[tokio::test]
 async fn a_connection_that_nobody_uses_is_closed_and_one_with_an_open_stream_is_not() {
     let files = fleet::files("quic-idle");
