--- a/crates/lab/src/replay/world.rs
+++ b/crates/lab/src/replay/world.rs
@@ -196,8 +196,14 @@
         }
     }
 
-    /// Sends a request from a daemon to a target.
-    pub fn dispatch(&mut self, request: usize, daemon: usize, target: usize) -> target::TryId {
+    /// Sends a request from a daemon to a target; a trial finds out whether a target that is passed over has recovered.
+    pub fn dispatch(
+        &mut self,
+        request: usize,
+        daemon: usize,
+        target: usize,
+        trial: bool,
+    ) -> target::TryId {
         let id = target::TryId(self.tries.len());
         self.tries.push(Try {
             request,
@@ -206,7 +212,7 @@
             over: false,
         });
         self.accounts[request].tries += 1;
-        self.note_new(daemon, target);
+        self.note_new(target, trial);
         if !self.scene.cut_off(daemon, false, self.now) {
             let span = self.target_latency(daemon, target);
             self.schedule(self.now + span, Due::Reach(id));
@@ -380,6 +386,10 @@
             share.served += usize::from(served);
             let late = self.now > request.at + request.work + self.scene.harm;
             self.run.harmed += usize::from(!served || late);
+            if !served {
+                let cause = cause(self.accounts[at].answer);
+                *self.run.causes.entry((request.tier, cause)).or_default() += 1;
+            }
         }
         if !served && request.resends > 0 {
             self.resend(&request);
@@ -416,8 +426,8 @@
         self.run.ran_twice += usize::from(!request.idempotent && runs > 1);
     }
 
-    fn note_new(&mut self, daemon: usize, target: usize) {
-        if self.ejected.contains(&(daemon, target)) {
+    fn note_new(&mut self, target: usize, trial: bool) {
+        if trial {
             self.run.trials += 1;
             return;
         }
@@ -439,8 +449,10 @@
         let targets = &self.scene.service.targets;
         let mut serving = targets.iter().filter(|t| !t.leaving).count() as f64;
         let mut taken = BTreeMap::<usize, f64>::new();
-        for (_, target) in &self.ejected {
-            if !targets[*target].leaving {
+        for (daemon, target) in &self.ejected {
+            // A paused daemon withholds nothing; what it believes counts again once it acts.
+            let paused = self.scene.paused(*daemon, self.now).is_some();
+            if !paused && !targets[*target].leaving {
                 *taken.entry(*target).or_default() += self.weight;
             }
         }
@@ -489,3 +501,12 @@
         });
     }
 }
+
+/// Names what a caller was told in place of the target's answer.
+fn cause(answer: Option<Answer>) -> &'static str {
+    match answer {
+        Some(Answer::Refused(refusal)) => refusal.cause.as_str(),
+        Some(Answer::Failed) => "failed",
+        Some(Answer::Served) | None => "no-answer",
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,15 +5,18 @@
 //! sends the request to the target and streams the answer back.
 
 pub mod admin;
-mod bootstrap;
 pub mod cell;
 pub mod claims;
 pub mod entry;
 pub mod exchange;
+pub mod follower;
 pub mod home;
+pub mod lease;
 pub mod links;
 pub mod member;
 pub mod metrics;
 mod node;
+pub mod notes;
+pub mod spread;
 
 pub use node::{Error, run, stop_signal};
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -7,13 +7,20 @@
 use snafu::ResultExt;
 use tokio::{net as tcp, signal, sync as tasks, task, time};
 
-use crate::daemon::{admin, bootstrap, cell, claims, entry, home, links, metrics};
+use crate::coordination::member as membership;
+use crate::daemon::{
+    admin, claims, entry, follower, home, lease, links, member, metrics, notes, spread,
+};
 use crate::protocol::{peer, platform};
-use crate::state::{bundle, clock, ids, settings, timeline};
+use crate::state::{bundle, clock, ids, operator, settings, timeline};
 use crate::transport::{http, platform as client, pool, quic, tls};
 
 /// How long a leaving daemon goes on to take callers that the balancer still sends.
 const LINGER_SPAN: clock::Millis = clock::Millis(3_000);
+/// The time between two readings of the list of hosts.
+const HOSTS_SPAN: clock::Millis = clock::Millis(30_000);
+/// The time between two readings while no other daemon is known.
+const ALONE_SPAN: clock::Millis = clock::Millis(500);
 /// The time between two sweeps of idle connections to targets.
 const SWEEP_SPAN: clock::Millis = clock::Millis(5_000);
 
@@ -44,6 +51,26 @@
         /// What is wrong.
         source: tls::Error,
     },
+    /// The operators' keys can't be used.
+    #[snafu(display("can't use the operators' keys"))]
+    Operators {
+        /// What is wrong.
+        source: operator::Error,
+    },
+    /// An actor could not start.
+    #[snafu(display("can't start the {part}"))]
+    Actor {
+        /// What it carries.
+        part: &'static str,
+        /// What the actor's library said.
+        source: ractor::SpawnErr,
+    },
+    /// The membership could not start.
+    #[snafu(display("can't start the membership"))]
+    Member {
+        /// What is wrong.
+        source: member::Error,
+    },
     /// The metrics could not be set up.
     #[snafu(display("can't set up the metrics"))]
     Metrics {
@@ -70,6 +97,7 @@
     settings: settings::Settings,
     recorder: sync::Arc<timeline::Recorder>,
     peers: quic::Peers,
+    members: member::Handle,
     home: sync::Arc<home::Home>,
     entry: sync::Arc<entry::Entry>,
     admin: sync::Arc<admin::Admin>,
@@ -84,6 +112,8 @@
     async fn start(settings: &settings::Settings) -> Result<Node, Error> {
         let public = listen(settings.listen, "callers").await?;
         let operators = listen(settings.admin, "operators").await?;
+        let signers =
+            operator::Operators::load(&settings.keys.operators).context(OperatorsSnafu)?;
         let tls = tls::server(&settings.keys).context(TlsSnafu)?;
         let (peers, incoming) = quic::Peers::bind(settings).context(PeersSnafu)?;
         let metrics = sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?);
@@ -97,16 +127,70 @@
         );
         let platform: sync::Arc<dyn platform::Platform> =
             sync::Arc::new(client::HttpPlatform::new(&settings.platform));
-        let bundle = bootstrap::follow_bundle(platform.clone(), recorder.clone());
-        let view = bootstrap::follow_hosts(platform, settings, incarnation);
+        let members = member::spawn(member::Options {
+            name: settings.name.clone(),
+            peer: settings.reachable(),
+            domain: settings.domain.clone(),
+            incarnation,
+            seeds: seeds(settings),
+            peers: peers.clone(),
+            clock,
+            recorder: recorder.clone(),
+        })
+        .await
+        .context(MemberSnafu)?;
+        let view = members.view();
+        let sender: sync::Arc<dyn peer::NoteSender> = sync::Arc::new(links::PeerNotes {
+            peers: peers.clone(),
+            view: view.clone(),
+        });
+        let follower = follower::spawn(follower::Options {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            clock,
+            platform: platform.clone(),
+            members: view.clone(),
+            operators: signers,
+            recorder: recorder.clone(),
+            sender: sender.clone(),
+        })
+        .await
+        .context(ActorSnafu {
+            part: "follower of the bundle",
+        })?;
+        let bundle = follower.bundle();
+        let claims = claims::spawn(claims::Options {
+            name: settings.name.clone(),
+            clock,
+            platform: platform.clone(),
+            members: view.clone(),
+            recorder: recorder.clone(),
+        })
+        .await
+        .context(ActorSnafu { part: "claims" })?;
+        let leases = lease::Leases::new(lease::Options {
+            name: settings.name.clone(),
+            clock,
+            platform: platform.clone(),
+        });
+        let spreader = spread::Spreader::new(spread::Options {
+            name: settings.name.clone(),
+            clock,
+            view: view.clone(),
+            sender,
+            recorder: recorder.clone(),
+        });
         let home = sync::Arc::new(home::Home::new(home::Options {
+            name: settings.name.clone(),
             clock,
             recorder: recorder.clone(),
             bundle: bundle.clone(),
+            view: view.clone(),
             pool: pool::Pool::new(clock, settings.limits.head_bytes),
-            budget: sync::Arc::new(NoBudget),
-            spread: sync::Arc::new(NoSpread),
+            budget: sync::Arc::new(leases),
+            spread: spreader.clone(),
         }));
+        spreader.attach(&home);
         let links = links::PeerLinks {
             name: settings.name.clone(),
             peers: peers.clone(),
@@ -119,7 +203,8 @@
             bundle: bundle.clone(),
             view: view.clone(),
             links: sync::Arc::new(links),
-            claims: sync::Arc::new(NoClaims),
+            claims: sync::Arc::new(claims),
+            spreader: spreader.clone(),
             metrics: metrics.clone(),
         }));
         let (draining_sender, draining) = tasks::watch::channel(false);
@@ -129,21 +214,25 @@
             incarnation,
             token: settings.keys.admin_token.clone(),
             bundle: bundle.clone(),
-            view,
+            view: view.clone(),
             home: home.clone(),
             metrics,
             recorder: recorder.clone(),
             draining: draining_sender,
         });
+        let notes = sync::Arc::new(notes::Notes { spreader, follower });
         let tasks = vec![
-            tokio::spawn(accept_peers(incoming, home.clone())),
-            tokio::spawn(pass_on_bundles(bundle, home.clone())),
+            tokio::spawn(accept_peers(incoming, home.clone(), members.clone(), notes)),
+            tokio::spawn(pass_on_bundles(bundle, home.clone(), members.clone())),
+            tokio::spawn(follow_hosts(platform, members.clone())),
+            tokio::spawn(pass_on_views(view, home.clone())),
             tokio::spawn(sweep(home.clone())),
         ];
         Ok(Node {
             settings: settings.clone(),
             recorder,
             peers,
+            members,
             home,
             entry,
             admin,
@@ -190,6 +279,7 @@
         self.admin.draining.send_replace(true);
         self.recorder
             .record(timeline::Kind::Draining, timeline::Subject::default(), "");
+        self.members.leave().await;
         self.home.drain().await;
         time::sleep(LINGER_SPAN.span()).await;
         stop_public.send_replace(true);
@@ -221,6 +311,8 @@
 async fn accept_peers(
     mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
     home: sync::Arc<home::Home>,
+    members: member::Handle,
+    notes: sync::Arc<notes::Notes>,
 ) {
     while let Some(item) = incoming.recv().await {
         match item {
@@ -237,7 +329,20 @@
                     }
                 });
             }
-            quic::Incoming::Stream { .. } | quic::Incoming::Datagram { .. } => {}
+            quic::Incoming::Datagram { from, bytes } => members.deliver(from, bytes),
+            quic::Incoming::Stream {
+                from,
+                purpose: peer::Purpose::Note,
+                send,
+                recv,
+            } => {
+                let notes = notes.clone();
+                tokio::spawn(async move {
+                    if let Err(e) = notes.serve(&from, recv, send).await {
+                        log::debug!("a note of {from} was not answered: {e}");
+                    }
+                });
+            }
         }
     }
 }
@@ -245,59 +350,54 @@
 async fn pass_on_bundles(
     mut bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
     home: sync::Arc<home::Home>,
+    members: member::Handle,
 ) {
     while bundle.changed().await.is_ok() {
         let current = bundle.borrow_and_update().clone();
+        members.set_version(current.version);
         home.adopt(&current).await;
     }
 }
 
-async fn sweep(home: sync::Arc<home::Home>) {
-    loop {
-        time::sleep(SWEEP_SPAN.span()).await;
-        home.sweep();
+async fn pass_on_views(
+    mut view: tasks::watch::Receiver<sync::Arc<membership::View>>,
+    home: sync::Arc<home::Home>,
+) {
+    while view.changed().await.is_ok() {
+        let current = view.borrow_and_update().clone();
+        home.follow(&current).await;
     }
 }
 
-struct NoBudget;
-
-impl cell::Budget for NoBudget {
-    fn ask<'a>(
-        &'a self,
-        _service: &'a bundle::Service,
-        _target: &'a str,
-    ) -> future::BoxFuture<'a, Option<clock::Millis>> {
-        Box::pin(async { None })
-    }
-
-    fn end<'a>(
-        &'a self,
-        _service: &'a bundle::Service,
-        _target: &'a str,
-    ) -> future::BoxFuture<'a, ()> {
-        Box::pin(async {})
-    }
+/// Returns the daemons that the settings name to join at.
+fn seeds(settings: &settings::Settings) -> Vec<membership::Seed> {
+    let seeds = settings.seeds.iter();
+    seeds
+        .map(|(name, peer)| membership::Seed {
+            name: name.clone(),
+            peer: *peer,
+        })
+        .collect()
 }
 
-struct NoSpread;
-
-impl cell::Spread for NoSpread {
-    fn quarantine(&self, _fingerprint: ids::Fingerprint, _span: clock::Millis) {}
+/// Tells the membership of the platform's hosts, often while it knows of no others and rarely after that.
+async fn follow_hosts(platform: sync::Arc<dyn platform::Platform>, members: member::Handle) {
+    loop {
+        match platform.hosts().await {
+            Ok(hosts) => members.add_seeds(&hosts),
+            Err(e) => log::warn!("the list of hosts can't be read: {e}"),
+        }
+        let alone = members.view().borrow().members.len() <= 1;
+        let pause = if alone { ALONE_SPAN } else { HOSTS_SPAN };
+        time::sleep(pause.span()).await;
+    }
 }
 
-struct NoClaims;
-
-impl claims::Claims for NoClaims {
-    fn claim<'a>(
-        &'a self,
-        _scope: &'a [&'a str; 2],
-        _key: &'a str,
-        _fingerprint: ids::Fingerprint,
-    ) -> future::BoxFuture<'a, claims::Claimed> {
-        Box::pin(async { claims::Claimed::Unavailable })
+async fn sweep(home: sync::Arc<home::Home>) {
+    loop {
+        time::sleep(SWEEP_SPAN.span()).await;
+        home.sweep();
     }
-
-    fn settle(&self, _token: claims::Token, _settled: claims::Settled) {}
 }
 
 /// Resolves when the process is told to stop by SIGTERM or SIGINT.
--- a/src/state/operator.rs
+++ b/src/state/operator.rs
@@ -1,7 +1,7 @@
 //! Operators' keys: a bundle comes into force only with the signature of one of them.
 //!
-//! An operator is called by the name of the key's file up to its first dot: `anna.pem` holds the private key of `anna`,
-//! `anna.pub.pem` the public one.
+//! An operator is called by the name of the key's file up to its first dot: `operator-1.pem` holds the private key of `operator-1`,
+//! `operator-1.pub.pem` the public one.
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -94,7 +94,12 @@
 
 /// Returns the SHA-256 digest of a bundle's text, in hexadecimal.
 pub fn digest(text: &str) -> String {
-    hex::encode(sha2::Sha256::digest(text))
+    digest_bytes(text.as_bytes())
+}
+
+/// Returns the SHA-256 digest of an object's content, in hexadecimal.
+pub fn digest_bytes(content: &[u8]) -> String {
+    hex::encode(sha2::Sha256::digest(content))
 }
 
 /// Draws a new pair of keys.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,9 +1,11 @@
 //! The test binary of the library: one module a topic.
 
+mod adoption;
 mod bundle;
 mod cell;
 mod check;
 mod findings;
 mod homes;
 mod quic;
+mod refusal;
 mod support;
