--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -19,6 +19,7 @@
 use crate::daemon::exchange::Attempt;
 use crate::daemon::home;
 use crate::daemon::metrics;
+use crate::daemon::spread;
 use crate::protocol::refusal::{Cause, Refusal};
 use crate::protocol::{headers, peer, problem};
 use crate::state::{bundle, clock, ids, index, settings, timeline};
@@ -59,6 +60,8 @@
     pub links: sync::Arc<dyn Links>,
     /// The claims of keyed work.
     pub claims: sync::Arc<dyn Claims>,
+    /// The fingerprints in quarantine.
+    pub spreader: sync::Arc<spread::Spreader>,
     /// The daemon's metrics.
     pub metrics: sync::Arc<metrics::Metrics>,
 }
@@ -179,6 +182,8 @@
         let service = rules.index.service(&rules.bundle, &call.head.cell.service);
         let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         let mut tried = Vec::new();
+        // Why it is not proven that idempotent work did not run at a home tried before.
+        let mut lost = None;
         let mut last = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
             let Some(choice) = self.choose(service, &tried) else {
@@ -191,7 +196,7 @@
             match attempt {
                 Attempt::Answer { response, .. } => return Ok(response),
                 Attempt::Refused { refusal, .. } if !another_home_may_serve(refusal) => {
-                    return Err(refusal);
+                    return Err(refusal.despite(lost));
                 }
                 Attempt::Refused { refusal, .. } => {
                     refused = refusal.cause != Cause::Draining;
@@ -200,14 +205,17 @@
                 Attempt::Lost { started, .. } if started && call.head.two_steps() => {
                     return Err(Refusal::unknown(Cause::HomeLost));
                 }
-                Attempt::Lost { .. } => log::debug!("the home {} is lost", choice.home),
+                Attempt::Lost { started, .. } => {
+                    log::debug!("the home {} is lost", choice.home);
+                    lost = lost.or(started.then_some(Cause::HomeLost));
+                }
             }
             tried.push(homes::Tried { choice, refused });
             if self.options.clock.now() >= call.deadline {
-                return Err(Refusal::not_run(Cause::DeadlinePassed, None));
+                return Err(Refusal::not_run(Cause::DeadlinePassed, None).despite(lost));
             }
         }
-        Err(last)
+        Err(last.despite(lost))
     }
 
     /// Returns the bundle in force with its look-ups, which are prepared with the first request after an adoption.
@@ -270,6 +278,9 @@
             key.as_deref(),
             &prefix.first,
         );
+        if let Some(left) = self.options.spreader.left(fingerprint) {
+            return Err(Refusal::not_run(Cause::Quarantined, Some(left)));
+        }
         let mut fields = headers::to_fields(&parts.headers);
         exchange::add_forwarding(&mut fields, from, host);
         let idempotent = is_idempotent(&parts.method, route);
