--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -39,7 +39,7 @@
 const FLEET_WRITES_S: u64 = 300;
 
 /// The longest time between two writes of one daemon.
-const SLOWEST_PACE: clock::Millis = clock::Millis(250);
+const SLOWEST_PACE: clock::Millis = clock::Millis(1_000);
 
 /// Names one claim of this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
