--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -4,8 +4,11 @@
 
 mod curve;
 mod demo;
+mod fleet;
+mod latency;
 mod measure;
 mod policy;
+mod slopes;
 mod target;
 
 /// The exit status for a command line that names no subcommand.
@@ -26,6 +29,12 @@
     Membership(measure::MembershipArgs),
     #[options(help = "measure connections between daemons, on the loopback")]
     Connections(measure::ConnectionsArgs),
+    #[options(help = "measure what a whole fleet costs and how fast it acts")]
+    Fleet(fleet::Args),
+    #[options(help = "measure what the fleet adds to a request's time")]
+    Latency(latency::Args),
+    #[options(help = "measure how the bundle's costs grow")]
+    Slopes(slopes::Args),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -41,6 +50,9 @@
         Command::Curve(args) => curve::exec(args),
         Command::Membership(args) => measure::membership(args),
         Command::Connections(args) => runtime.block_on(measure::connections(args)),
+        Command::Fleet(args) => runtime.block_on(fleet::exec(args)),
+        Command::Latency(args) => runtime.block_on(latency::exec(args)),
+        Command::Slopes(args) => runtime.block_on(slopes::exec(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
