--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -173,7 +173,9 @@
         let Some(run) = self.finish(now, ticket) else {
             return;
         };
-        self.pause(now, &run.target);
+        if let Some(target) = self.targets.get_mut(&run.target) {
+            target.pause_shedding(now);
+        }
         let mut work = run.work;
         work.excluded.push(run.target);
         let again = self.may_rerun(now, &work) && self.budget.funded() && self.holds_more();
@@ -189,7 +191,9 @@
         let Some(run) = self.free(ticket) else {
             return;
         };
-        self.pause(now, &run.target);
+        if let Some(target) = self.targets.get_mut(&run.target) {
+            target.pause_unconnected(now);
+        }
         let class = evidence::Class::Failed;
         self.judge(now, &run.target, class, run.added, actions);
         let mut work = run.work;
@@ -309,12 +313,6 @@
             && self.targets.iter().any(untried)
     }
 
-    fn pause(&mut self, now: clock::Millis, name: &str) {
-        if let Some(target) = self.targets.get_mut(name) {
-            target.pause(now);
-        }
-    }
-
     /// Ends the trial that a request is, once its outcome is known.
     fn end_trial(&mut self, ticket: ids::Ticket) {
         let Some(run) = self.running.get_mut(&ticket) else {
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -32,6 +32,8 @@
 /// Its own link or its whole failure domain may be at fault; entries send their requests to other cells from this share on.
 pub const SICK_SHARE: f32 = 0.5;
 
+/// The share of bad requests below which another cell is taken to be well.
+const WELL_SHARE: f64 = 0.25;
 /// The shortest time after which a refused caller is told to come back.
 const LEAST_RETRY_AFTER: clock::Millis = clock::Millis(100);
 /// The longest time after which a refused caller is told to come back.
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -8,8 +8,10 @@
 
 /// The pause after a target shed a request or took no connection; it doubles with each one in a row.
 const FIRST_PAUSE: clock::Millis = clock::Millis(50);
-/// The doublings after which the pause no longer grows.
-const MOST_DOUBLINGS: u32 = 3;
+/// The doublings of the pause of a target that sheds requests.
+const SHEDDING_DOUBLINGS: u32 = 6;
+/// The doublings of the pause of a target that takes no connection.
+const UNCONNECTED_DOUBLINGS: u32 = 3;
 /// Connections that break within this time are one crash of the target.
 const CRASH_SPAN: clock::Millis = clock::Millis(100);
 
@@ -134,10 +136,19 @@
         trial.min(self.ramp.next(now, self.total))
     }
 
-    /// Pauses it after it refused work.
-    pub(super) fn pause(&mut self, now: clock::Millis) {
-        self.paused = now + clock::Millis(FIRST_PAUSE.0 << self.pauses);
-        self.pauses = (self.pauses + 1).min(MOST_DOUBLINGS);
+    /// Pauses it after it shed a request: it sheds load, or drains.
+    pub(super) fn pause_shedding(&mut self, now: clock::Millis) {
+        self.pause(now, SHEDDING_DOUBLINGS);
+    }
+
+    /// Pauses it after it took no connection: it may be restarting.
+    pub(super) fn pause_unconnected(&mut self, now: clock::Millis) {
+        self.pause(now, UNCONNECTED_DOUBLINGS);
+    }
+
+    fn pause(&mut self, now: clock::Millis, most: u32) {
+        self.paused = now + clock::Millis(FIRST_PAUSE.0 << self.pauses.min(most));
+        self.pauses = (self.pauses + 1).min(SHEDDING_DOUBLINGS);
     }
 
     /// Counts a good answer towards its slow start.
--- a/src/coordination/ejection.rs
+++ b/src/coordination/ejection.rs
@@ -60,14 +60,17 @@
         *self = Ejection::default();
     }
 
-    /// Notes whether the evidence suffices for an ejection; it is asked for once the evidence did so for `span`.
+    /// Notes that a bad request made the evidence suffice for an ejection, or came on top; the ejection is asked for from
+    /// `confirmed` on, if the evidence still suffices then.
     ///
-    /// A fault behind all targets shows at the others within that time.
-    pub fn suspect(&mut self, now: clock::Millis, span: clock::Millis, strong: bool) {
-        self.confirmed = match strong {
-            true => self.confirmed.or(Some(now + span)),
-            false => None,
-        };
+    /// A fault behind all targets shows at the others by that time.
+    pub fn suspect(&mut self, confirmed: clock::Millis) {
+        self.confirmed = self.confirmed.or(Some(confirmed));
+    }
+
+    /// Notes that the evidence does not suffice for an ejection.
+    pub fn trust(&mut self) {
+        self.confirmed = None;
     }
 
     /// Returns whether the ejection is to be asked for now, or to be renewed, and notes that it was.
@@ -97,9 +100,11 @@
         self.standing = Standing::Ejected { until };
     }
 
-    /// Takes a denial: what is held is kept until it lapses, and the next question waits.
+    /// Takes a denial: what is held is kept until it lapses, and the next question waits for time and for another bad
+    /// request, since the target may be well again by then.
     pub fn deny(&mut self, now: clock::Millis) {
         self.asked = None;
+        self.confirmed = None;
         self.retry = now + clock::Millis(FIRST_BACKOFF.0 << self.denials);
         self.denials = (self.denials + 1).min(MOST_DOUBLINGS);
     }
