--- a/src/coordination/cell/standing.rs
+++ b/src/coordination/cell/standing.rs
@@ -32,7 +32,7 @@
     ) -> f64 {
         let reference = self.reference(now, name);
         let ratio = judge::ratio(class, &reference.rates);
-        let (avoid, eject) = (self.rules.ejection.avoid, self.rules.ejection.eject);
+        let avoid = self.rules.ejection.avoid;
         let Some(target) = self.targets.get_mut(name) else {
             return ratio;
         };
@@ -42,11 +42,6 @@
             _ => (ratio - added).max(0.0),
         };
         target.score.add(rest);
-        if target.score.value() < eject {
-            target.ejection.trust();
-        } else if class != evidence::Class::Good {
-            target.ejection.suspect(now + reference.limits.slow);
-        }
         if target.leaving {
             return ratio;
         }
@@ -60,10 +55,33 @@
         } else if target.trial.count(now, rest) {
             self.reinstate(now, name, actions);
         }
+        self.weigh_ejection(now, name, class, now + reference.limits.slow);
         self.suspect_home();
         ratio
     }
 
+    /// Notes whether the evidence asks for the target's ejection, from `confirmed` on.
+    ///
+    /// A bad request counts for that only while the target waits for its next trial: what was held against it before its
+    /// trials went well is out of date.
+    fn weigh_ejection(
+        &mut self,
+        now: clock::Millis,
+        name: &str,
+        class: evidence::Class,
+        confirmed: clock::Millis,
+    ) {
+        let eject = self.rules.ejection.eject;
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if target.score.value() < eject {
+            target.ejection.trust();
+        } else if class != evidence::Class::Good && target.trial.next() > now {
+            target.ejection.suspect(confirmed);
+        }
+    }
+
     /// Lowers what speaks against each target where all are under suspicion: it may come from behind them all, and must
     /// not eject those that are still suspected when the first is back in favour.
     fn suspect_home(&mut self) {
