--- a/src/transport/quic/identity.rs
+++ b/src/transport/quic/identity.rs
@@ -5,6 +5,7 @@
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rustls::server::WebPkiClientVerifier;
 use rustls_pki_types::CertificateDer;
+use sha2::Digest;
 use snafu::{OptionExt, ResultExt, ensure};
 
 use crate::state::settings;
@@ -46,6 +47,29 @@
         })
     }
 
+    /// Returns the endpoint's settings. Their secrets follow from the private key, so that a daemon that starts again
+    /// tells its peers at once that their old connections are gone.
+    pub(super) fn endpoint(&self) -> quinn::EndpointConfig {
+        let secret = self.secret("stateless reset");
+        let key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
+        let mut config = quinn::EndpointConfig::new(Arc::new(key));
+        let [a, b, c, d, e, f, g, h, ..] = self.secret("connection identifiers");
+        let seed = u64::from_le_bytes([a, b, c, d, e, f, g, h]);
+        config.cid_generator(move || {
+            Box::new(quinn_proto::HashedConnectionIdGenerator::from_key(seed))
+        });
+        config
+    }
+
+    /// Derives a secret for one purpose from the private key.
+    fn secret(&self, purpose: &str) -> [u8; 32] {
+        let digest = sha2::Sha256::new()
+            .chain_update(purpose)
+            .chain_update([0])
+            .chain_update(self.key.secret_der());
+        digest.finalize().into()
+    }
+
     pub(super) fn server(
         &self,
         transport: &Arc<quinn::TransportConfig>,
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -21,6 +21,7 @@
 mod pool;
 mod serve;
 mod stream;
+mod watch;
 
 use error::{
     BindSnafu, BrokenSnafu, DatagramSnafu, DialSnafu, HandshakeSnafu, SilentSnafu, StreamSnafu,
@@ -51,9 +52,9 @@
 pub struct Timing {
     /// How long a dial may take, handshake included.
     pub dial: clock::Millis,
-    /// How long a connection stands without hearing from the peer.
+    /// How long a connection stands on which the peer owes a sign of life.
     pub silence: clock::Millis,
-    /// How long after the last packet from the peer it is asked for another.
+    /// How long after the last packet from the peer it is asked for another, while something is expected of it.
     pub alive: clock::Millis,
     /// How long a connection stands that nobody uses.
     pub idle: clock::Millis,
@@ -152,7 +153,7 @@
         let local = socket.local_addr().context(BindSnafu { addr })?;
         let transport = Arc::new(transport(timing));
         let mut endpoint = quinn::Endpoint::new(
-            quinn::EndpointConfig::default(),
+            identity.endpoint(),
             Some(identity.server(&transport)?),
             socket,
             Arc::new(quinn::TokioRuntime),
@@ -273,8 +274,7 @@
 fn transport(timing: &Timing) -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config
-        .max_idle_timeout(timing.silence.span().try_into().ok())
-        .keep_alive_interval(Some(timing.alive.span()))
+        .max_idle_timeout((timing.idle.max(timing.silence).span() * 2).try_into().ok())
         .max_concurrent_bidi_streams(pool::FIRST_STREAMS.into())
         .max_concurrent_uni_streams(SIGNALS.into())
         .stream_receive_window(STREAM_WINDOW_BYTES.into())
--- a/src/transport/quic/serve.rs
+++ b/src/transport/quic/serve.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use rustls_pki_types::CertificateDer;
 use tokio::time;
 
@@ -13,16 +14,17 @@
 use crate::transport::keys;
 use crate::transport::quic::pool::Link;
 use crate::transport::quic::stream::{RecvStream, SendStream};
+use crate::transport::quic::watch::{Look, Watch};
 use crate::transport::quic::{Incoming, Inner};
 
 /// How long an accepted connection may take for its handshake.
 const ACCEPT_TIMEOUT: clock::Millis = clock::Millis(2_000);
 /// How long a new stream may take to say what it is for.
 const PURPOSE_TIMEOUT: clock::Millis = clock::Millis(2_000);
+/// The code of a connection that closes because the peer is silent.
+const SILENT: u32 = 2;
 /// How long an end stays for streams, after both have said that they open no more.
 const LINGER: clock::Millis = clock::Millis(3_000);
-/// The looks at a connection within the time after which it is idle.
-const LOOKS: u64 = 4;
 
 /// Takes in connections until the endpoint closes.
 pub(super) async fn accept_connections(inner: Arc<Inner>) {
@@ -52,12 +54,11 @@
     keys::name_of(chain.first()?).ok()
 }
 
-/// Hands over what the peer sends on one connection, until it closes or is idle.
+/// Hands over what the peer sends on one connection, until it closes, falls silent or is idle.
 pub(super) async fn serve(inner: Arc<Inner>, link: Arc<Link>) {
-    let look = inner.timing.idle.span() / u32::try_from(LOOKS).unwrap_or(1);
-    let mut looks = time::interval(look);
+    let mut watch = Watch::new(&inner.timing);
+    let mut looks = time::interval(watch.look.span());
     looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut usage = Usage::default();
     loop {
         tokio::select! {
             going = take_up(&inner, &link) => if !going { break },
@@ -69,13 +70,22 @@
                 }
                 break;
             },
-            _ = looks.tick() => if usage.is_idle(&link) {
-                inner.pool.remove(&link);
-                if retire(&link).await.is_ok() {
-                    await_retirement(&inner, &link).await;
-                    linger(&inner, &link).await;
+            _ = looks.tick() => match watch.look(&link) {
+                Look::Used => {}
+                // The peer acknowledges it, and takes no notice otherwise.
+                Look::Quiet => drop(link.connection.send_datagram(Bytes::new())),
+                Look::Silent => {
+                    link.connection.close(SILENT.into(), b"silent");
+                    break;
+                }
+                Look::Idle => {
+                    inner.pool.remove(&link);
+                    if retire(&link).await.is_ok() {
+                        await_retirement(&inner, &link).await;
+                        linger(&inner, &link).await;
+                    }
+                    break;
                 }
-                break;
             },
         }
     }
@@ -96,6 +106,7 @@
             Err(_) => false,
         },
         datagram = link.connection.read_datagram() => match datagram {
+            Ok(bytes) if bytes.is_empty() => true,
             Ok(bytes) => {
                 // A datagram may be lost anyway, and must not hold up the streams.
                 let _ = inner.incoming.try_send(Incoming::Datagram { from, bytes });
@@ -149,26 +160,3 @@
         }
     }
 }
-
-/// Notices that a connection is not used.
-#[derive(Debug, Default)]
-struct Usage {
-    seen: u64,
-    looks: u64,
-}
-
-impl Usage {
-    /// Returns whether no stream is open and nothing was sent or received at the last looks.
-    fn is_idle(&mut self, link: &Link) -> bool {
-        let stats = link.connection.stats();
-        let (sent, received) = (&stats.frame_tx, &stats.frame_rx);
-        let seen = sent.stream + sent.datagram + received.stream + received.datagram;
-        if seen != self.seen || !link.streams.is_empty() {
-            self.looks = 0;
-            self.seen = seen;
-            return false;
-        }
-        self.looks += 1;
-        self.looks >= LOOKS
-    }
-}
--- a/tests/testsuite/quic.rs
+++ b/tests/testsuite/quic.rs
@@ -9,6 +9,9 @@
 
 use crate::support::fleet;
 
+/// The times that a condition is tried, 100 ms each.
+const TRIES: usize = 100;
+
 fn bind(files: &fleet::Files, name: &str) -> (quic::Peers, mpsc::Receiver<quic::Incoming>) {
     quic::Peers::bind(&files.settings(name)).unwrap()
 }
@@ -95,6 +98,40 @@
     from_a.recv().await.unwrap();
 }
 
+#[test]
+fn a_peer_that_was_killed_and_starts_again_is_dialled_again_at_once() {
+    let files = fleet::files("quic-killed");
+    let hour = clock::Millis(3_600_000);
+    let patient = quic::Timing {
+        silence: hour,
+        idle: hour,
+        ..quic::Timing::default()
+    };
+    let runtime = || tokio::runtime::Runtime::new().unwrap();
+    let (here, there) = (runtime(), runtime());
+    let mut settings = files.settings("b");
+    let (b, mut at_b) = there.block_on(async { quic::Peers::bind(&settings).unwrap() });
+    settings.peer = b.local();
+    let (a, _at_a) =
+        here.block_on(async { quic::Peers::bind_with(&files.settings("a"), &patient).unwrap() });
+    here.block_on(a.open("b", settings.peer, peer::Purpose::Note))
+        .unwrap();
+    at_b.blocking_recv().unwrap();
+    there.shutdown_timeout(clock::Millis(5_000).span());
+    drop((b, at_b));
+    here.block_on(async {
+        let (_again, mut at_b) = quic::Peers::bind(&settings).unwrap();
+        for _ in 0..TRIES {
+            let _held = a.open("b", settings.peer, peer::Purpose::Note).await;
+            let wait = tokio::time::timeout(clock::Millis(100).span(), at_b.recv());
+            if wait.await.is_ok_and(|came| came.is_some()) {
+                return;
+            }
+        }
+        panic!("the old connection is still in use");
+    });
+}
+
 #[tokio::test]
 async fn more_streams_are_allowed_as_they_are_used() {
     let files = fleet::files("quic-many");
