--- a/crates/lab/src/commands/measure.rs
+++ b/crates/lab/src/commands/measure.rs
@@ -17,6 +17,10 @@
     json: bool,
     #[options(help = "numbers of daemons", meta = "N,N", default = "12,46,150,600")]
     sizes: String,
+    #[options(help = "seconds that a fleet is watched at rest", default = "120")]
+    rest: u64,
+    #[options(help = "daemons killed one after the other", default = "5")]
+    kills: usize,
     #[options(help = "the seed of all random numbers", default = "1")]
     seed: u64,
 }
@@ -48,8 +52,8 @@
 pub(crate) fn membership(args: &MembershipArgs) -> Result<(), Error> {
     let options = membership::Options {
         sizes: numbers(&args.sizes)?,
-        rest: Millis(120_000),
-        kills: 5,
+        rest: Millis(args.rest * 1_000),
+        kills: args.kills,
         seed: args.seed,
     };
     let rows = membership::run(&options, &print);
--- a/tests/testsuite/quic.rs
+++ b/tests/testsuite/quic.rs
@@ -110,7 +110,8 @@
     let runtime = || tokio::runtime::Runtime::new().unwrap();
     let (here, there) = (runtime(), runtime());
     let mut settings = files.settings("b");
-    let (b, mut at_b) = there.block_on(async { quic::Peers::bind(&settings).unwrap() });
+    let (b, mut at_b) =
+        there.block_on(async { quic::Peers::bind_with(&settings, &patient).unwrap() });
     settings.peer = b.local();
     let (a, _at_a) =
         here.block_on(async { quic::Peers::bind_with(&files.settings("a"), &patient).unwrap() });
@@ -120,11 +121,14 @@
     there.shutdown_timeout(clock::Millis(5_000).span());
     drop((b, at_b));
     here.block_on(async {
-        let (_again, mut at_b) = quic::Peers::bind(&settings).unwrap();
+        let (_again, mut at_b) = quic::Peers::bind_with(&settings, &patient).unwrap();
         for _ in 0..TRIES {
-            let _held = a.open("b", settings.peer, peer::Purpose::Note).await;
-            let wait = tokio::time::timeout(clock::Millis(100).span(), at_b.recv());
-            if wait.await.is_ok_and(|came| came.is_some()) {
+            let came = async {
+                let _held = a.open("b", settings.peer, peer::Purpose::Note).await;
+                at_b.recv().await
+            };
+            let came = tokio::time::timeout(clock::Millis(100).span(), came);
+            if came.await.is_ok_and(|came| came.is_some()) {
                 return;
             }
         }
