--- a/crates/lab/tests/claims.rs
+++ b/crates/lab/tests/claims.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use peridotspread::coordination;
 use peridotspread::daemon::claims::{self, Claimed, Claims, Settled};
 use peridotspread::protocol::problem;
 use peridotspread::state::clock;
@@ -159,3 +160,20 @@
 fn record(status: u16) -> problem::Record {
     problem::Record { status }
 }
+
+#[tokio::test]
+async fn only_claims_older_than_they_are_kept_are_swept() {
+    let platform = support::platform().await;
+    let one = claims(&platform, "e-1").await;
+    assert!(matches!(
+        one.claim(&SCOPE, "a", WORK).await,
+        Claimed::Fresh(_)
+    ));
+    let rows = platform.handle.rows("claims/");
+    let kept = clock::Millis(1_000);
+    let wall = clock::wall();
+    assert_eq!(coordination::claims::expired(&rows, wall, kept), []);
+    let removals = coordination::claims::expired(&rows, wall + clock::Millis(60_000), kept);
+    platform.client().commit(&removals).await.unwrap();
+    assert_eq!(row_count(&platform), 0);
+}
--- a/crates/lab/tests/tool.rs
+++ b/crates/lab/tests/tool.rs
@@ -75,7 +75,10 @@
     assert_eq!(dir.run(&two).0, 0);
     let (status, text) = dir.run(&["rollout", "one.toml", "--platform", &address]);
     assert_eq!(status, 1, "{text}");
-    assert!(text.contains("version 2 by ours is in force"), "{text}");
+    assert!(
+        text.contains("version 2 by operator-1 is in force"),
+        "{text}"
+    );
     dir.write("one.toml", &BUNDLE.replace("version = 1", "version = 3"));
     let (status, text) = dir.run(&["rollout", "one.toml", "--platform", &address]);
     assert_eq!(status, 66, "{text}");
