--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -632,6 +632,21 @@
         .await
     }
 
+    /// Waits until the daemon `at` sees the daemon `name` as `liveness`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that does not come true in time.
+    pub async fn seen_at(&self, at: &str, name: &str, liveness: &str) -> Result<Spans, Error> {
+        let what = format!("the sight of {name} as {liveness} at {at}");
+        let daemon = self.running().filter(|d| d.name == at);
+        self.those(daemon, &what, |status| {
+            let mut seen = status.members.iter();
+            seen.any(|m| m.name == name && m.liveness == liveness)
+        })
+        .await
+    }
+
     async fn each(
         &self,
         what: &str,
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Describes postings without a key to `path`, which are not sent again once they may have run.
+    pub fn once(service: &str, path: &str, weight: f64) -> Kind {
+        Kind {
+            keyed: false,
+            ..Kind::post(service, path, weight)
+        }
+    }
+
     /// Describes keyed postings to `path`.
     pub fn post(service: &str, path: &str, weight: f64) -> Kind {
         Kind {
--- a/crates/lab/src/target/tally.rs
+++ b/crates/lab/src/target/tally.rs
@@ -112,11 +112,21 @@
 }
 
 impl Snapshot {
-    /// Counts the idempotency keys whose work ran more than once.
+    /// Counts the non-idempotent requests whose work ran more than once: by key, and by send where there is none.
     pub fn ran_twice(&self) -> usize {
+        const SAFE: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
         let mut runs = BTreeMap::<&str, usize>::new();
-        for run in self.runs.iter().filter(|r| !r.key.is_empty()) {
-            *runs.entry(&run.key).or_default() += 1;
+        for run in self
+            .runs
+            .iter()
+            .filter(|r| !SAFE.contains(&r.method.as_str()))
+        {
+            let name = if run.key.is_empty() {
+                &run.attempt
+            } else {
+                &run.key
+            };
+            *runs.entry(name).or_default() += 1;
         }
         runs.values().filter(|n| **n > 1).count()
     }
--- /dev/null
+++ b/crates/lab/tests/processes/drain.rs
@@ -0,0 +1,19 @@
+//! Graceful shutdowns.
+
+use crate::support;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_cuts_nothing_while_the_balancer_still_sends() {
+    let mut proof = support::proof("drain", 4, 51).await;
+    for name in ["d000", "d001"] {
+        proof.serves().await;
+        proof.trial.drain(name).unwrap();
+        proof.serves().await;
+        proof.trial.entries.list(name, false);
+        let status = proof.trial.fleet.ended(name).await.unwrap();
+        assert!(status.success(), "{status}");
+    }
+    proof.trial.fleet.settled().await.unwrap();
+    proof.serves().await;
+    proof.holds().await;
+}
