--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -55,6 +55,12 @@
         /// What is wrong.
         source: peridotspread::transport::keys::Error,
     },
+    /// An operator's keys can't be made.
+    #[snafu(display("can't make an operator's keys"))]
+    Operator {
+        /// What is wrong.
+        source: peridotspread::state::operator::Error,
+    },
     /// Settings or a bundle can't be written as TOML.
     #[snafu(display("can't write TOML"))]
     Settings {
@@ -163,7 +169,7 @@
     /// The relay between the daemons, where there is one.
     pub relay: Option<relay::Relay>,
     place: net::SocketAddr,
-    operator: Operator,
+    operators: Vec<Operator>,
     files: files::Files,
 }
 
@@ -221,7 +227,8 @@
         let address = loopback();
         let clock = clock::Clock::start();
         let files = files::Files::create(&self.name)?;
-        let operator = Operator::create(&files, "operator-1")?;
+        let operators = ["operator-1", "operator-2"].map(|name| Operator::create(&files, name));
+        let operators = operators.into_iter().collect::<Result<_, _>>()?;
         let any = net::SocketAddr::new(address, 0);
         let (place, platform) = platform::serve(any, self.platform.clone()).await;
         let plans = self.plans(any);
@@ -235,7 +242,7 @@
             services: self.services.clone(),
             relay: self.relayed.then(relay::Relay::default),
             place,
-            operator,
+            operators,
             files,
         };
         for i in 0..self.daemons {
@@ -380,7 +387,7 @@
             platform: self.place,
             seeds: self.seeds(),
         };
-        let operators = [self.operator.public.clone()];
+        let operators: Vec<_> = self.operators.iter().map(|o| o.public.clone()).collect();
         let settings = self.files.settings(name, &place, &operators, ADMIN_TOKEN)?;
         let daemon = Daemon {
             name: name.to_owned(),
--- a/crates/lab/src/fleet/rollout.rs
+++ b/crates/lab/src/fleet/rollout.rs
@@ -7,36 +7,34 @@
 use peridotspread::protocol::peer;
 use peridotspread::state::{bundle, clock, operator, settings};
 use peridotspread::transport;
-use snafu::{OptionExt, ResultExt};
+use snafu::ResultExt;
 
-use super::{Error, Fleet, RolloutSnafu, SettingsSnafu, files};
+use super::{Error, Fleet, OperatorSnafu, RolloutSnafu, SettingsSnafu, files};
 
 /// How long one call to the platform may take.
 const CALL: clock::Millis = clock::Millis(1_000);
-/// How long a rollout goes on while the platform does not answer.
+/// How long an operator goes on while the platform does not answer.
 const PATIENCE: clock::Millis = clock::Millis(10_000);
 
 /// An operator who may sign bundles.
 #[derive(Debug)]
 pub struct Operator {
+    key: operator::Key,
     /// The file of the public key, for the daemons' settings.
     pub public: path::PathBuf,
-    key: operator::Key,
 }
 
 impl Operator {
     pub(super) fn create(files: &files::Files, name: &str) -> Result<Operator, Error> {
-        let no_key = || RolloutSnafu {
-            reason: "an operator's key can't be made",
-        };
-        let pair = operator::generate().ok().with_context(no_key)?;
-        let key = operator::Key::from_pem(name, &pair.private).with_context(no_key)?;
-        let public = files.write(&format!("{name}.pub.pem"), &pair.public)?;
-        Ok(Operator { public, key })
+        let pair = operator::generate().context(OperatorSnafu)?;
+        let private = files.write(&format!("{name}.pem"), &pair.private)?;
+        Ok(Operator {
+            public: files.write(&format!("{name}.pub.pem"), &pair.public)?,
+            key: operator::Key::load(&private).context(OperatorSnafu)?,
+        })
     }
 
-    /// Signs a bundle off.
-    pub(super) fn sign(&self, bundle: &bundle::Bundle) -> Result<peer::Signed, Error> {
+    fn sign(&self, bundle: &bundle::Bundle) -> Result<peer::Signed, Error> {
         let text = toml::to_string(bundle).context(SettingsSnafu)?;
         let digest = operator::digest(&text);
         Ok(peer::Signed {
@@ -50,31 +48,50 @@
 }
 
 impl Fleet {
-    /// Rolls out a bundle, and returns how long the platform took to accept it.
+    /// Rolls out a bundle as the operator called `operator`, and returns what became of that.
     ///
     /// # Errors
     ///
-    /// Returns an error if the platform does not accept the bundle.
-    pub async fn roll_out(&mut self, bundle: &bundle::Bundle) -> Result<time::Duration, Error> {
-        let start = time::Instant::now();
-        let signed = self.operator.sign(bundle)?;
-        let client = transport::platform::HttpPlatform::new(&settings::Platform {
+    /// Returns an error if nothing was rolled out because the platform does not answer.
+    pub async fn try_roll_out(
+        &self,
+        operator: usize,
+        bundle: &bundle::Bundle,
+    ) -> Result<rollout::Outcome, Error> {
+        let platform = transport::platform::HttpPlatform::new(&settings::Platform {
             address: self.place,
             timeout_ms: CALL,
         });
+        let signed = self.operators[operator].sign(bundle)?;
         let options = rollout::RolloutOptions {
-            platform: &client,
+            platform: &platform,
             signed: &signed,
             patience: PATIENCE,
         };
-        let reason = match rollout::rollout(&options).await {
-            Ok(rollout::Outcome::Accepted { .. } | rollout::Outcome::InForce { .. }) => {
-                self.bundle = bundle.clone();
-                return Ok(start.elapsed());
+        let outcome = rollout::rollout(&options).await;
+        outcome.map_err(|e| {
+            RolloutSnafu {
+                reason: e.to_string(),
             }
-            Ok(other) => format!("{other:?}"),
-            Err(e) => e.to_string(),
-        };
-        RolloutSnafu { reason }.fail()
+            .build()
+        })
+    }
+
+    /// Rolls out a bundle, and returns how long the platform took to accept it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bundle is not accepted.
+    pub async fn roll_out(&mut self, bundle: &bundle::Bundle) -> Result<time::Duration, Error> {
+        let start = time::Instant::now();
+        match self.try_roll_out(0, bundle).await? {
+            rollout::Outcome::Accepted { .. } => {}
+            other => {
+                let reason = format!("{other:?}");
+                return RolloutSnafu { reason }.fail();
+            }
+        }
+        self.bundle = bundle.clone();
+        Ok(start.elapsed())
     }
 }
--- a/crates/lab/tests/processes/rollout.rs
+++ b/crates/lab/tests/processes/rollout.rs
@@ -1,5 +1,6 @@
 //! Bundles rolled out under load, and targets that leave by them.
 
+use peridotspread::ops::rollout::Outcome;
 use peridotspread::state::clock;
 use peridotspread_lab::{fleet, trial};
 
@@ -18,3 +19,37 @@
     proof.serves().await;
     proof.holds().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_at_the_same_moment_one_wins_and_the_other_is_told() {
+    let mut proof = support::proof("operators", 3, 42).await;
+    proof.serves().await;
+    for round in 2..6 {
+        let mut next = proof.trial.fleet.bundle.clone();
+        next.version = round;
+        let mut other = next.clone();
+        other.services[0].queue += 1;
+        let fleet = &proof.trial.fleet;
+        fleet.platform.set(|o| o.lose_next = 1);
+        let (first, second) =
+            tokio::join!(fleet.try_roll_out(0, &next), fleet.try_roll_out(1, &other));
+        let outcomes = [first.unwrap(), second.unwrap()];
+        let accepted = |o: &&Outcome| matches!(o, Outcome::Accepted { .. });
+        assert_eq!(outcomes.iter().filter(accepted).count(), 1, "{outcomes:?}");
+        let signer = match accepted(&&outcomes[0]) {
+            true => "operator-1",
+            false => "operator-2",
+        };
+        let told = outcomes.iter().find(|o| !accepted(o)).unwrap();
+        match told {
+            Outcome::Beaten { winner: held } | Outcome::NotNewer { held } => {
+                assert_eq!((held.version, held.signer.as_str()), (round, signer));
+            }
+            other => panic!("{other:?}"),
+        }
+        proof.trial.fleet.in_force(round).await.unwrap();
+        proof.trial.fleet.bundle = if signer == "operator-1" { next } else { other };
+    }
+    proof.serves().await;
+    proof.holds().await;
+}
--- a/crates/lab/tests/processes/support.rs
+++ b/crates/lab/tests/processes/support.rs
@@ -68,10 +68,10 @@
 }
 
 impl Proof {
-    /// Waits until the services that need no claim serve again.
+    /// Waits until all services serve again.
     pub(crate) async fn serves(&self) {
         const MORE: u64 = 30;
-        for service in [SEATS, BOOKING] {
+        for service in [SEATS, FEES, BOOKING] {
             self.trial.serves(service, MORE).await.unwrap();
         }
     }
@@ -90,6 +90,7 @@
             }
         }
         assert_eq!(counts.broken(), [], "{:?}", counts.report.services);
+        assert!(counts.report.services[FEES].served > 0, "no keyed work ran");
         counts
     }
 }
