--- a/crates/lab/src/watch.rs
+++ b/crates/lab/src/watch.rs
@@ -20,25 +20,44 @@
 /// The starts within [`WINDOW`] that count as single trials.
 const TRIALS: usize = 1;
 
-/// Returns how long a target that was gray from `from` until `to` kept receiving regular traffic; `starts` are in order.
+/// Returns how long a target that was gray from `from` until `to` kept receiving traffic; `starts` are in order.
+///
+/// The traffic ends with the last request before the first pause of [`WINDOW`]. What comes after it counts too, unless
+/// it comes so rarely that it can only be the fleet's trials.
 pub fn detection(
     starts: &[clock::Millis],
     from: clock::Millis,
     to: clock::Millis,
 ) -> clock::Millis {
-    let gray: Vec<_> = starts.iter().filter(|s| **s >= from && **s < to).collect();
-    let regular = |i: usize| {
+    let gray: Vec<_> = starts
+        .iter()
+        .copied()
+        .filter(|s| *s >= from && *s < to)
+        .collect();
+    let regular = |i: &usize| {
         let after = gray[i + 1..].iter();
-        after.take_while(|s| ***s <= *gray[i] + WINDOW).count() > TRIALS
+        after.take_while(|s| **s <= gray[*i] + WINDOW).count() > TRIALS
     };
-    let last = (0..gray.len()).rev().find(|i| regular(*i));
-    match last {
-        Some(i) if *gray[i] + WINDOW >= to => to - from,
-        Some(i) => *gray[i] - from,
+    let last_regular = (0..gray.len()).rev().find(regular).map(|i| gray[i]);
+    match last_regular.max(end_of_burst(&gray, from)) {
+        Some(last) if last + WINDOW >= to => to - from,
+        Some(last) => last - from,
         None => clock::Millis::ZERO,
     }
 }
 
+/// Returns the last of `starts` before the first pause of [`WINDOW`] after `from`.
+fn end_of_burst(starts: &[clock::Millis], from: clock::Millis) -> Option<clock::Millis> {
+    let mut last = None;
+    for start in starts {
+        if *start - last.unwrap_or(from) >= WINDOW {
+            break;
+        }
+        last = Some(*start);
+    }
+    last
+}
+
 /// What was seen of ejections.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
