--- /dev/null
+++ b/src/bin/peridotspread/commands/drain.rs
@@ -0,0 +1,62 @@
+//! `peridotspread drain`: shuts a daemon down without cutting a request.
+
+use std::net;
+use std::path;
+
+use gumdrop::Options;
+use peridotspread::ops::fleet;
+use serde::Serialize;
+
+use crate::commands::{self, Command, admin as shared};
+use crate::output::{self, Outcome, Status};
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "the admin address of the daemon; else PERIDOTSPREAD_ADMIN"
+    )]
+    admin: Option<net::SocketAddr>,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the operators' token; else PERIDOTSPREAD_TOKEN"
+    )]
+    token: Option<path::PathBuf>,
+    #[options(no_short, help = "print one JSON object")]
+    json: bool,
+}
+
+#[derive(Serialize)]
+struct Report {
+    draining: net::SocketAddr,
+}
+
+pub(crate) fn cli() -> Command {
+    Command {
+        name: "drain",
+        about: "Shuts a daemon down once its requests in flight are finished",
+        usage: "peridotspread drain [--admin ADDRESS] [--token FILE] [--json]",
+        exec,
+    }
+}
+
+fn exec(args: &[&str]) -> Outcome {
+    let args: Args = match commands::parse(&cli(), args) {
+        Ok(args) => args,
+        Err(status) => return Ok(status),
+    };
+    let address = shared::address(args.admin)?;
+    let token = shared::token(args.token.as_deref())?;
+    shared::block_on(async {
+        let options = fleet::AdminOptions {
+            address,
+            token: &token,
+        };
+        fleet::drain(&options).await.map_err(shared::failure)?;
+        let line = format!("the daemon at {address} finishes its requests and ends");
+        output::report(args.json, &Report { draining: address }, &line);
+        Ok(Status::Good)
+    })
+}
--- a/src/bin/peridotspread/commands/mod.rs
+++ b/src/bin/peridotspread/commands/mod.rs
@@ -1,10 +1,15 @@
 //! The subcommands, one file each with its `cli()` and `exec()`.
 
+mod admin;
 mod check;
 mod diff;
+mod drain;
 mod keys;
 mod rollout;
 mod sign;
+mod status;
+mod targets;
+mod timeline;
 
 use std::fs;
 use std::path;
@@ -36,6 +41,10 @@
         diff::cli(),
         sign::cli(),
         rollout::cli(),
+        status::cli(),
+        targets::cli(),
+        drain::cli(),
+        timeline::cli(),
         keys::cli(),
     ]
 }
--- /dev/null
+++ b/src/bin/peridotspread/commands/status.rs
@@ -0,0 +1,84 @@
+//! `peridotspread status`: tells which version is in force in every place.
+
+use std::net;
+use std::path;
+
+use gumdrop::Options;
+use peridotspread::ops::fleet;
+use peridotspread::protocol::admin;
+
+use crate::commands::{self, Command, admin as shared};
+use crate::output::{self, Outcome, Status};
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "the admin address of any daemon; else PERIDOTSPREAD_ADMIN"
+    )]
+    admin: Option<net::SocketAddr>,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the operators' token; else PERIDOTSPREAD_TOKEN"
+    )]
+    token: Option<path::PathBuf>,
+    #[options(no_short, help = "print one JSON object")]
+    json: bool,
+}
+
+pub(crate) fn cli() -> Command {
+    Command {
+        name: "status",
+        about: "Tells the version in force in every place, and which daemons are silent",
+        usage: "peridotspread status [--admin ADDRESS] [--token FILE] [--json]",
+        exec,
+    }
+}
+
+fn exec(args: &[&str]) -> Outcome {
+    let args: Args = match commands::parse(&cli(), args) {
+        Ok(args) => args,
+        Err(status) => return Ok(status),
+    };
+    let address = shared::address(args.admin)?;
+    let token = shared::token(args.token.as_deref())?;
+    shared::block_on(async {
+        let options = fleet::AdminOptions {
+            address,
+            token: &token,
+        };
+        let status = fleet::status(&options).await.map_err(shared::failure)?;
+        output::report(args.json, &status, &describe(&status));
+        let agreed = status
+            .members
+            .iter()
+            .all(|m| m.version == status.version && m.liveness == "alive");
+        Ok(if agreed {
+            Status::Good
+        } else {
+            Status::Negative
+        })
+    })
+}
+
+fn describe(status: &admin::Status) -> String {
+    let mut lines = vec![format!(
+        "version {} is in force at {}",
+        status.version, status.daemon
+    )];
+    for member in &status.members {
+        let lag = if member.version == status.version {
+            ""
+        } else {
+            "  (differs)"
+        };
+        let line = format!(
+            "  {:<24} {:<16} {:<8} version {}{lag}",
+            member.name, member.domain, member.liveness, member.version
+        );
+        lines.push(line);
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/bin/peridotspread/commands/targets.rs
@@ -0,0 +1,87 @@
+//! `peridotspread targets`: tells how the homes judge the targets.
+
+use std::net;
+use std::path;
+
+use gumdrop::Options;
+use peridotspread::ops::fleet;
+use peridotspread::protocol::admin;
+
+use crate::commands::{self, Command, admin as shared};
+use crate::output::{self, Outcome, Status};
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(
+        no_short,
+        meta = "ADDRESS",
+        help = "the admin address of any daemon; else PERIDOTSPREAD_ADMIN"
+    )]
+    admin: Option<net::SocketAddr>,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the operators' token; else PERIDOTSPREAD_TOKEN"
+    )]
+    token: Option<path::PathBuf>,
+    #[options(no_short, meta = "NAME", help = "only the targets of this service")]
+    service: Option<String>,
+    #[options(no_short, help = "print one JSON object")]
+    json: bool,
+}
+
+pub(crate) fn cli() -> Command {
+    Command {
+        name: "targets",
+        about: "Tells how the targets are judged: normal, avoided or ejected",
+        usage: "peridotspread targets [--admin ADDRESS] [--token FILE] [--service NAME] [--json]",
+        exec,
+    }
+}
+
+fn exec(args: &[&str]) -> Outcome {
+    let args: Args = match commands::parse(&cli(), args) {
+        Ok(args) => args,
+        Err(status) => return Ok(status),
+    };
+    let address = shared::address(args.admin)?;
+    let token = shared::token(args.token.as_deref())?;
+    shared::block_on(async {
+        let options = fleet::AdminOptions {
+            address,
+            token: &token,
+        };
+        let mut found = fleet::targets(&options).await.map_err(shared::failure)?;
+        if let Some(service) = &args.service {
+            found.targets.retain(|t| t.cell.service == *service);
+        }
+        output::report(args.json, &found, &describe(&found));
+        Ok(if found.silent.is_empty() {
+            Status::Good
+        } else {
+            Status::Negative
+        })
+    })
+}
+
+fn describe(found: &admin::Targets) -> String {
+    let mut lines = Vec::new();
+    for target in &found.targets {
+        let line = format!(
+            "{:<24} {:<16} {:<20} {:<8} {}/{} slots  ratio {:.1}  home {}",
+            target.cell.service,
+            target.cell.domain,
+            target.name,
+            target.standing,
+            target.busy,
+            target.slots,
+            target.ratio,
+            target.home
+        );
+        lines.push(line);
+    }
+    for home in &found.silent {
+        lines.push(format!("no answer from the home {home}"));
+    }
+    lines.join("\n")
+}
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -194,6 +194,20 @@
         }
     }
 
+    /// Tells how the targets are judged; the caller names the home.
+    pub fn targets(&self) -> Vec<peer::TargetReport> {
+        let report = |(name, t): (&String, &target::Target)| peer::TargetReport {
+            cell: self.id.clone(),
+            name: name.clone(),
+            standing: t.describe().to_owned(),
+            slots: as_count(t.total),
+            busy: as_count(t.busy),
+            ratio: t.score.value(),
+            home: String::new(),
+        };
+        self.targets.iter().map(report).collect()
+    }
+
     /// Returns whether the request runs as a trial at a target that is avoided or ejected.
     pub fn is_trial(&self, ticket: ids::Ticket) -> bool {
         self.running.get(&ticket).is_some_and(|r| r.trial)
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -86,6 +86,18 @@
         self.ejection.standing() == ejection::Standing::Normal
     }
 
+    /// Returns the word for its standing that reports show.
+    pub(super) fn describe(&self) -> &'static str {
+        if self.leaving {
+            return "leaving";
+        }
+        match self.ejection.standing() {
+            ejection::Standing::Normal => "normal",
+            ejection::Standing::Avoided => "avoided",
+            ejection::Standing::Ejected { .. } => "ejected",
+        }
+    }
+
     /// Returns whether nothing speaks against it at the moment.
     pub(super) fn is_well(&self, avoid: f64) -> bool {
         self.is_normal() && self.overdue == 0 && self.score.value() < avoid / 2.0
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -3,6 +3,7 @@
 //! `GET /v1/ready` and `GET /metrics` are open; all else needs the operators' bearer token, and is recorded in the time
 //! line. The command-line tool shows what comes from here.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::sync;
 
@@ -13,9 +14,9 @@
 use serde::Serialize;
 use tokio::sync as tasks;
 
-use crate::coordination::member;
+use crate::coordination::{homes, member};
 use crate::daemon::{home, metrics};
-use crate::protocol::peer;
+use crate::protocol::{admin as protocol, peer};
 use crate::state::{bundle, ids, index, timeline};
 use crate::transport::{body, http as server};
 
@@ -39,44 +40,12 @@
     pub metrics: sync::Arc<metrics::Metrics>,
     /// The daemon's time line.
     pub recorder: sync::Arc<timeline::Recorder>,
+    /// The way to other daemons.
+    pub sender: sync::Arc<dyn peer::NoteSender>,
     /// Becomes true when the daemon shuts down.
     pub draining: tasks::watch::Sender<bool>,
 }
 
-/// What `GET /v1/status` tells.
-#[derive(Debug, Serialize)]
-pub struct Status {
-    /// The daemon's name.
-    pub daemon: String,
-    /// The daemon's failure domain.
-    pub domain: String,
-    /// Which run of the daemon.
-    pub incarnation: ids::Incarnation,
-    /// The version of the bundle in force; 0 for none.
-    pub version: u64,
-    /// Whether the daemon shuts down.
-    pub draining: bool,
-    /// The daemons that this one knows of, itself among them.
-    pub members: Vec<Seen>,
-    /// The cells that this daemon is home of.
-    pub cells: Vec<peer::Summary>,
-}
-
-/// One daemon as another sees it.
-#[derive(Debug, Serialize)]
-pub struct Seen {
-    /// The daemon's name.
-    pub name: String,
-    /// Its failure domain.
-    pub domain: String,
-    /// Its address for peers.
-    pub peer: net::SocketAddr,
-    /// `alive`, `suspect` or `leaving`.
-    pub liveness: &'static str,
-    /// The version that it last told of.
-    pub version: u64,
-}
-
 impl server::Handler for sync::Arc<Admin> {
     fn handle(
         &self,
@@ -113,6 +82,7 @@
             .record(timeline::Kind::Admin, timeline::Subject::default(), &detail);
         match (request.method(), path) {
             (&Method::GET, "/v1/status") => json(&self.status().await),
+            (&Method::GET, "/v1/targets") => json(&self.targets().await),
             (&Method::GET, "/v1/timeline") => self.timeline(),
             (&Method::POST, "/v1/drain") => self.drain(),
             _ => plain(
@@ -141,18 +111,18 @@
         plain(StatusCode::OK, "ready\n")
     }
 
-    async fn status(&self) -> Status {
+    async fn status(&self) -> protocol::Status {
         let view = self.view.borrow().clone();
         let version = self.bundle.borrow().version;
         let draining = *self.draining.borrow();
-        let members = view.members.iter().map(|(name, m)| Seen {
+        let members = view.members.iter().map(|(name, m)| protocol::Seen {
             name: name.clone(),
             domain: m.domain.clone(),
             peer: m.peer,
-            liveness: m.liveness.as_str(),
+            liveness: m.liveness.as_str().to_owned(),
             version: m.version,
         });
-        Status {
+        protocol::Status {
             daemon: self.name.clone(),
             domain: self.domain.clone(),
             incarnation: self.incarnation,
@@ -163,6 +133,45 @@
         }
     }
 
+    /// Asks the homes of all cells how they judge their targets.
+    async fn targets(&self) -> protocol::Targets {
+        let bundle = self.bundle.borrow().clone();
+        let view = self.view.borrow().clone();
+        let cells = bundle.services.iter().flat_map(|s| s.cells().into_keys());
+        let homes: BTreeSet<_> = cells
+            .filter_map(|c| homes::rank(&c, &view).first().map(|h| (*h).to_owned()))
+            .collect();
+        let asked = homes.iter().map(|home| self.ask_targets(home));
+        let mut found = protocol::Targets {
+            targets: Vec::new(),
+            silent: Vec::new(),
+        };
+        for (home, reports) in homes.iter().zip(future::join_all(asked).await) {
+            match reports {
+                Some(reports) => found.targets.extend(reports),
+                None => found.silent.push(home.clone()),
+            }
+        }
+        found
+            .targets
+            .sort_by(|a, b| (&a.cell, &a.name).cmp(&(&b.cell, &b.name)));
+        found
+    }
+
+    async fn ask_targets(&self, home: &str) -> Option<Vec<peer::TargetReport>> {
+        if home == self.name {
+            return Some(self.home.targets().await);
+        }
+        match self.sender.send(home, peer::Note::AskTargets).await {
+            Ok(peer::Note::Targets(reports)) => Some(reports),
+            Ok(_) => None,
+            Err(e) => {
+                log::debug!("{e}");
+                None
+            }
+        }
+    }
+
     fn timeline(&self) -> Response<body::Body> {
         let lines = self
             .recorder
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -74,6 +74,8 @@
         /// How long.
         span: clock::Millis,
     },
+    /// Asks how the targets are judged.
+    Targets(tasks::oneshot::Sender<Vec<peer::TargetReport>>),
     /// This daemon gives up the cell.
     Drain,
     /// Time passed.
@@ -222,6 +224,11 @@
             Message::Quarantined { fingerprint, span } => self
                 .cell
                 .handle(now, Event::Quarantined { fingerprint, span }),
+            Message::Targets(reply) => {
+                // An asker that has gone needs no reply.
+                let _ = reply.send(self.cell.targets());
+                Vec::new()
+            }
             Message::Drain => {
                 self.draining = true;
                 self.cell.handle(now, Event::Drain)
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -174,6 +174,21 @@
             .collect()
     }
 
+    /// Returns how the targets of all cells here are judged.
+    pub async fn targets(&self) -> Vec<peer::TargetReport> {
+        let handles: Vec<_> = self.cells.lock().await.values().cloned().collect();
+        let mut reports = Vec::new();
+        for handle in handles {
+            let (reply, replied) = tasks::oneshot::channel();
+            handle.tell(Message::Targets(reply));
+            reports.extend(replied.await.unwrap_or_default());
+        }
+        for report in &mut reports {
+            report.home.clone_from(&self.options.name);
+        }
+        reports
+    }
+
     /// Closes connections to targets that have been idle for too long.
     pub fn sweep(&self) {
         self.options.pool.sweep();
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -177,7 +177,7 @@
             name: settings.name.clone(),
             clock,
             view: view.clone(),
-            sender,
+            sender: sender.clone(),
             recorder: recorder.clone(),
         });
         let home = sync::Arc::new(home::Home::new(home::Options {
@@ -218,9 +218,14 @@
             home: home.clone(),
             metrics,
             recorder: recorder.clone(),
+            sender,
             draining: draining_sender,
         });
-        let notes = sync::Arc::new(notes::Notes { spreader, follower });
+        let notes = sync::Arc::new(notes::Notes {
+            spreader,
+            home: home.clone(),
+            follower,
+        });
         let tasks = vec![
             tokio::spawn(accept_peers(incoming, home.clone(), members.clone(), notes)),
             tokio::spawn(pass_on_bundles(bundle, home.clone(), members.clone())),
--- a/src/daemon/notes.rs
+++ b/src/daemon/notes.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::daemon::{follower, spread};
+use crate::daemon::{follower, home, spread};
 use crate::protocol::{frame, peer};
 use crate::transport::quic;
 
@@ -10,6 +10,8 @@
 pub struct Notes {
     /// The quarantine.
     pub spreader: sync::Arc<spread::Spreader>,
+    /// The cells here.
+    pub home: sync::Arc<home::Home>,
     /// The follower of the bundle.
     pub follower: follower::Handle,
 }
@@ -37,6 +39,7 @@
                 self.spreader.learn(fingerprint, left);
                 peer::Note::Done
             }
+            peer::Note::AskTargets => peer::Note::Targets(self.home.targets().await),
             other => self.follower.note(from, other).await,
         }
     }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! What the bytes mean: messages between daemons, refusals to callers, header fields, and the platform's interface.
 
+pub mod admin;
 pub mod frame;
 pub mod gossip;
 pub mod headers;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -128,6 +128,25 @@
     End(Vec<Field>),
 }
 
+/// How a target is judged at its cell's home.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetReport {
+    /// The cell.
+    pub cell: ids::CellId,
+    /// The target's name.
+    pub name: String,
+    /// `normal`, `avoided`, `ejected` or `leaving`.
+    pub standing: String,
+    /// Its slots by the bundle.
+    pub slots: u32,
+    /// Its slots in use.
+    pub busy: u32,
+    /// The log-likelihood ratio that speaks against it.
+    pub ratio: f64,
+    /// The daemon that judges.
+    pub home: String,
+}
+
 /// The first message on a stream, which says what the stream is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Purpose {
@@ -161,6 +180,10 @@
         /// How long it stays in quarantine.
         left: clock::Millis,
     },
+    /// Asks a home for the targets of its cells.
+    AskTargets,
+    /// Tells how the targets of the sender's cells are judged.
+    Targets(Vec<TargetReport>),
     /// Nothing to tell; the reply to a note that needs none.
     Done,
 }
