--- a/src/bin/peridotspread/output.rs
+++ b/src/bin/peridotspread/output.rs
@@ -1,6 +1,7 @@
 //! What the tool prints, and the status that it exits with; `docs/EXIT-STATUSES.md` lists them.
 
 use std::error;
+use std::io::{self, Write};
 use std::process;
 
 use serde::Serialize;
@@ -53,15 +54,22 @@
 /// Prints `report` as one line of JSON, or `text` for a person.
 pub(crate) fn report<T: Serialize>(json: bool, report: &T, text: &str) {
     if !json {
-        println!("{text}");
+        print(text);
         return;
     }
     match serde_json::to_string(report) {
-        Ok(line) => println!("{line}"),
+        Ok(line) => print(&line),
         Err(e) => fail(&Failure::new(Status::System, e)),
     }
 }
 
+/// Prints a line; a reader that has gone away, such as `head`, is no fault.
+fn print(line: &str) {
+    if let Err(e) = writeln!(io::stdout(), "{line}") {
+        log::debug!("the output is not read: {e}");
+    }
+}
+
 /// Prints a failure with its causes.
 pub(crate) fn fail(failure: &Failure) {
     eprintln!("error: {}", failure.error);
--- a/src/state/reader.rs
+++ b/src/state/reader.rs
@@ -17,6 +17,8 @@
     file: &'a str,
     text: &'a str,
     found: cell::RefCell<findings::Findings>,
+    /// The offsets at which lines end; filled at the first finding.
+    ends: cell::OnceCell<Vec<usize>>,
 }
 
 /// One table of the text.
@@ -51,13 +53,30 @@
             file,
             text,
             found: cell::RefCell::default(),
+            ends: cell::OnceCell::new(),
         }
     }
 
     /// Adds a finding at byte `offset`.
     pub fn add(&self, offset: usize, message: &str) {
-        let mut found = self.found.borrow_mut();
-        found.add_at(self.file, self.text, offset, message);
+        let finding = findings::Finding {
+            file: self.file.to_owned(),
+            line: self.line(offset),
+            message: message.to_owned(),
+        };
+        self.found.borrow_mut().list.push(finding);
+    }
+
+    /// Returns the line of byte `offset`, counted from 1.
+    fn line(&self, offset: usize) -> usize {
+        let ends = self.ends.get_or_init(|| {
+            let bytes = self.text.bytes().enumerate();
+            bytes
+                .filter(|(_, b)| *b == b'\n')
+                .map(|(at, _)| at)
+                .collect()
+        });
+        ends.partition_point(|end| *end < offset) + 1
     }
 
     /// Parses the text, and adds each fault of its syntax.
@@ -84,7 +103,9 @@
     ///
     /// Returns all findings; among them what only deserialization sees.
     pub fn finish<T: serde::de::DeserializeOwned>(self) -> Result<T, findings::Findings> {
-        let Reader { file, text, found } = self;
+        let Reader {
+            file, text, found, ..
+        } = self;
         let mut found = found.into_inner().into_result(()).err().unwrap_or_default();
         if !found.list.is_empty() {
             return Err(found);
