--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -171,13 +171,16 @@
         }
     }
     for key in ["listen", "admin"] {
-        root.required(key).and_then(|v| address(v));
+        root.required(key).and_then(address);
     }
-    if let Some(peer) = root.required("peer") {
-        check_reachable(peer);
-    }
-    if let Some(advertise) = root.optional("advertise") {
-        check_reachable(advertise);
+    let peer = root.required("peer");
+    match (peer, root.optional("advertise")) {
+        (peer, Some(advertise)) => {
+            peer.and_then(address);
+            check_reachable(advertise);
+        }
+        (Some(peer), None) => check_reachable(peer),
+        (None, None) => {}
     }
     if let Some(platform) = root.required("platform").and_then(|p| p.table()) {
         check_platform(platform);
