--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -195,9 +195,13 @@
         let to = self.trial.fault(SICK, &target::Fault::None)?;
         let starts = self.trial.fleet.targets.tally().snapshot().starts(SICK);
         self.outcome.detection_ms = watch::detection(&starts, from, to).0;
+        let before_s = clock::Millis(1_000);
+        let in_span = |a, b| starts.iter().filter(|s| **s >= a && **s < b).count();
         self.say(&format!(
-            "target {SICK} is well again; it kept receiving traffic for {} ms",
-            self.outcome.detection_ms
+            "target {SICK} is well again; it kept receiving traffic for {} ms: {} requests in the second before, {} while gray",
+            self.outcome.detection_ms,
+            in_span(from - before_s, from),
+            in_span(from, to)
         ));
         self.tally(&before);
         Ok(())
--- a/crates/lab/src/watch.rs
+++ b/crates/lab/src/watch.rs
@@ -17,25 +17,24 @@
 const VERSION_LOOK: time::Duration = time::Duration::from_millis(100);
 /// The span that decides whether a target still gets regular traffic.
 const WINDOW: clock::Millis = clock::Millis(1_000);
-/// The starts within [`WINDOW`] that count as single trials.
-const TRIALS: usize = 1;
-
-/// Returns how long a target that was gray from `from` until `to` kept receiving regular traffic; `starts` are in order.
+/// Returns how long a target that was gray from `from` until `to` kept receiving traffic; `starts` are in order.
+///
+/// Traffic ends with the last request that another follows within a second; later ones count as single trials. Where
+/// no two requests are so close, it ends with the first one.
 pub fn detection(
     starts: &[clock::Millis],
     from: clock::Millis,
     to: clock::Millis,
 ) -> clock::Millis {
-    let gray: Vec<_> = starts.iter().filter(|s| **s >= from && **s < to).collect();
-    let regular = |i: usize| {
-        let after = gray[i + 1..].iter();
-        after.take_while(|s| ***s <= *gray[i] + WINDOW).count() > TRIALS
-    };
-    let last = (0..gray.len()).rev().find(|i| regular(*i));
-    match last {
-        Some(i) if *gray[i] + WINDOW >= to => to - from,
-        Some(i) => *gray[i] - from,
-        None => clock::Millis::ZERO,
+    let gray: Vec<_> = starts
+        .iter()
+        .copied()
+        .filter(|s| *s >= from && *s < to)
+        .collect();
+    let followed = gray.windows(2).rfind(|pair| pair[1] <= pair[0] + WINDOW);
+    match followed {
+        Some(pair) => pair[1] - from,
+        None => gray.first().map_or(clock::Millis::ZERO, |s| *s - from),
     }
 }
 
