--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 //! The builder reads like a sentence: `fleet("drain").daemons(3).domains(2).services(&bagh()).build().await`. Daemons are
 //! processes of their own; the stand-ins run within the lab's process. Everything ends with the [`Fleet`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net;
 use std::path;
 use std::sync;
@@ -35,6 +35,8 @@
 const PATIENCE: time::Duration = time::Duration::from_secs(30);
 /// The time between two looks at a condition.
 const LOOK: time::Duration = time::Duration::from_millis(10);
+/// What each daemon adds to that time where daemons are asked, so that the asking costs the same in any fleet.
+const LOOK_MORE: time::Duration = time::Duration::from_millis(1);
 /// The tiers, first served first.
 pub const TIERS: [&str; 3] = ["paying", "member", "guest"];
 
@@ -245,9 +247,15 @@
             operators,
             files,
         };
+        let mut ports = Ports {
+            address,
+            drawn: BTreeSet::new(),
+        };
         for i in 0..self.daemons {
             let name = format!("d{i:03}");
-            fleet.add(&name, &domain(i % self.domains), address).await?;
+            fleet
+                .add(&name, &domain(i % self.domains), &mut ports)
+                .await?;
         }
         fleet.list_hosts();
         let first = fleet.bundle.clone();
@@ -361,29 +369,46 @@
     }
 }
 
-/// Draws a free TCP port at `address`.
-fn free_tcp(address: net::IpAddr) -> std::io::Result<net::SocketAddr> {
-    net::TcpListener::bind((address, 0))?.local_addr()
+/// Draws free ports at one address, none of them twice.
+#[derive(Debug)]
+struct Ports {
+    address: net::IpAddr,
+    drawn: BTreeSet<net::SocketAddr>,
 }
 
-/// Draws a free UDP port at `address`.
-fn free_udp(address: net::IpAddr) -> std::io::Result<net::SocketAddr> {
-    net::UdpSocket::bind((address, 0))?.local_addr()
+impl Ports {
+    fn tcp(&mut self) -> std::io::Result<net::SocketAddr> {
+        loop {
+            let free = net::TcpListener::bind((self.address, 0))?.local_addr()?;
+            if self.drawn.insert(free) {
+                return Ok(free);
+            }
+        }
+    }
+
+    fn udp(&mut self) -> std::io::Result<net::SocketAddr> {
+        loop {
+            let free = net::UdpSocket::bind((self.address, 0))?.local_addr()?;
+            if self.drawn.insert(free) {
+                return Ok(free);
+            }
+        }
+    }
 }
 
 impl Fleet {
-    async fn add(&mut self, name: &str, domain: &str, address: net::IpAddr) -> Result<(), Error> {
-        let peer = free_udp(address).context(PortSnafu)?;
+    async fn add(&mut self, name: &str, domain: &str, ports: &mut Ports) -> Result<(), Error> {
+        let peer = ports.udp().context(PortSnafu)?;
         let advertise = match &mut self.relay {
             Some(relay) => Some(relay.open(name, peer).await.context(PortSnafu)?),
             None => None,
         };
         let place = files::Place {
             domain: domain.to_owned(),
-            listen: free_tcp(address).context(PortSnafu)?,
+            listen: ports.tcp().context(PortSnafu)?,
             peer,
             advertise,
-            admin: free_tcp(address).context(PortSnafu)?,
+            admin: ports.tcp().context(PortSnafu)?,
             platform: self.place,
             seeds: self.seeds(),
         };
@@ -671,13 +696,14 @@
     ) -> Result<Spans, Error> {
         let start = time::Instant::now();
         let holds = &holds;
+        let fleet = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
         let waits = daemons.map(|daemon| async move {
             loop {
                 let status = admin::status(daemon.admin, ADMIN_TOKEN).await;
                 if status.is_some_and(|s| holds(&s)) {
                     return start.elapsed();
                 }
-                tokio::time::sleep(LOOK).await;
+                tokio::time::sleep(LOOK + LOOK_MORE * fleet).await;
             }
         });
         let all = futures_util::future::join_all(waits);
