--- a/crates/lab/src/watch.rs
+++ b/crates/lab/src/watch.rs
@@ -17,13 +17,10 @@
 const VERSION_LOOK: time::Duration = time::Duration::from_millis(100);
 /// The span that decides whether a target still gets regular traffic.
 const WINDOW: clock::Millis = clock::Millis(1_000);
-/// The starts within [`WINDOW`] that count as single trials.
-const TRIALS: usize = 1;
-
 /// Returns how long a target that was gray from `from` until `to` kept receiving traffic; `starts` are in order.
 ///
-/// The traffic ends with the last request before the first pause of [`WINDOW`]. What comes after it counts too, unless
-/// it comes so rarely that it can only be the fleet's trials.
+/// Traffic ends with the last request that another follows within a second; later ones count as single trials. Where
+/// no two requests are so close, it ends with the first one.
 pub fn detection(
     starts: &[clock::Millis],
     from: clock::Millis,
@@ -34,28 +31,11 @@
         .copied()
         .filter(|s| *s >= from && *s < to)
         .collect();
-    let regular = |i: &usize| {
-        let after = gray[i + 1..].iter();
-        after.take_while(|s| **s <= gray[*i] + WINDOW).count() > TRIALS
-    };
-    let last_regular = (0..gray.len()).rev().find(regular).map(|i| gray[i]);
-    match last_regular.max(end_of_burst(&gray, from)) {
-        Some(last) if last + WINDOW >= to => to - from,
-        Some(last) => last - from,
-        None => clock::Millis::ZERO,
-    }
-}
-
-/// Returns the last of `starts` before the first pause of [`WINDOW`] after `from`.
-fn end_of_burst(starts: &[clock::Millis], from: clock::Millis) -> Option<clock::Millis> {
-    let mut last = None;
-    for start in starts {
-        if *start - last.unwrap_or(from) >= WINDOW {
-            break;
-        }
-        last = Some(*start);
+    let followed = gray.windows(2).rfind(|pair| pair[1] <= pair[0] + WINDOW);
+    match followed {
+        Some(pair) => pair[1] - from,
+        None => gray.first().map_or(clock::Millis::ZERO, |s| *s - from),
     }
-    last
 }
 
 /// What was seen of ejections.
