--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod latency;
 mod measure;
+mod platform;
 mod policy;
 mod slopes;
 mod target;
@@ -35,6 +36,8 @@
     Latency(latency::Args),
     #[options(help = "measure how the bundle's costs grow")]
     Slopes(slopes::Args),
+    #[options(help = "stand in for the platform")]
+    Platform(platform::Args),
     #[options(help = "stand in for targets, as a TOML file describes them")]
     Target(target::Args),
 }
@@ -53,6 +56,7 @@
         Command::Fleet(args) => runtime.block_on(fleet::exec(args)),
         Command::Latency(args) => runtime.block_on(latency::exec(args)),
         Command::Slopes(args) => runtime.block_on(slopes::exec(args)),
+        Command::Platform(args) => runtime.block_on(platform::exec(args)),
         Command::Target(args) => runtime.block_on(target::exec(args)),
     }
 }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -9,6 +9,11 @@
 
 use crate::state::clock;
 
+/// The bounds of the buckets of durations, in seconds.
+const DURATION_BOUNDS_S: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
 /// The daemon's instruments.
 pub struct Metrics {
     registry: prometheus::Registry,
@@ -49,6 +54,7 @@
             duration: meter
                 .f64_histogram("http.server.request.duration")
                 .with_unit("s")
+                .with_boundaries(DURATION_BOUNDS_S.to_vec())
                 .with_description("Time from a request's head to its answer's head")
                 .build(),
             refusals: meter
