--- a/crates/lab/src/measure/connections.rs
+++ b/crates/lab/src/measure/connections.rs
@@ -130,6 +130,7 @@
 fn bind(files: &files::Files, name: &str, timing: &quic::Timing) -> Result<End, peers::Error> {
     let free = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
     let place = files::Place {
+        advertise: None,
         domain: "lahore-1".to_owned(),
         listen: free,
         peer: free,
