--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -9,7 +9,7 @@
 /// The pause after a target shed a request or took no connection; it doubles with each one in a row.
 const FIRST_PAUSE: clock::Millis = clock::Millis(50);
 /// The doublings after which the pause no longer grows.
-const MOST_DOUBLINGS: u32 = 6;
+const MOST_DOUBLINGS: u32 = 3;
 /// Connections that break within this time are one crash of the target.
 const CRASH_SPAN: clock::Millis = clock::Millis(100);
 
@@ -86,6 +86,18 @@
         self.ejection.standing() == ejection::Standing::Normal
     }
 
+    /// Returns the word for its standing that reports show.
+    pub(super) fn describe(&self) -> &'static str {
+        if self.leaving {
+            return "leaving";
+        }
+        match self.ejection.standing() {
+            ejection::Standing::Normal => "normal",
+            ejection::Standing::Avoided => "avoided",
+            ejection::Standing::Ejected { .. } => "ejected",
+        }
+    }
+
     /// Returns whether nothing speaks against it at the moment.
     pub(super) fn is_well(&self, avoid: f64) -> bool {
         self.is_normal() && self.overdue == 0 && self.score.value() < avoid / 2.0
