daemon: bodies of GET and trailers reach targets and callers

A path over real connections in one process showed both: the HTTP library sends no body with GET unless its framing is named, and no trailers unless the request's TE and the answer's Trailer allow them; the proxy dropped both fields. Before: a GET body of 64 MiB arrived as 0 bytes, trailers did not arrive. After: both arrive whole.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -283,6 +283,9 @@
         }
         let mut fields = headers::to_fields(&parts.headers);
         exchange::add_forwarding(&mut fields, from, host);
+        if headers::takes_trailers(&parts.headers) {
+            exchange::add_field(&mut fields, header::TE.as_str(), "trailers");
+        }
         let idempotent = is_idempotent(&parts.method, route);
         let head = peer::Head {
             request: id,
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -148,19 +148,21 @@
 
 /// Tells targets who the caller is: the fields `Via`, `X-Forwarded-For` and `X-Forwarded-Host`.
 pub fn add_forwarding(fields: &mut Vec<peer::Field>, from: net::SocketAddr, host: &str) {
-    let mut add = |name: &str, value: &str| {
-        fields.push(peer::Field {
-            name: name.to_owned(),
-            value: value.as_bytes().to_vec(),
-        });
-    };
-    add("via", "1.1 peridotspread");
-    add("x-forwarded-for", &from.ip().to_string());
+    add_field(fields, "via", "1.1 peridotspread");
+    add_field(fields, "x-forwarded-for", &from.ip().to_string());
     if !host.is_empty() {
-        add("x-forwarded-host", host);
+        add_field(fields, "x-forwarded-host", host);
     }
 }
 
+/// Adds a field to those of a request.
+pub fn add_field(fields: &mut Vec<peer::Field>, name: &str, value: &str) {
+    fields.push(peer::Field {
+        name: name.to_owned(),
+        value: value.as_bytes().to_vec(),
+    });
+}
+
 /// A stream to a home.
 pub struct Stream {
     /// The home's half.
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ractor::{Actor, ActorRef};
@@ -646,6 +646,13 @@
         *request.method_mut() = method;
         *request.uri_mut() = self.head.uri.parse::<Uri>().ok()?;
         *request.headers_mut() = headers::from_fields(&self.head.fields);
+        if self.head.has_body() && !request.headers().contains_key(header::CONTENT_LENGTH) {
+            // The library sends no body with some methods unless its framing is named.
+            let chunked = HeaderValue::from_static("chunked");
+            request
+                .headers_mut()
+                .insert(header::TRANSFER_ENCODING, chunked);
+        }
         let left = self.deadline - self.home.options.clock.now();
         request
             .headers_mut()
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -18,12 +18,11 @@
 
 /// Returns whether the field concerns one connection only, whatever `Connection` names.
 fn concerns_connection(name: &HeaderName) -> bool {
-    const NAMES: [HeaderName; 8] = [
+    const NAMES: [HeaderName; 7] = [
         header::CONNECTION,
         header::PROXY_AUTHENTICATE,
         header::PROXY_AUTHORIZATION,
         header::TE,
-        header::TRAILER,
         header::TRANSFER_ENCODING,
         header::UPGRADE,
         header::EXPECT,
@@ -48,6 +47,17 @@
         .collect()
 }
 
+/// Returns whether the sender of `map` takes trailers, as its `TE` says.
+pub fn takes_trailers(map: &HeaderMap) -> bool {
+    let values = map
+        .get_all(header::TE)
+        .iter()
+        .filter_map(|v| v.to_str().ok());
+    values
+        .flat_map(|v| v.split(','))
+        .any(|v| v.trim().eq_ignore_ascii_case("trailers"))
+}
+
 /// Returns the names that `Connection` lists, in lower case.
 fn named_by_connection(map: &HeaderMap) -> Vec<String> {
     map.get_all(header::CONNECTION)
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -58,6 +58,11 @@
 }
 
 impl Head {
+    /// Returns whether the request has a body or trailers.
+    pub fn has_body(&self) -> bool {
+        self.more || !self.body.is_empty() || !self.trailers.is_empty()
+    }
+
     /// Returns whether the home awaits [`ToHome::Go`] before it dispatches: for work that must not run twice, and for
     /// bodies that can't be sent again.
     pub fn two_steps(&self) -> bool {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod findings;
 mod homes;
+mod path;
 mod quic;
 mod refusal;
 mod support;
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,234 @@
+//! The whole path from caller to target and back, over real connections within one process.
+
+use std::time;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use peridotspread::state::settings;
+use peridotspread::transport::body;
+use tokio::sync::watch;
+
+use crate::support::path::{path, path_with, pieces, request};
+
+const MIB: usize = 1024 * 1024;
+
+type Answering = future::BoxFuture<'static, Response<body::Body>>;
+
+fn empty() -> body::Body {
+    body::whole(Bytes::new())
+}
+
+/// Answers with the number of bytes of the request's body.
+fn count_bytes(request: Request<Incoming>) -> Answering {
+    async move {
+        let mut incoming = request.into_body();
+        let mut count = 0;
+        while let Some(Ok(frame)) = incoming.frame().await {
+            count += frame.data_ref().map_or(0, Bytes::len);
+        }
+        Response::new(body::whole(Bytes::from(count.to_string())))
+    }
+    .boxed()
+}
+
+/// Answers with the names of the request's fields.
+fn name_fields(request: Request<Incoming>) -> Answering {
+    let names: Vec<_> = request.headers().keys().map(ToString::to_string).collect();
+    async move { Response::new(body::whole(Bytes::from(names.join(" ")))) }.boxed()
+}
+
+fn stream_large(_request: Request<Incoming>) -> Answering {
+    async { Response::new(pieces(64, MIB, true)) }.boxed()
+}
+
+fn cut_short(_request: Request<Incoming>) -> Answering {
+    async { Response::new(pieces(3, 1_000, false)) }.boxed()
+}
+
+fn with_trailers(_request: Request<Incoming>) -> Answering {
+    let mut trailers = HeaderMap::new();
+    trailers.insert("x-checksum", HeaderValue::from_static("17"));
+    async {
+        let mut response =
+            Response::new(body::with_trailers(Bytes::from_static(b"data"), trailers));
+        response
+            .headers_mut()
+            .insert("trailer", HeaderValue::from_static("x-checksum"));
+        response
+    }
+    .boxed()
+}
+
+fn with_length(_request: Request<Incoming>) -> Answering {
+    async {
+        let mut response = Response::new(empty());
+        response
+            .headers_mut()
+            .insert("content-length", HeaderValue::from_static("1234"));
+        response
+    }
+    .boxed()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_body_is_streamed_to_the_target() {
+    let path = path("path-upload", count_bytes).await;
+    for method in ["GET", "POST"] {
+        let sent = request(method, "/").header("transfer-encoding", "chunked");
+        let sent = sent.body(pieces(64, MIB, true)).unwrap();
+        let response = path.send(sent).await.unwrap();
+        let text = response.into_body().collect().await.unwrap().to_bytes();
+        assert_eq!(text, (64 * MIB).to_string(), "{method}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_is_streamed_to_the_caller() {
+    let path = path("path-download", stream_large).await;
+    let response = path
+        .send(request("GET", "/").body(empty()).unwrap())
+        .await
+        .unwrap();
+    let mut incoming = response.into_body();
+    let mut count = 0;
+    while let Some(frame) = incoming.frame().await {
+        count += frame.unwrap().data_ref().map_or(0, Bytes::len);
+    }
+    assert_eq!(count, 64 * MIB);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_cut_short_by_the_target_is_cut_towards_the_caller() {
+    let path = path("path-cut", cut_short).await;
+    let response = path
+        .send(request("GET", "/").body(empty()).unwrap())
+        .await
+        .unwrap();
+    assert!(response.into_body().collect().await.is_err());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_reach_the_caller() {
+    let path = path("path-trailers", with_trailers).await;
+    let sent = request("GET", "/")
+        .header("te", "trailers")
+        .body(empty())
+        .unwrap();
+    let response = path.send(sent).await.unwrap();
+    let collected = response.into_body().collect().await.unwrap();
+    assert_eq!(collected.trailers().unwrap()["x-checksum"], "17");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_to_head_keeps_its_length() {
+    let path = path("path-head", with_length).await;
+    let response = path
+        .send(request("HEAD", "/").body(empty()).unwrap())
+        .await
+        .unwrap();
+    assert_eq!(response.headers()["content-length"], "1234");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fields_of_one_connection_are_not_passed_on() {
+    let path = path("path-fields", name_fields).await;
+    let sent = request("GET", "/")
+        .header("connection", "x-mine")
+        .header("x-mine", "1")
+        .header("keep-alive", "timeout=5")
+        .header("x-kept", "1")
+        .body(empty())
+        .unwrap();
+    let response = path.send(sent).await.unwrap();
+    let text = response.into_body().collect().await.unwrap().to_bytes();
+    let names: Vec<_> = std::str::from_utf8(&text).unwrap().split(' ').collect();
+    for passed in [
+        "x-kept",
+        "via",
+        "x-forwarded-for",
+        "peridotspread-deadline-ms",
+        "peridotspread-request",
+    ] {
+        assert!(names.contains(&passed), "{passed} is missing in {names:?}");
+    }
+    for held in ["x-mine", "keep-alive", "connection"] {
+        assert!(!names.contains(&held), "{held} was passed on in {names:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_above_the_limit_is_refused() {
+    let limits = settings::Limits {
+        head_bytes: 8 * 1024,
+        ..settings::Limits::default()
+    };
+    let path = path_with("path-limit", name_fields, limits).await;
+    let sent = request("GET", "/")
+        .header("x-long", "x".repeat(32 * 1024))
+        .body(empty())
+        .unwrap();
+    let response = path.send(sent).await.unwrap();
+    assert_eq!(
+        response.status(),
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_that_passes_at_the_target_is_told_as_unknown() {
+    for method in ["GET", "POST"] {
+        let path = path(&format!("path-deadline-{method}"), |_| {
+            future::pending().boxed()
+        })
+        .await;
+        let sent = request(method, "/")
+            .header("peridotspread-deadline-ms", "300")
+            .body(empty())
+            .unwrap();
+        let response = path.send(sent).await.unwrap();
+        assert_eq!(
+            response.headers()["peridotspread-outcome"],
+            "unknown",
+            "{method}"
+        );
+        assert_eq!(response.status(), StatusCode::GATEWAY_TIMEOUT, "{method}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_leaves_cancels_the_work() {
+    static RUNNING: std::sync::LazyLock<watch::Sender<i32>> =
+        std::sync::LazyLock::new(watch::Sender::default);
+    struct Run;
+    impl Drop for Run {
+        fn drop(&mut self) {
+            RUNNING.send_modify(|n| *n -= 1);
+        }
+    }
+    fn hang(_request: Request<Incoming>) -> Answering {
+        RUNNING.send_modify(|n| *n += 1);
+        let run = Run;
+        async move {
+            future::pending::<()>().await;
+            drop(run);
+            Response::new(empty())
+        }
+        .boxed()
+    }
+    let path = path("path-leave", hang).await;
+    let mut running = RUNNING.subscribe();
+    let sending = path.send(request("POST", "/").body(empty()).unwrap());
+    tokio::select! {
+        _ = sending => panic!("the target never answers"),
+        _ = running.wait_for(|n| *n == 1) => {}
+    }
+    let stopped = running.wait_for(|n| *n == 0);
+    tokio::time::timeout(time::Duration::from_secs(4), stopped)
+        .await
+        .unwrap()
+        .unwrap();
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod bundles;
 pub(crate) mod fleet;
+pub(crate) mod path;
--- /dev/null
+++ b/tests/testsuite/support/path.rs
@@ -0,0 +1,253 @@
+//! One daemon's whole path without peers: callers, the entry, its own home, and a target that a test writes.
+
+use std::convert;
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use futures_util::future;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use peridotspread::coordination::member;
+use peridotspread::daemon::claims::{Claimed, Claims, Settled, Token};
+use peridotspread::daemon::{cell, entry, home, metrics, spread};
+use peridotspread::protocol::peer;
+use peridotspread::state::{bundle, clock, ids, settings, timeline};
+use peridotspread::transport::{body, http as server, pool};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::fleet;
+
+/// Answers what the daemon dispatches.
+pub(crate) type Answer = fn(Request<Incoming>) -> future::BoxFuture<'static, Response<body::Body>>;
+
+/// A running path; it ends with the test's runtime.
+pub(crate) struct Path {
+    /// Where callers connect.
+    pub(crate) address: net::SocketAddr,
+    _bundle: watch::Sender<sync::Arc<bundle::Bundle>>,
+    _view: watch::Sender<sync::Arc<member::View>>,
+    _stop: watch::Sender<bool>,
+}
+
+/// Starts a path to one target with two slots that answers by `answer`; `test` names its directory.
+pub(crate) async fn path(test: &str, answer: Answer) -> Path {
+    path_with(test, answer, settings::Limits::default()).await
+}
+
+/// Starts a path under limits of the test's own.
+pub(crate) async fn path_with(test: &str, answer: Answer, limits: settings::Limits) -> Path {
+    let target = target(answer).await;
+    let mut own = fleet::files(test).settings("d1");
+    own.limits = limits.clone();
+    let clock = clock::Clock::start();
+    let recorder = sync::Arc::new(timeline::Recorder::new("d1", ids::Incarnation(1)));
+    let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target)));
+    let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&own)));
+    let home = sync::Arc::new(home::Home::new(home::Options {
+        name: "d1".to_owned(),
+        clock,
+        recorder: recorder.clone(),
+        bundle: bundle_seen.clone(),
+        view: view_seen.clone(),
+        pool: pool::Pool::new(clock, limits.head_bytes),
+        budget: sync::Arc::new(NoBudget),
+        spread: sync::Arc::new(NoSpread),
+    }));
+    let spreader = spread::Spreader::new(spread::Options {
+        name: "d1".to_owned(),
+        clock,
+        view: view_seen.clone(),
+        sender: sync::Arc::new(NoPeers),
+        recorder: recorder.clone(),
+    });
+    let entry = sync::Arc::new(entry::Entry::new(entry::Options {
+        settings: own,
+        clock,
+        recorder,
+        bundle: bundle_seen,
+        view: view_seen,
+        links: sync::Arc::new(OwnHome(home)),
+        claims: sync::Arc::new(FreshClaims),
+        spreader,
+        metrics: sync::Arc::new(metrics::Metrics::new().unwrap()),
+    }));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let options = server::Options {
+        listener,
+        limits,
+        tls: None,
+    };
+    tokio::spawn(server::serve(options, sync::Arc::new(entry), stopped));
+    Path {
+        address,
+        _bundle: bundle,
+        _view: view,
+        _stop: stop,
+    }
+}
+
+impl Path {
+    /// Sends a request on a connection of its own.
+    pub(crate) async fn send(
+        &self,
+        request: Request<body::Body>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        let stream = TcpStream::connect(self.address).await.unwrap();
+        let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        sender.send_request(request).await
+    }
+}
+
+async fn target(answer: Answer) -> net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answering = service::service_fn(move |request| async move {
+                Ok::<_, convert::Infallible>(answer(request).await)
+            });
+            let serving = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(serving.serve_connection(rt::TokioIo::new(stream), answering));
+        }
+    });
+    address
+}
+
+fn bundle_of(target: net::SocketAddr) -> bundle::Bundle {
+    let text = format!(
+        "version = 1\n[[tiers]]\nname = \"all\"\n[[services]]\nname = \"web\"\nfloor = 1\ndeadline_ms = 5000\n\
+         [[services.targets]]\nname = \"web-1\"\naddress = \"{target}\"\ndomain = \"lahore-1\"\nslots = 2\n\
+         [[routes]]\nprefix = \"/\"\nservice = \"web\"\n"
+    );
+    bundle::parse("bundle.toml", &text).unwrap()
+}
+
+fn view_of(own: &settings::Settings) -> member::View {
+    let me = member::Member {
+        peer: own.peer,
+        domain: own.domain.clone(),
+        incarnation: ids::Incarnation(1),
+        liveness: member::Liveness::Alive,
+        version: 1,
+    };
+    member::View {
+        members: [("d1".to_owned(), me)].into(),
+    }
+}
+
+struct OwnHome(sync::Arc<home::Home>);
+
+impl entry::Links for OwnHome {
+    fn open<'a>(
+        &'a self,
+        _name: &'a str,
+        _address: net::SocketAddr,
+    ) -> future::BoxFuture<'a, Option<(home::Reader, home::Writer)>> {
+        let home = self.0.clone();
+        Box::pin(async move {
+            let (near, far) = tokio::io::duplex(16 * 1024);
+            let (recv, send) = tokio::io::split(far);
+            tokio::spawn(async move { home.serve(Box::new(recv), Box::new(send)).await });
+            let (recv, send) = tokio::io::split(near);
+            Some((
+                Box::new(recv) as home::Reader,
+                Box::new(send) as home::Writer,
+            ))
+        })
+    }
+}
+
+struct NoBudget;
+
+impl cell::Budget for NoBudget {
+    fn ask<'a>(
+        &'a self,
+        _service: &'a bundle::Service,
+        _target: &'a str,
+    ) -> future::BoxFuture<'a, Option<clock::Millis>> {
+        Box::pin(async { None })
+    }
+
+    fn end<'a>(
+        &'a self,
+        _service: &'a bundle::Service,
+        _target: &'a str,
+    ) -> future::BoxFuture<'a, ()> {
+        Box::pin(async {})
+    }
+}
+
+struct NoSpread;
+
+impl cell::Spread for NoSpread {
+    fn quarantine(&self, _fingerprint: ids::Fingerprint, _span: clock::Millis) {}
+}
+
+struct NoPeers;
+
+impl peer::NoteSender for NoPeers {
+    fn send<'a>(
+        &'a self,
+        to: &'a str,
+        _note: peer::Note,
+    ) -> future::BoxFuture<'a, Result<peer::Note, peer::NoReply>> {
+        let reason = "there are no peers".to_owned();
+        Box::pin(async move {
+            Err(peer::NoReply {
+                to: to.to_owned(),
+                reason,
+            })
+        })
+    }
+}
+
+struct FreshClaims;
+
+impl Claims for FreshClaims {
+    fn claim<'a>(
+        &'a self,
+        _scope: &'a [&'a str; 2],
+        key: &'a str,
+        _fingerprint: ids::Fingerprint,
+    ) -> future::BoxFuture<'a, Claimed> {
+        Box::pin(async move { Claimed::Fresh(Token(key.to_owned())) })
+    }
+
+    fn settle(&self, _token: Token, _settled: Settled) {}
+}
+
+/// Returns a request without a body.
+pub(crate) fn request(method: &str, uri: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header("host", "web.test")
+}
+
+/// Returns a body of `count` pieces of `len` bytes, which ends regularly only if `whole`.
+pub(crate) fn pieces(count: usize, len: usize, whole: bool) -> body::Body {
+    let (sender, receiver) = body::channel();
+    tokio::spawn(async move {
+        for _ in 0..count {
+            if sender
+                .send(body::Piece::Data(Bytes::from(vec![b'x'; len])))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        if whole {
+            let _ = sender.send(body::Piece::End(http::HeaderMap::new())).await;
+        }
+    });
+    body::streamed(Bytes::new(), receiver)
+}
