--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod entry;
 pub mod exchange;
+mod feeds;
 pub mod follower;
 pub mod home;
 pub mod lease;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,7 +9,7 @@
 
 use crate::coordination::member as membership;
 use crate::daemon::{
-    admin, claims, entry, follower, home, lease, links, member, metrics, notes, spread,
+    admin, claims, entry, feeds, follower, home, lease, links, member, metrics, notes, spread,
 };
 use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
@@ -17,12 +17,6 @@
 
 /// How long a leaving daemon goes on to take callers that the balancer still sends.
 const LINGER_SPAN: clock::Millis = clock::Millis(3_000);
-/// The time between two readings of the list of hosts.
-const HOSTS_SPAN: clock::Millis = clock::Millis(30_000);
-/// The time between two readings while no other daemon is known.
-const ALONE_SPAN: clock::Millis = clock::Millis(500);
-/// The time between two sweeps of idle connections to targets.
-const SWEEP_SPAN: clock::Millis = clock::Millis(5_000);
 
 /// Why the daemon could not run.
 #[derive(Debug, snafu::Snafu)]
@@ -93,6 +87,10 @@
     Ok(())
 }
 
+/// The bundle in force, as it changes.
+type Bundles = tasks::watch::Receiver<sync::Arc<bundle::Bundle>>;
+
+/// A composed daemon.
 struct Node {
     settings: settings::Settings,
     recorder: sync::Arc<timeline::Recorder>,
@@ -108,140 +106,220 @@
     tasks: Vec<task::JoinHandle<()>>,
 }
 
-impl Node {
-    async fn start(settings: &settings::Settings) -> Result<Node, Error> {
-        let public = listen(settings.listen, "callers").await?;
-        let operators = listen(settings.admin, "operators").await?;
-        let signers =
-            operator::Operators::load(&settings.keys.operators).context(OperatorsSnafu)?;
-        let tls = tls::server(&settings.keys).context(TlsSnafu)?;
-        let (peers, incoming) = quic::Peers::bind(settings).context(PeersSnafu)?;
-        let metrics = sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?);
-        let clock = clock::Clock::start();
+/// What all parts of the daemon are built on.
+struct Base {
+    settings: settings::Settings,
+    clock: clock::Clock,
+    incarnation: ids::Incarnation,
+    recorder: sync::Arc<timeline::Recorder>,
+    platform: sync::Arc<dyn platform::Platform>,
+    metrics: sync::Arc<metrics::Metrics>,
+    peers: quic::Peers,
+}
+
+/// The live daemons, and the way to them.
+struct Fleet {
+    members: member::Handle,
+    view: tasks::watch::Receiver<sync::Arc<membership::View>>,
+    sender: sync::Arc<dyn peer::NoteSender>,
+}
+
+impl Base {
+    fn new(settings: &settings::Settings, peers: quic::Peers) -> Result<Base, Error> {
         let incarnation = ids::Incarnation(clock::wall().0);
-        let recorder = sync::Arc::new(timeline::Recorder::new(&settings.name, incarnation));
+        let recorder = timeline::Recorder::new(&settings.name, incarnation);
         recorder.record(
             timeline::Kind::Started,
             timeline::Subject::default(),
             &settings.domain,
         );
-        let platform: sync::Arc<dyn platform::Platform> =
-            sync::Arc::new(client::HttpPlatform::new(&settings.platform));
-        let members = member::spawn(member::Options {
-            name: settings.name.clone(),
-            peer: settings.reachable(),
-            domain: settings.domain.clone(),
+        Ok(Base {
+            settings: settings.clone(),
+            clock: clock::Clock::start(),
             incarnation,
-            seeds: seeds(settings),
-            peers: peers.clone(),
-            clock,
-            recorder: recorder.clone(),
+            recorder: sync::Arc::new(recorder),
+            platform: sync::Arc::new(client::HttpPlatform::new(&settings.platform)),
+            metrics: sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?),
+            peers,
         })
-        .await
-        .context(MemberSnafu)?;
+    }
+
+    async fn fleet(&self) -> Result<Fleet, Error> {
+        let options = member::Options {
+            name: self.settings.name.clone(),
+            peer: self.settings.reachable(),
+            domain: self.settings.domain.clone(),
+            incarnation: self.incarnation,
+            seeds: seeds(&self.settings),
+            peers: self.peers.clone(),
+            clock: self.clock,
+            recorder: self.recorder.clone(),
+        };
+        let members = member::spawn(options).await.context(MemberSnafu)?;
         let view = members.view();
-        let sender: sync::Arc<dyn peer::NoteSender> = sync::Arc::new(links::PeerNotes {
-            peers: peers.clone(),
+        let notes = links::PeerNotes {
+            peers: self.peers.clone(),
             view: view.clone(),
-        });
-        let follower = follower::spawn(follower::Options {
-            name: settings.name.clone(),
-            domain: settings.domain.clone(),
-            clock,
-            platform: platform.clone(),
-            members: view.clone(),
-            operators: signers,
-            recorder: recorder.clone(),
-            sender: sender.clone(),
+        };
+        Ok(Fleet {
+            members,
+            view,
+            sender: sync::Arc::new(notes),
         })
-        .await
-        .context(ActorSnafu {
-            part: "follower of the bundle",
-        })?;
-        let bundle = follower.bundle();
-        let claims = claims::spawn(claims::Options {
-            name: settings.name.clone(),
-            clock,
-            platform: platform.clone(),
-            members: view.clone(),
-            recorder: recorder.clone(),
+    }
+
+    async fn follower(&self, fleet: &Fleet) -> Result<follower::Handle, Error> {
+        let operators =
+            operator::Operators::load(&self.settings.keys.operators).context(OperatorsSnafu)?;
+        let options = follower::Options {
+            name: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
+            clock: self.clock,
+            platform: self.platform.clone(),
+            members: fleet.view.clone(),
+            operators,
+            recorder: self.recorder.clone(),
+            sender: fleet.sender.clone(),
+        };
+        let part = "follower of the bundle";
+        follower::spawn(options).await.context(ActorSnafu { part })
+    }
+
+    async fn claims(&self, fleet: &Fleet) -> Result<claims::Handle, Error> {
+        let options = claims::Options {
+            name: self.settings.name.clone(),
+            clock: self.clock,
+            platform: self.platform.clone(),
+            members: fleet.view.clone(),
+            recorder: self.recorder.clone(),
+        };
+        claims::spawn(options)
+            .await
+            .context(ActorSnafu { part: "claims" })
+    }
+
+    fn spreader(&self, fleet: &Fleet) -> sync::Arc<spread::Spreader> {
+        spread::Spreader::new(spread::Options {
+            name: self.settings.name.clone(),
+            clock: self.clock,
+            view: fleet.view.clone(),
+            sender: fleet.sender.clone(),
+            recorder: self.recorder.clone(),
         })
-        .await
-        .context(ActorSnafu { part: "claims" })?;
+    }
+
+    fn home(
+        &self,
+        fleet: &Fleet,
+        bundle: &Bundles,
+        spreader: &sync::Arc<spread::Spreader>,
+    ) -> sync::Arc<home::Home> {
         let leases = lease::Leases::new(lease::Options {
-            name: settings.name.clone(),
-            clock,
-            platform: platform.clone(),
-        });
-        let spreader = spread::Spreader::new(spread::Options {
-            name: settings.name.clone(),
-            clock,
-            view: view.clone(),
-            sender: sender.clone(),
-            recorder: recorder.clone(),
+            name: self.settings.name.clone(),
+            clock: self.clock,
+            platform: self.platform.clone(),
         });
         let home = sync::Arc::new(home::Home::new(home::Options {
-            name: settings.name.clone(),
-            clock,
-            recorder: recorder.clone(),
+            name: self.settings.name.clone(),
+            clock: self.clock,
+            recorder: self.recorder.clone(),
             bundle: bundle.clone(),
-            view: view.clone(),
-            pool: pool::Pool::new(clock, settings.limits.head_bytes),
+            view: fleet.view.clone(),
+            pool: pool::Pool::new(self.clock, self.settings.limits.head_bytes),
             budget: sync::Arc::new(leases),
             spread: spreader.clone(),
         }));
         spreader.attach(&home);
+        home
+    }
+
+    async fn entry(
+        &self,
+        fleet: &Fleet,
+        bundle: &Bundles,
+        home: &sync::Arc<home::Home>,
+        spreader: &sync::Arc<spread::Spreader>,
+    ) -> Result<entry::Entry, Error> {
         let links = links::PeerLinks {
-            name: settings.name.clone(),
-            peers: peers.clone(),
+            name: self.settings.name.clone(),
+            peers: self.peers.clone(),
             home: home.clone(),
         };
-        let entry = sync::Arc::new(entry::Entry::new(entry::Options {
-            settings: settings.clone(),
-            clock,
-            recorder: recorder.clone(),
+        Ok(entry::Entry::new(entry::Options {
+            settings: self.settings.clone(),
+            clock: self.clock,
+            recorder: self.recorder.clone(),
             bundle: bundle.clone(),
-            view: view.clone(),
+            view: fleet.view.clone(),
             links: sync::Arc::new(links),
-            claims: sync::Arc::new(claims),
+            claims: sync::Arc::new(self.claims(fleet).await?),
             spreader: spreader.clone(),
-            metrics: metrics.clone(),
-        }));
-        let (draining_sender, draining) = tasks::watch::channel(false);
-        let admin = sync::Arc::new(admin::Admin {
-            name: settings.name.clone(),
-            domain: settings.domain.clone(),
-            incarnation,
-            token: settings.keys.admin_token.clone(),
+            metrics: self.metrics.clone(),
+        }))
+    }
+
+    fn admin(&self, fleet: &Fleet, bundle: &Bundles, home: &sync::Arc<home::Home>) -> admin::Admin {
+        admin::Admin {
+            name: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
+            incarnation: self.incarnation,
+            token: self.settings.keys.admin_token.clone(),
             bundle: bundle.clone(),
-            view: view.clone(),
+            view: fleet.view.clone(),
             home: home.clone(),
-            metrics,
-            recorder: recorder.clone(),
-            sender,
-            draining: draining_sender,
-        });
-        let notes = sync::Arc::new(notes::Notes {
+            metrics: self.metrics.clone(),
+            recorder: self.recorder.clone(),
+            sender: fleet.sender.clone(),
+            draining: tasks::watch::Sender::new(false),
+        }
+    }
+}
+
+impl Node {
+    async fn start(settings: &settings::Settings) -> Result<Node, Error> {
+        let public = listen(settings.listen, "callers").await?;
+        let operators = listen(settings.admin, "operators").await?;
+        let tls = tls::server(&settings.keys).context(TlsSnafu)?;
+        let (peers, incoming) = quic::Peers::bind(settings).context(PeersSnafu)?;
+        let base = Base::new(settings, peers)?;
+        let fleet = base.fleet().await?;
+        let follower = base.follower(&fleet).await?;
+        let bundle = follower.bundle();
+        let spreader = base.spreader(&fleet);
+        let home = base.home(&fleet, &bundle, &spreader);
+        let entry = base.entry(&fleet, &bundle, &home, &spreader).await?;
+        let admin = base.admin(&fleet, &bundle, &home);
+        let notes = notes::Notes {
             spreader,
             home: home.clone(),
             follower,
-        });
+        };
+        let members = fleet.members;
         let tasks = vec![
-            tokio::spawn(accept_peers(incoming, home.clone(), members.clone(), notes)),
-            tokio::spawn(pass_on_bundles(bundle, home.clone(), members.clone())),
-            tokio::spawn(follow_hosts(platform, members.clone())),
-            tokio::spawn(pass_on_views(view, home.clone())),
-            tokio::spawn(sweep(home.clone())),
+            tokio::spawn(feeds::accept_peers(
+                incoming,
+                home.clone(),
+                members.clone(),
+                sync::Arc::new(notes),
+            )),
+            tokio::spawn(feeds::pass_on_bundles(
+                bundle,
+                home.clone(),
+                members.clone(),
+            )),
+            tokio::spawn(feeds::follow_hosts(base.platform, members.clone())),
+            tokio::spawn(feeds::pass_on_views(fleet.view, home.clone())),
+            tokio::spawn(feeds::sweep(home.clone())),
         ];
         Ok(Node {
-            settings: settings.clone(),
-            recorder,
-            peers,
+            settings: base.settings,
+            recorder: base.recorder,
+            peers: base.peers,
             members,
             home,
-            entry,
-            admin,
-            draining,
+            entry: sync::Arc::new(entry),
+            draining: admin.draining.subscribe(),
+            admin: sync::Arc::new(admin),
             tls,
             public,
             operators,
@@ -312,68 +390,6 @@
         .context(ListenSnafu { address, purpose })
 }
 
-/// Hands what comes from peers to its place.
-async fn accept_peers(
-    mut incoming: tasks::mpsc::Receiver<quic::Incoming>,
-    home: sync::Arc<home::Home>,
-    members: member::Handle,
-    notes: sync::Arc<notes::Notes>,
-) {
-    while let Some(item) = incoming.recv().await {
-        match item {
-            quic::Incoming::Stream {
-                from,
-                purpose: peer::Purpose::Request,
-                send,
-                recv,
-            } => {
-                let home = home.clone();
-                tokio::spawn(async move {
-                    if let Err(e) = home.serve(Box::new(recv), Box::new(send)).await {
-                        log::debug!("a request's stream from {from} ended: {e}");
-                    }
-                });
-            }
-            quic::Incoming::Datagram { from, bytes } => members.deliver(from, bytes),
-            quic::Incoming::Stream {
-                from,
-                purpose: peer::Purpose::Note,
-                send,
-                recv,
-            } => {
-                let notes = notes.clone();
-                tokio::spawn(async move {
-                    if let Err(e) = notes.serve(&from, recv, send).await {
-                        log::debug!("a note of {from} was not answered: {e}");
-                    }
-                });
-            }
-        }
-    }
-}
-
-async fn pass_on_bundles(
-    mut bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
-    home: sync::Arc<home::Home>,
-    members: member::Handle,
-) {
-    while bundle.changed().await.is_ok() {
-        let current = bundle.borrow_and_update().clone();
-        members.set_version(current.version);
-        home.adopt(&current).await;
-    }
-}
-
-async fn pass_on_views(
-    mut view: tasks::watch::Receiver<sync::Arc<membership::View>>,
-    home: sync::Arc<home::Home>,
-) {
-    while view.changed().await.is_ok() {
-        let current = view.borrow_and_update().clone();
-        home.follow(&current).await;
-    }
-}
-
 /// Returns the daemons that the settings name to join at.
 fn seeds(settings: &settings::Settings) -> Vec<membership::Seed> {
     let seeds = settings.seeds.iter();
@@ -385,26 +401,6 @@
         .collect()
 }
 
-/// Tells the membership of the platform's hosts, often while it knows of no others and rarely after that.
-async fn follow_hosts(platform: sync::Arc<dyn platform::Platform>, members: member::Handle) {
-    loop {
-        match platform.hosts().await {
-            Ok(hosts) => members.add_seeds(&hosts),
-            Err(e) => log::warn!("the list of hosts can't be read: {e}"),
-        }
-        let alone = members.view().borrow().members.len() <= 1;
-        let pause = if alone { ALONE_SPAN } else { HOSTS_SPAN };
-        time::sleep(pause.span()).await;
-    }
-}
-
-async fn sweep(home: sync::Arc<home::Home>) {
-    loop {
-        time::sleep(SWEEP_SPAN.span()).await;
-        home.sweep();
-    }
-}
-
 /// Resolves when the process is told to stop by SIGTERM or SIGINT.
 ///
 /// # Panics
