--- a/crates/lab/tests/testsuite/claims.rs
+++ b/crates/lab/tests/testsuite/claims.rs
@@ -1,6 +1,6 @@
 //! Claims against the platform's stand-in: at most one is fresh, through lost answers and outages.
 
-mod support;
+use crate::support;
 
 use peridotspread::coordination;
 use peridotspread::daemon::claims::{self, Claimed, Claims, Settled};
--- a/crates/lab/tests/testsuite/follower.rs
+++ b/crates/lab/tests/testsuite/follower.rs
@@ -1,6 +1,6 @@
 //! Followers against the platform's stand-in, with notes between them carried in memory.
 
-mod support;
+use crate::support;
 
 use std::collections::BTreeMap;
 use std::sync;
--- a/crates/lab/tests/testsuite/lease.rs
+++ b/crates/lab/tests/testsuite/lease.rs
@@ -1,6 +1,6 @@
 //! Leases of the ejection budget against the platform's stand-in.
 
-mod support;
+use crate::support;
 
 use peridotspread::coordination::lease;
 use peridotspread::daemon::lease::{Leases, Options};
--- a/crates/lab/tests/testsuite/support/mod.rs
+++ b/crates/lab/tests/testsuite/support/mod.rs
@@ -1,5 +1,4 @@
 //! What the tests against the platform's stand-in share.
-#![allow(dead_code, reason = "each test binary uses a part")]
 
 use std::collections::BTreeMap;
 use std::net;
--- a/crates/lab/tests/testsuite/tool.rs
+++ b/crates/lab/tests/testsuite/tool.rs
@@ -1,6 +1,6 @@
 //! The command-line tool as a process: a bundle from check to rollout, and its exit statuses.
 
-mod support;
+use crate::support;
 
 use std::env;
 use std::fs;
