bin: the commands that ask one daemon share how they reach it

status, targets and drain each found the address and the token and built the options by the same lines.

--- a/src/bin/peridotspread/commands/admin.rs
+++ b/src/bin/peridotspread/commands/admin.rs
@@ -16,7 +16,7 @@
 const ADMIN_VARIABLE: &str = "PERIDOTSPREAD_ADMIN";
 
 /// Returns the admin address that is `given`, else that of the environment.
-pub(super) fn address(given: Option<net::SocketAddr>) -> Result<net::SocketAddr, Failure> {
+fn address(given: Option<net::SocketAddr>) -> Result<net::SocketAddr, Failure> {
     let named = || env::var(ADMIN_VARIABLE).ok()?.parse().ok();
     given.or_else(named).ok_or_else(|| {
         let message =
@@ -51,6 +51,21 @@
         .block_on(work)
 }
 
+/// Does `work` with the daemon at `admin`, else that of the environment, under the operators' token.
+pub(super) fn ask(
+    admin: Option<net::SocketAddr>,
+    file: Option<&path::Path>,
+    work: impl AsyncFnOnce(&fleet::AdminOptions<'_>) -> Outcome,
+) -> Outcome {
+    let address = address(admin)?;
+    let token = token(file)?;
+    let options = fleet::AdminOptions {
+        address,
+        token: &token,
+    };
+    block_on(work(&options))
+}
+
 /// Ends the run for a daemon that gave no answer.
 pub(super) fn failure(error: fleet::Error) -> Failure {
     let status = if error.is_refusal() {
--- a/src/bin/peridotspread/commands/drain.rs
+++ b/src/bin/peridotspread/commands/drain.rs
@@ -47,14 +47,9 @@
         Ok(args) => args,
         Err(status) => return Ok(status),
     };
-    let address = shared::address(args.admin)?;
-    let token = shared::token(args.token.as_deref())?;
-    shared::block_on(async {
-        let options = fleet::AdminOptions {
-            address,
-            token: &token,
-        };
-        fleet::drain(&options).await.map_err(shared::failure)?;
+    shared::ask(args.admin, args.token.as_deref(), async |options| {
+        fleet::drain(options).await.map_err(shared::failure)?;
+        let address = options.address;
         let line = format!("the daemon at {address} finishes its requests and ends");
         output::report(args.json, &Report { draining: address }, &line);
         Ok(Status::Good)
--- a/src/bin/peridotspread/commands/status.rs
+++ b/src/bin/peridotspread/commands/status.rs
@@ -42,14 +42,8 @@
         Ok(args) => args,
         Err(status) => return Ok(status),
     };
-    let address = shared::address(args.admin)?;
-    let token = shared::token(args.token.as_deref())?;
-    shared::block_on(async {
-        let options = fleet::AdminOptions {
-            address,
-            token: &token,
-        };
-        let status = fleet::status(&options).await.map_err(shared::failure)?;
+    shared::ask(args.admin, args.token.as_deref(), async |options| {
+        let status = fleet::status(options).await.map_err(shared::failure)?;
         output::report(args.json, &status, &describe(&status));
         let agreed = status
             .members
--- a/src/bin/peridotspread/commands/targets.rs
+++ b/src/bin/peridotspread/commands/targets.rs
@@ -44,14 +44,8 @@
         Ok(args) => args,
         Err(status) => return Ok(status),
     };
-    let address = shared::address(args.admin)?;
-    let token = shared::token(args.token.as_deref())?;
-    shared::block_on(async {
-        let options = fleet::AdminOptions {
-            address,
-            token: &token,
-        };
-        let mut found = fleet::targets(&options).await.map_err(shared::failure)?;
+    shared::ask(args.admin, args.token.as_deref(), async |options| {
+        let mut found = fleet::targets(options).await.map_err(shared::failure)?;
         if let Some(service) = &args.service {
             found.targets.retain(|t| t.cell.service == *service);
         }
