--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -74,6 +74,8 @@
             ticket: ids::Ticket(self.next),
             tier: (self.next % 3) as u8,
             deadline: Millis::MAX,
+            objective: Millis::MAX,
+            tries: u32::MAX,
             idempotent: true,
             replayable: true,
             fingerprint: ids::Fingerprint(self.next),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -341,7 +341,7 @@
         host: None,
         prefix: format!("/{}", service.name),
         service: service.name.clone(),
-        idempotent: Vec::new(),
+        ..bundle::Route::default()
     }
 }
 
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -109,6 +109,8 @@
             ticket: ids::Ticket(send as u64),
             tier: wanted.tier,
             deadline: wanted.deadline,
+            objective: wanted.deadline,
+            tries: u32::MAX,
             idempotent: wanted.idempotent,
             replayable: true,
             fingerprint: wanted.fingerprint,
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -16,6 +16,10 @@
     pub tier: u8,
     /// When the caller gives up.
     pub deadline: clock::Millis,
+    /// Until when an answer is worth most to the caller.
+    pub objective: clock::Millis,
+    /// The tries that the request may have, the first included.
+    pub tries: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Whether the body can be sent again on a retry.
@@ -33,6 +37,10 @@
     Failed,
     /// The target refused the request undone (503 with `Retry-After`), because it sheds load or drains.
     Shed,
+    /// The target states that it did not run the request and will not, because it sheds load or drains.
+    NotRun,
+    /// Another target stands at the address; it states that it did not run the request.
+    Misplaced,
     /// No connection was had; the request was not sent.
     ConnectFailed,
     /// The connection died after the request was sent.
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -46,7 +46,9 @@
         match outcome {
             cell::Outcome::Answered => self.answered(now, ticket, actions),
             cell::Outcome::Failed => self.failed(now, ticket, actions),
-            cell::Outcome::Shed => self.shed(now, ticket, actions),
+            cell::Outcome::Shed => self.shed(now, ticket, false, actions),
+            cell::Outcome::NotRun => self.shed(now, ticket, true, actions),
+            cell::Outcome::Misplaced => self.misplaced(now, ticket, actions),
             cell::Outcome::ConnectFailed => self.unconnected(now, ticket, actions),
             cell::Outcome::Broken => self.broken(now, ticket, actions),
             cell::Outcome::TimedOut => {
@@ -169,8 +171,15 @@
         }
     }
 
-    fn shed(&mut self, now: clock::Millis, ticket: ids::Ticket, actions: &mut Vec<cell::Action>) {
-        let Some(run) = self.finish(now, ticket) else {
+    /// Takes a request back that its target refused undone; where that is `proven`, any request may be tried again.
+    fn shed(
+        &mut self,
+        now: clock::Millis,
+        ticket: ids::Ticket,
+        proven: bool,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        let Some(run) = self.free(ticket) else {
             return;
         };
         if let Some(target) = self.targets.get_mut(&run.target) {
@@ -178,10 +187,28 @@
         }
         let mut work = run.work;
         work.excluded.push(run.target);
-        let again = self.may_rerun(now, &work) && self.budget.funded() && self.holds_more();
+        let repeatable = work.arrival.replayable && (proven || work.arrival.idempotent);
+        let again = repeatable && self.may_retry(now, &work);
+        let again = again && self.budget.funded() && self.holds_more();
         self.requeue(now, work, again, actions);
     }
 
+    /// Takes a request back whose target has left its address to another one.
+    fn misplaced(
+        &mut self,
+        now: clock::Millis,
+        ticket: ids::Ticket,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        if let Some(run) = self.running.get(&ticket)
+            && let Some(target) = self.targets.get_mut(&run.target)
+        {
+            target.leaving = true;
+            target.ejection.clear();
+        }
+        self.shed(now, ticket, true, actions);
+    }
+
     fn unconnected(
         &mut self,
         now: clock::Millis,
@@ -310,6 +337,7 @@
         !self.draining
             && now < work.arrival.deadline
             && self.budget.allows(work.tries)
+            && work.tries < work.arrival.tries
             && self.targets.iter().any(untried)
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,5 +14,6 @@
 pub mod partners;
 pub mod quarantine;
 mod random;
+pub mod registry;
 pub mod retry;
 pub mod trial;
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -57,6 +57,20 @@
     }
 }
 
+/// Tells a balancer whether the daemon is ready, whatever the path.
+pub struct Readiness(pub sync::Arc<Admin>);
+
+impl server::Handler for Readiness {
+    fn handle(
+        &self,
+        _from: net::SocketAddr,
+        _request: Request<Incoming>,
+    ) -> future::BoxFuture<'static, Response<body::Body>> {
+        let answer = self.0.ready();
+        Box::pin(async move { answer })
+    }
+}
+
 impl Admin {
     async fn answer(
         &self,
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -99,6 +99,28 @@
     ) -> futures_util::future::BoxFuture<'a, ()>;
 }
 
+/// A budget that grants nothing: targets are avoided and never ejected.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoBudget;
+
+impl Budget for NoBudget {
+    fn ask<'a>(
+        &'a self,
+        _service: &'a bundle::Service,
+        _target: &'a str,
+    ) -> futures_util::future::BoxFuture<'a, Option<clock::Millis>> {
+        Box::pin(async { None })
+    }
+
+    fn end<'a>(
+        &'a self,
+        _service: &'a bundle::Service,
+        _target: &'a str,
+    ) -> futures_util::future::BoxFuture<'a, ()> {
+        Box::pin(async {})
+    }
+}
+
 /// Takes what a cell tells the whole fleet.
 pub trait Spread: Send + Sync {
     /// Puts a fingerprint into quarantine everywhere.
--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -83,6 +83,23 @@
     fn settle(&self, token: Token, settled: Settled);
 }
 
+/// Claims of a fleet whose callers have no keys: each arrival is a request of its own.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unkeyed;
+
+impl Claims for Unkeyed {
+    fn claim<'a>(
+        &'a self,
+        _scope: &'a [&'a str; 2],
+        key: &'a str,
+        _fingerprint: ids::Fingerprint,
+    ) -> future::BoxFuture<'a, Claimed> {
+        Box::pin(async move { Claimed::Fresh(Token(key.to_owned())) })
+    }
+
+    fn settle(&self, _token: Token, _settled: Settled) {}
+}
+
 /// What the actor works with.
 pub struct Options {
     /// The daemon's name.
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -21,7 +21,7 @@
 use crate::daemon::metrics;
 use crate::daemon::spread;
 use crate::protocol::refusal::{Cause, Refusal};
-use crate::protocol::{headers, peer, problem};
+use crate::protocol::{dialect, headers, peer, problem};
 use crate::state::{bundle, clock, ids, index, settings, timeline};
 use crate::transport::{body, http as server};
 
@@ -64,6 +64,8 @@
     pub spreader: sync::Arc<spread::Spreader>,
     /// The daemon's metrics.
     pub metrics: sync::Arc<metrics::Metrics>,
+    /// How callers are spoken to.
+    pub dialect: sync::Arc<dyn dialect::Dialect>,
 }
 
 /// The entry of one daemon.
@@ -87,6 +89,8 @@
     organisation: String,
     key: Option<String>,
     deadline: clock::Millis,
+    /// Until when an answer is worth most to the caller.
+    objective: clock::Millis,
     /// What has not been read of the body.
     rest: Option<Incoming>,
 }
@@ -122,7 +126,10 @@
     ) -> Response<body::Body> {
         let id = ids::RequestId::random();
         let began = self.options.clock.now();
-        let mut seen = Seen::default();
+        let mut seen = Seen {
+            name: self.options.dialect.name(request.headers()).to_owned(),
+            ..Seen::default()
+        };
         let answered = match self.places.try_acquire() {
             Ok(_place) => self.serve(id, from, request, &mut seen).await,
             Err(_) => Err(Refusal::not_run(Cause::QueueFull, Some(RETRY_SOON))),
@@ -143,7 +150,18 @@
                 self.options
                     .metrics
                     .request(&seen.service, seen.tier, "answered", took);
-                problem::name_request(response.headers_mut(), id);
+                log::info!(
+                    request = seen.name, id = id.to_string(), service = seen.service, home = seen.home,
+                    tried = seen.tried, bundle = seen.version, status = response.status().as_u16(),
+                    took_ms = took.0;
+                    "answered"
+                );
+                let target = text(response.headers(), headers::TARGET).map(str::to_owned);
+                response.headers_mut().remove(headers::TARGET);
+                let named = seen.named(id);
+                let target = target.unwrap_or_default();
+                let dialect = &self.options.dialect;
+                dialect.complete(response.headers_mut(), &named, &target);
                 response
             }
             Err(refusal) => {
@@ -163,7 +181,14 @@
                 self.options
                     .metrics
                     .refusal(refusal.cause.as_str(), refusal.outcome.as_str());
-                problem::response(&refusal, id)
+                log::info!(
+                    request = seen.name, id = id.to_string(), service = seen.service, home = seen.home,
+                    tried = seen.tried, bundle = seen.version, outcome = refusal.outcome.as_str(),
+                    cause = refusal.cause.as_str(), retry_after_ms = refusal.retry_after.map(|r| r.0),
+                    took_ms = took.0;
+                    "refused"
+                );
+                self.options.dialect.refuse(&refusal, &seen.named(id))
             }
         }
     }
@@ -176,6 +201,7 @@
         seen: &mut Seen,
     ) -> Result<Response<body::Body>, Refusal> {
         let rules = self.rules();
+        seen.version = rules.bundle.version;
         let mut call = self.read(&rules, id, from, request).await?;
         seen.service.clone_from(&call.head.cell.service);
         seen.tier = call.head.tier;
@@ -189,6 +215,8 @@
             let Some(choice) = self.choose(service, &tried) else {
                 break;
             };
+            seen.home.clone_from(&choice.home);
+            seen.tried += 1;
             call.head.peers = self.homes().peers(self.options.clock.now(), service);
             let attempt = self.attempt(&mut call, &choice).await;
             self.observe(&choice.home, &attempt);
@@ -237,6 +265,8 @@
         request: Request<Incoming>,
     ) -> Result<Call, Refusal> {
         let bad = Refusal::not_run(Cause::BadRequest, None);
+        let limits = &self.options.settings.limits;
+        let limits = limits.under(rules.bundle.callers.as_ref());
         if rules.bundle.version == 0 {
             return Err(Refusal::not_run(Cause::NoBundle, Some(RETRY_SOON)));
         }
@@ -250,12 +280,18 @@
             .unwrap_or_default();
         let route = rules.index.route(&rules.bundle, host, parts.uri.path());
         let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
-        let service = rules.index.service(&rules.bundle, &route.service);
+        let service = rules.index.service(&rules.bundle, route.service_for(id.0 as u64));
         let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         if parts.method == Method::CONNECT || parts.headers.contains_key(header::UPGRADE) {
             return Err(bad);
         }
-        let left = deadline(&parts.headers, service.deadline_ms).ok_or(bad)?;
+        if content_length(&parts.headers) > limits.body_bytes {
+            return Err(Refusal::not_run(Cause::BodyTooLong, None));
+        }
+        let asked = self.options.dialect.deadline(&parts.headers);
+        let left = asked.map_err(|_| bad)?.unwrap_or(service.deadline_ms);
+        let timeout = route.timeout_ms.unwrap_or(MAX_DEADLINE);
+        let left = left.min(timeout).min(MAX_DEADLINE);
         let until = self.options.clock.now() + left;
         let key = text(&parts.headers, headers::IDEMPOTENCY_KEY).map(str::to_owned);
         if key
@@ -264,7 +300,7 @@
         {
             return Err(bad);
         }
-        let prefix = exchange::read_prefix(incoming, self.options.settings.limits.replay_bytes);
+        let prefix = exchange::read_prefix(incoming, limits.replay_bytes);
         let prefix = self.before(until, prefix).await?.map_err(|_| bad)?;
         let uri = parts
             .uri
@@ -286,14 +322,18 @@
         if headers::takes_trailers(&parts.headers) {
             exchange::add_field(&mut fields, header::TE.as_str(), "trailers");
         }
-        let idempotent = is_idempotent(&parts.method, route);
+        let idempotent = route.is_idempotent(&parts.method);
+        let tier = route.tier.as_ref().and_then(|t| rules.bundle.rank(t));
         let head = peer::Head {
             request: id,
             stamp: self.options.recorder.stamp(),
             cell: ids::CellId::new(&service.name, ""),
             bundle: rules.bundle.version,
-            tier: caller.tier,
+            tier: tier.unwrap_or(caller.tier),
             left,
+            objective: route.objective_ms.unwrap_or(left).min(left),
+            tries: route.tries.unwrap_or(u32::MAX),
+            name: self.options.dialect.name(&parts.headers).to_owned(),
             idempotent,
             fingerprint,
             method: parts.method.as_str().to_owned(),
@@ -305,6 +345,7 @@
             peers: Vec::new(),
         };
         Ok(Call {
+            objective: until - left + head.objective,
             head,
             organisation: caller.organisation.to_owned(),
             key: key.filter(|_| !idempotent),
@@ -357,7 +398,9 @@
             return Attempt::unreached();
         };
         call.head.cell = choice.cell.clone();
-        call.head.left = call.deadline - self.options.clock.now();
+        let now = self.options.clock.now();
+        call.head.left = call.deadline - now;
+        call.head.objective = call.objective - now;
         call.head.stamp = self.options.recorder.stamp();
         let deadline = self.options.clock.instant(call.deadline);
         let mut stream = exchange::Stream {
@@ -436,8 +479,25 @@
 /// What the records of a request name.
 #[derive(Default)]
 struct Seen {
+    /// The caller's own name for the request.
+    name: String,
     service: String,
     tier: u8,
+    /// The version of the bundle that decided.
+    version: u64,
+    /// The home that was asked last.
+    home: String,
+    /// The homes that were asked.
+    tried: usize,
+}
+
+impl Seen {
+    fn named(&self, id: ids::RequestId) -> dialect::Named<'_> {
+        dialect::Named {
+            id,
+            name: &self.name,
+        }
+    }
 }
 
 /// Returns whether a refusal leaves it open that another cell serves the request.
@@ -450,15 +510,12 @@
             | Cause::QueueFull
             | Cause::Displaced
             | Cause::DeadlineTooShort
+            | Cause::TargetShed
             | Cause::ConnectFailed
     );
     elsewhere && refusal.outcome == crate::protocol::refusal::Outcome::NotRun
 }
 
-fn is_idempotent(method: &Method, route: &bundle::Route) -> bool {
-    method.is_safe() || route.idempotent.iter().any(|m| m == method.as_str())
-}
-
 fn text<'a>(map: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
     map.get(name)?.to_str().ok()
 }
@@ -469,11 +526,8 @@
         .map(str::trim)
 }
 
-/// Returns the time that the caller gives the request, else `default`; absent if the caller's field is malformed.
-fn deadline(map: &http::HeaderMap, default: clock::Millis) -> Option<clock::Millis> {
-    if !map.contains_key(headers::DEADLINE) {
-        return Some(default);
-    }
-    let asked = text(map, headers::DEADLINE)?.parse().ok()?;
-    Some(clock::Millis(asked).min(MAX_DEADLINE))
+/// Returns the length that the head names for the body; 0 where it names none that can be read.
+fn content_length(map: &http::HeaderMap) -> u64 {
+    let length = text(map, header::CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok());
+    length.unwrap_or_default()
 }
--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -7,7 +7,7 @@
 use crate::coordination::member as membership;
 use crate::daemon::{home, member, notes};
 use crate::protocol::{peer, platform};
-use crate::state::{bundle, clock};
+use crate::state::{bundle, clock, settings};
 use crate::transport::quic;
 
 /// The time between two readings of the list of hosts.
@@ -70,6 +70,23 @@
     }
 }
 
+/// Passes what each bundle says of callers to the server for them.
+pub(super) async fn pass_on_limits(
+    mut bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
+    limits: tasks::watch::Sender<settings::Limits>,
+) {
+    let own = limits.borrow().clone();
+    while bundle.changed().await.is_ok() {
+        let current = bundle.borrow_and_update().clone();
+        let next = own.under(current.callers.as_ref());
+        limits.send_if_modified(|held| {
+            let changed = *held != next;
+            *held = next;
+            changed
+        });
+    }
+}
+
 /// Passes each change of the live daemons to the cells.
 pub(super) async fn pass_on_views(
     mut view: tasks::watch::Receiver<sync::Arc<membership::View>>,
@@ -83,11 +100,11 @@
 
 /// Tells the membership of the platform's hosts, often while it knows of no others and rarely after that.
 pub(super) async fn follow_hosts(
-    platform: sync::Arc<dyn platform::Platform>,
+    hosts: sync::Arc<dyn platform::Hosts>,
     members: member::Handle,
 ) {
     loop {
-        match platform.hosts().await {
+        match hosts.hosts().await {
             Ok(hosts) => members.add_seeds(&hosts),
             Err(e) => log::warn!("the list of hosts can't be read: {e}"),
         }
--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use futures_util::future;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync as tasks;
 
@@ -102,6 +103,12 @@
     }
 }
 
+impl peer::NoteTaker for Handle {
+    fn take<'a>(&'a self, from: &'a str, note: peer::Note) -> future::BoxFuture<'a, peer::Note> {
+        Box::pin(self.note(from, note))
+    }
+}
+
 async fn pass_on_members(
     mut members: tasks::watch::Receiver<sync::Arc<member::View>>,
     actor: ActorRef<Message>,
--- a/src/daemon/home/exchange.rs
+++ b/src/daemon/home/exchange.rs
@@ -1,13 +1,16 @@
 //! One request at its home: its place in the cell, its tries at targets, and its answer.
 
+use std::sync;
+
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::{sync as tasks, time};
 
 use crate::coordination::cell::Outcome;
 use crate::daemon::cell::{Message, Verdict};
+use crate::protocol::dialect::{self, Reading};
 use crate::protocol::{frame, headers, peer, refusal};
 use crate::state::{clock, ids, timeline};
 use crate::transport::{body, pool};
@@ -20,6 +23,13 @@
 /// The time between two such notices.
 const NOTICE_SPAN: clock::Millis = clock::Millis(250);
 
+/// When to come back after targets refused a request because they are full; about one request's run.
+const SHED_RETRY: clock::Millis = clock::Millis(300);
+/// The bytes of an unwanted answer that are read to keep its connection; refusals are short.
+const DISCARD_BYTES: usize = 4 * 1024;
+/// How long the rest of an unwanted answer may take.
+const DISCARD_TIMEOUT: clock::Millis = clock::Millis(100);
+
 /// The verdict of a cell whose actor has ended.
 const CELL_GONE: Verdict = Verdict::Refuse(refusal::Refusal {
     outcome: refusal::Outcome::NotRun,
@@ -89,7 +99,8 @@
 
 /// A target's answer, whose body is still to be read from the connection.
 struct Answer {
-    response: Response<Incoming>,
+    head: response::Parts,
+    body: Incoming,
     connection: pool::Connection,
     target: String,
 }
@@ -138,17 +149,16 @@
                     }
                     match self.dispatch(&target).await? {
                         Try::Answer(answer) => {
-                            let outcome = classify(&answer.response);
-                            self.held.done(outcome);
-                            if outcome == Outcome::Answered {
+                            let reading = self.read(&answer);
+                            self.log_try(&answer.target, answer.head.status.as_str(), reading);
+                            self.held.done(outcome(reading));
+                            if reading == Reading::Answered {
                                 return self.pass_on(*answer).await;
                             }
-                            if outcome == Outcome::Failed {
-                                self.lost = Some(refusal::Cause::TargetBroke);
-                            }
-                            last = Some(Last::Answer(answer));
+                            last = Some(self.keep(reading, answer));
                         }
                         Try::Failed { outcome, refusal } => {
+                            self.log_failure(&target, outcome);
                             self.held.done(outcome);
                             if refusal.outcome == refusal::Outcome::Unknown {
                                 self.lost = Some(refusal.cause);
@@ -216,7 +226,7 @@
                 return Ok(Try::not_sent());
             }
         };
-        let Some(request) = self.request() else {
+        let Some(request) = self.request(name) else {
             return Ok(Try::not_sent());
         };
         let at = self.home.options.clock.instant(self.deadline);
@@ -234,11 +244,15 @@
             frame::send(&mut self.send, &peer::FromHome::Queued).await?;
         };
         Ok(match sent {
-            Ok(Ok(response)) => Try::Answer(Box::new(Answer {
-                response,
-                connection,
-                target: name.to_owned(),
-            })),
+            Ok(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                Try::Answer(Box::new(Answer {
+                    head,
+                    body,
+                    connection,
+                    target: name.to_owned(),
+                }))
+            }
             Ok(Err(e)) if e.never_sent() => Try::not_sent(),
             Ok(Err(_)) => Try::unknown(Outcome::Broken, refusal::Cause::TargetBroke),
             Err(_) => Try::unknown(Outcome::TimedOut, refusal::Cause::TargetTimeout),
@@ -256,7 +270,7 @@
     }
 
     /// Builds the request to the target; absent if it is malformed or its body was sent before.
-    fn request(&mut self) -> Option<Request<body::Body>> {
+    fn request(&mut self, target: &str) -> Option<Request<body::Body>> {
         let first = Bytes::from(self.head.body.clone());
         let body = if self.head.more {
             body::streamed(first, self.pieces.take()?)
@@ -275,16 +289,69 @@
                 .headers_mut()
                 .insert(header::TRANSFER_ENCODING, chunked);
         }
-        let left = self.deadline - self.home.options.clock.now();
-        request
-            .headers_mut()
-            .insert(headers::DEADLINE, left.0.into());
-        if let Ok(id) = self.head.request.to_string().parse() {
-            request.headers_mut().insert(headers::REQUEST, id);
-        }
+        let attempt = self.attempt(target);
+        let dialect = &self.home.options.dialect;
+        dialect.prepare(request.headers_mut(), &attempt);
         Some(request)
     }
 
+    fn attempt<'a>(&'a self, target: &'a str) -> dialect::Try<'a> {
+        dialect::Try {
+            request: dialect::Named {
+                id: self.head.request,
+                name: &self.head.name,
+            },
+            target,
+            left: self.deadline - self.home.options.clock.now(),
+        }
+    }
+
+    fn read(&self, answer: &Answer) -> Reading {
+        let dialect = &self.home.options.dialect;
+        dialect.read(&answer.head, &self.attempt(&answer.target))
+    }
+
+    /// Keeps what an answer that is no success is good for, should no other try follow.
+    fn keep(&mut self, reading: Reading, answer: Box<Answer>) -> Last {
+        match reading {
+            Reading::Answered | Reading::Shed => Last::Answer(answer),
+            Reading::Failed => {
+                self.lost = Some(refusal::Cause::TargetBroke);
+                Last::Answer(answer)
+            }
+            Reading::NotRun | Reading::Misplaced => {
+                let pool = self.home.options.pool.clone();
+                tokio::spawn(discard(*answer, pool));
+                let cause = refusal::Cause::TargetShed;
+                Last::Refusal(refusal::Refusal::not_run(cause, Some(SHED_RETRY)))
+            }
+            Reading::Unfit => {
+                self.lost = Some(refusal::Cause::TargetBroke);
+                Last::Refusal(refusal::Refusal::unknown(refusal::Cause::TargetBroke))
+            }
+        }
+    }
+
+    /// Logs how a target answered one try.
+    fn log_try(&self, target: &str, status: &str, reading: Reading) {
+        log::info!(
+            request = self.head.name, id = self.head.request.to_string(), service = self.head.cell.service,
+            target = target, status = status, reading = format!("{reading:?}"),
+            left_ms = (self.deadline - self.home.options.clock.now()).0;
+            "target answered"
+        );
+    }
+
+    /// Logs that one try brought no answer.
+    fn log_failure(&self, target: &str, outcome: Outcome) {
+        log::info!(
+            request = self.head.name, id = self.head.request.to_string(), service = self.head.cell.service,
+            target = target, outcome = format!("{outcome:?}"),
+            left_ms = (self.deadline - self.home.options.clock.now()).0;
+            "no answer from target"
+        );
+    }
+
     async fn refuse(mut self, refusal: refusal::Refusal) -> Result<(), frame::Error> {
         self.held.release();
         let summary = self.held.handle.summary();
@@ -298,14 +365,20 @@
 
     /// Streams an answer to the entry; an answer that the target cuts short ends without [`peer::FromHome::End`].
     async fn pass_on(mut self, answer: Answer) -> Result<(), frame::Error> {
-        let (parts, mut incoming) = answer.response.into_parts();
+        let Answer {
+            head: parts,
+            body: mut incoming,
+            connection,
+            target,
+        } = answer;
+        let keep = pool::keep_alive(&parts.headers);
         let Some(summary) = self.held.handle.summary() else {
             return Ok(());
         };
         let head = peer::FromHome::Answer {
             status: parts.status.as_u16(),
             fields: headers::to_fields(&parts.headers),
-            target: answer.target,
+            target,
             summary,
         };
         frame::send(&mut self.send, &head).await?;
@@ -328,7 +401,7 @@
             &peer::FromHome::End(headers::to_fields(&trailers)),
         )
         .await?;
-        self.home.options.pool.put_back(answer.connection).await;
+        self.home.options.pool.put_back(connection, keep).await;
         Ok(())
     }
 
@@ -342,13 +415,23 @@
 }
 
 /// Tells how a try with an answer ended.
-fn classify(response: &Response<Incoming>) -> Outcome {
-    let sheds = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
-    if sheds && response.headers().contains_key(header::RETRY_AFTER) {
-        return Outcome::Shed;
+fn outcome(reading: Reading) -> Outcome {
+    match reading {
+        Reading::Answered => Outcome::Answered,
+        Reading::Failed => Outcome::Failed,
+        Reading::Shed => Outcome::Shed,
+        Reading::NotRun => Outcome::NotRun,
+        Reading::Misplaced => Outcome::Misplaced,
+        Reading::Unfit => Outcome::Broken,
     }
-    if response.status().is_server_error() {
-        return Outcome::Failed;
+}
+
+/// Reads what is left of an answer that nobody wants, so that its connection serves again.
+async fn discard(answer: Answer, pool: sync::Arc<pool::Pool>) {
+    let keep = pool::keep_alive(&answer.head.headers);
+    let rest = http_body_util::Limited::new(answer.body, DISCARD_BYTES).collect();
+    match time::timeout(DISCARD_TIMEOUT.span(), rest).await {
+        Ok(Ok(_)) => pool.put_back(answer.connection, keep).await,
+        Ok(Err(_)) | Err(_) => log::debug!("a connection is closed with an unwanted answer"),
     }
-    Outcome::Answered
 }
--- a/src/daemon/home/mod.rs
+++ b/src/daemon/home/mod.rs
@@ -15,7 +15,7 @@
 use crate::coordination::{homes, member};
 use crate::daemon::cell;
 use crate::daemon::cell::Message;
-use crate::protocol::{frame, peer, refusal};
+use crate::protocol::{dialect, frame, peer, refusal};
 use crate::state::{bundle, clock, ids, timeline};
 use crate::transport::pool;
 
@@ -43,7 +43,9 @@
     /// The live daemons.
     pub view: tasks::watch::Receiver<sync::Arc<member::View>>,
     /// The connections to targets.
-    pub pool: pool::Pool,
+    pub pool: sync::Arc<pool::Pool>,
+    /// How targets are spoken to.
+    pub dialect: sync::Arc<dyn dialect::Dialect>,
     /// The ejection budget.
     pub budget: sync::Arc<dyn cell::Budget>,
     /// The way to the whole fleet.
@@ -263,6 +265,8 @@
             ticket,
             tier: head.tier,
             deadline,
+            objective: self.options.clock.now() + head.objective,
+            tries: head.tries,
             idempotent: head.idempotent,
             replayable: !head.more,
             fingerprint: head.fingerprint,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 mod node;
 pub mod notes;
+pub mod registry;
 pub mod spread;
 
-pub use node::{Error, run, stop_signal};
+pub use node::{Backing, Error, Parts, run, run_with, stop_signal};
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,15 +9,13 @@
 
 use crate::coordination::member as membership;
 use crate::daemon::{
-    admin, claims, entry, feeds, follower, home, lease, links, member, metrics, notes, spread,
+    admin, cell, claims, entry, feeds, follower, home, lease, links, member, metrics, notes, registry,
+    spread,
 };
-use crate::protocol::{peer, platform};
+use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
 use crate::transport::{http, platform as client, pool, quic, tls};
 
-/// How long a leaving daemon goes on to take callers that the balancer still sends.
-const LINGER_SPAN: clock::Millis = clock::Millis(3_000);
-
 /// Why the daemon could not run.
 #[derive(Debug, snafu::Snafu)]
 pub enum Error {
@@ -73,7 +71,67 @@
     },
 }
 
-/// Runs the daemon until `stop` resolves or an operator drains it, then shuts it down gracefully.
+/// Where bundles and targets come from.
+pub enum Backing {
+    /// The product's own way: operators sign bundles and roll them out over the platform's table, which also holds
+    /// claims of keyed work and the ejection budget.
+    Bundles {
+        /// The platform.
+        platform: sync::Arc<dyn platform::Platform>,
+        /// Who may sign bundles.
+        operators: operator::Operators,
+    },
+    /// A platform that keeps rules and targets itself; there are no keys of callers, and nothing is ejected.
+    Told {
+        /// What tells rules and targets.
+        source: sync::Arc<dyn source::Source>,
+    },
+}
+
+/// What a daemon is composed of, besides its own code.
+pub struct Parts {
+    /// The daemon's settings.
+    pub settings: settings::Settings,
+    /// Which run of the daemon this is.
+    pub incarnation: ids::Incarnation,
+    /// What other daemons know this one by.
+    pub identity: quic::Identity,
+    /// The certificate for callers; plain HTTP where absent.
+    pub tls: Option<sync::Arc<rustls::ServerConfig>>,
+    /// How callers and targets are spoken to.
+    pub dialect: sync::Arc<dyn dialect::Dialect>,
+    /// The list of hosts.
+    pub hosts: sync::Arc<dyn platform::Hosts>,
+    /// Where bundles and targets come from.
+    pub backing: Backing,
+}
+
+impl Parts {
+    /// Returns the parts of the product's own daemon, as its settings name them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a key can't be used.
+    pub fn native(settings: &settings::Settings) -> Result<Parts, Error> {
+        let platform = sync::Arc::new(client::HttpPlatform::new(&settings.platform));
+        let operators =
+            operator::Operators::load(&settings.keys.operators).context(OperatorsSnafu)?;
+        Ok(Parts {
+            settings: settings.clone(),
+            incarnation: ids::Incarnation(clock::wall().0),
+            identity: quic::Identity::read(settings).context(PeersSnafu)?,
+            tls: tls::server(&settings.keys).context(TlsSnafu)?,
+            dialect: sync::Arc::new(dialect::Native),
+            hosts: platform.clone(),
+            backing: Backing::Bundles {
+                platform,
+                operators,
+            },
+        })
+    }
+}
+
+/// Runs the product's own daemon until `stop` resolves or an operator drains it, then shuts it down gracefully.
 ///
 /// # Errors
 ///
@@ -82,11 +140,26 @@
     settings: &settings::Settings,
     stop: future::BoxFuture<'static, ()>,
 ) -> Result<(), Error> {
-    let node = Node::start(settings).await?;
+    run_with(Parts::native(settings)?, stop).await
+}
+
+/// Runs a daemon of other parts as [`run`] does.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound or a part can't start.
+pub async fn run_with(parts: Parts, stop: future::BoxFuture<'static, ()>) -> Result<(), Error> {
+    let node = Node::start(parts).await?;
     node.serve(stop).await;
     Ok(())
 }
 
+/// What is in force, and what takes peers' notes about it.
+struct InForce {
+    bundle: Bundles,
+    taker: sync::Arc<dyn peer::NoteTaker>,
+}
+
 /// The bundle in force, as it changes.
 type Bundles = tasks::watch::Receiver<sync::Arc<bundle::Bundle>>;
 
@@ -101,6 +174,8 @@
     admin: sync::Arc<admin::Admin>,
     draining: tasks::watch::Receiver<bool>,
     tls: Option<sync::Arc<rustls::ServerConfig>>,
+    limits: tasks::watch::Receiver<settings::Limits>,
+    ready: Option<tcp::TcpListener>,
     public: tcp::TcpListener,
     operators: tcp::TcpListener,
     tasks: Vec<task::JoinHandle<()>>,
@@ -112,7 +187,9 @@
     clock: clock::Clock,
     incarnation: ids::Incarnation,
     recorder: sync::Arc<timeline::Recorder>,
-    platform: sync::Arc<dyn platform::Platform>,
+    hosts: sync::Arc<dyn platform::Hosts>,
+    backing: Backing,
+    dialect: sync::Arc<dyn dialect::Dialect>,
     metrics: sync::Arc<metrics::Metrics>,
     peers: quic::Peers,
 }
@@ -125,8 +202,8 @@
 }
 
 impl Base {
-    fn new(settings: &settings::Settings, peers: quic::Peers) -> Result<Base, Error> {
-        let incarnation = ids::Incarnation(clock::wall().0);
+    fn new(parts: Parts, peers: quic::Peers) -> Result<Base, Error> {
+        let (settings, incarnation) = (&parts.settings, parts.incarnation);
         let recorder = timeline::Recorder::new(&settings.name, incarnation);
         recorder.record(
             timeline::Kind::Started,
@@ -138,7 +215,9 @@
             clock: clock::Clock::start(),
             incarnation,
             recorder: sync::Arc::new(recorder),
-            platform: sync::Arc::new(client::HttpPlatform::new(&settings.platform)),
+            hosts: parts.hosts,
+            backing: parts.backing,
+            dialect: parts.dialect,
             metrics: sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?),
             peers,
         })
@@ -168,34 +247,88 @@
         })
     }
 
-    async fn follower(&self, fleet: &Fleet) -> Result<follower::Handle, Error> {
-        let operators =
-            operator::Operators::load(&self.settings.keys.operators).context(OperatorsSnafu)?;
+    async fn rules(&self, fleet: &Fleet) -> Result<InForce, Error> {
+        match &self.backing {
+            Backing::Bundles {
+                platform,
+                operators,
+            } => self.follower(fleet, platform, operators).await,
+            Backing::Told { source } => self.registry(fleet, source).await,
+        }
+    }
+
+    async fn follower(
+        &self,
+        fleet: &Fleet,
+        platform: &sync::Arc<dyn platform::Platform>,
+        operators: &operator::Operators,
+    ) -> Result<InForce, Error> {
         let options = follower::Options {
             name: self.settings.name.clone(),
             domain: self.settings.domain.clone(),
             clock: self.clock,
-            platform: self.platform.clone(),
+            platform: platform.clone(),
             members: fleet.view.clone(),
-            operators,
+            operators: operators.clone(),
             recorder: self.recorder.clone(),
             sender: fleet.sender.clone(),
         };
         let part = "follower of the bundle";
-        follower::spawn(options).await.context(ActorSnafu { part })
+        let follower = follower::spawn(options).await;
+        let follower = follower.context(ActorSnafu { part })?;
+        Ok(InForce {
+            bundle: follower.bundle(),
+            taker: sync::Arc::new(follower),
+        })
     }
 
-    async fn claims(&self, fleet: &Fleet) -> Result<claims::Handle, Error> {
+    async fn registry(
+        &self,
+        fleet: &Fleet,
+        source: &sync::Arc<dyn source::Source>,
+    ) -> Result<InForce, Error> {
+        let options = registry::Options {
+            name: self.settings.name.clone(),
+            clock: self.clock,
+            source: source.clone(),
+            members: fleet.view.clone(),
+            sender: fleet.sender.clone(),
+            recorder: self.recorder.clone(),
+        };
+        let part = "registry of rules and targets";
+        let registry = registry::spawn(options).await;
+        let registry = registry.context(ActorSnafu { part })?;
+        Ok(InForce {
+            bundle: registry.bundle(),
+            taker: sync::Arc::new(registry),
+        })
+    }
+
+    async fn claims(&self, fleet: &Fleet) -> Result<sync::Arc<dyn claims::Claims>, Error> {
+        let Backing::Bundles { platform, .. } = &self.backing else {
+            return Ok(sync::Arc::new(claims::Unkeyed));
+        };
         let options = claims::Options {
             name: self.settings.name.clone(),
             clock: self.clock,
-            platform: self.platform.clone(),
+            platform: platform.clone(),
             members: fleet.view.clone(),
             recorder: self.recorder.clone(),
         };
-        claims::spawn(options)
-            .await
-            .context(ActorSnafu { part: "claims" })
+        let claims = claims::spawn(options).await;
+        let claims = claims.context(ActorSnafu { part: "claims" })?;
+        Ok(sync::Arc::new(claims))
+    }
+
+    fn budget(&self) -> sync::Arc<dyn cell::Budget> {
+        let Backing::Bundles { platform, .. } = &self.backing else {
+            return sync::Arc::new(cell::NoBudget);
+        };
+        sync::Arc::new(lease::Leases::new(lease::Options {
+            name: self.settings.name.clone(),
+            clock: self.clock,
+            platform: platform.clone(),
+        }))
     }
 
     fn spreader(&self, fleet: &Fleet) -> sync::Arc<spread::Spreader> {
@@ -214,19 +347,18 @@
         bundle: &Bundles,
         spreader: &sync::Arc<spread::Spreader>,
     ) -> sync::Arc<home::Home> {
-        let leases = lease::Leases::new(lease::Options {
-            name: self.settings.name.clone(),
-            clock: self.clock,
-            platform: self.platform.clone(),
-        });
         let home = sync::Arc::new(home::Home::new(home::Options {
             name: self.settings.name.clone(),
             clock: self.clock,
             recorder: self.recorder.clone(),
             bundle: bundle.clone(),
             view: fleet.view.clone(),
-            pool: pool::Pool::new(self.clock, self.settings.limits.head_bytes),
-            budget: sync::Arc::new(leases),
+            pool: sync::Arc::new(pool::Pool::new(
+                self.clock,
+                self.settings.limits.head_bytes,
+            )),
+            dialect: self.dialect.clone(),
+            budget: self.budget(),
             spread: spreader.clone(),
         }));
         spreader.attach(&home);
@@ -252,9 +384,10 @@
             bundle: bundle.clone(),
             view: fleet.view.clone(),
             links: sync::Arc::new(links),
-            claims: sync::Arc::new(self.claims(fleet).await?),
+            claims: self.claims(fleet).await?,
             spreader: spreader.clone(),
             metrics: self.metrics.clone(),
+            dialect: self.dialect.clone(),
         }))
     }
 
@@ -276,15 +409,21 @@
 }
 
 impl Node {
-    async fn start(settings: &settings::Settings) -> Result<Node, Error> {
+    async fn start(parts: Parts) -> Result<Node, Error> {
+        let settings = &parts.settings;
         let public = listen(settings.listen, "callers").await?;
         let operators = listen(settings.admin, "operators").await?;
-        let tls = tls::server(&settings.keys).context(TlsSnafu)?;
-        let (peers, incoming) = quic::Peers::bind(settings).context(PeersSnafu)?;
-        let base = Base::new(settings, peers)?;
+        let ready = match settings.ready {
+            Some(address) => Some(listen(address, "questions whether it is ready").await?),
+            None => None,
+        };
+        let tls = parts.tls.clone();
+        let timing = quic::Timing::default();
+        let bound = quic::Peers::bind_as(&parts.identity, settings, &timing);
+        let (peers, incoming) = bound.context(PeersSnafu)?;
+        let base = Base::new(parts, peers)?;
         let fleet = base.fleet().await?;
-        let follower = base.follower(&fleet).await?;
-        let bundle = follower.bundle();
+        let InForce { bundle, taker } = base.rules(&fleet).await?;
         let spreader = base.spreader(&fleet);
         let home = base.home(&fleet, &bundle, &spreader);
         let entry = base.entry(&fleet, &bundle, &home, &spreader).await?;
@@ -292,8 +431,9 @@
         let notes = notes::Notes {
             spreader,
             home: home.clone(),
-            follower,
+            taker,
         };
+        let (limits, limits_seen) = tasks::watch::channel(base.settings.limits.clone());
         let members = fleet.members;
         let tasks = vec![
             tokio::spawn(feeds::accept_peers(
@@ -303,11 +443,12 @@
                 sync::Arc::new(notes),
             )),
             tokio::spawn(feeds::pass_on_bundles(
-                bundle,
+                bundle.clone(),
                 home.clone(),
                 members.clone(),
             )),
-            tokio::spawn(feeds::follow_hosts(base.platform, members.clone())),
+            tokio::spawn(feeds::pass_on_limits(bundle.clone(), limits)),
+            tokio::spawn(feeds::follow_hosts(base.hosts, members.clone())),
             tokio::spawn(feeds::pass_on_views(fleet.view, home.clone())),
             tokio::spawn(feeds::sweep(home.clone())),
         ];
@@ -321,6 +462,8 @@
             draining: admin.draining.subscribe(),
             admin: sync::Arc::new(admin),
             tls,
+            limits: limits_seen,
+            ready,
             public,
             operators,
             tasks,
@@ -332,7 +475,7 @@
         let (stop_admin, admin_stopped) = tasks::watch::channel(false);
         let options = http::Options {
             listener: self.public,
-            limits: self.settings.limits.clone(),
+            limits: self.limits.clone(),
             tls: self.tls.clone(),
         };
         let public = tokio::spawn(http::serve(
@@ -342,14 +485,24 @@
         ));
         let options = http::Options {
             listener: self.operators,
-            limits: self.settings.limits.clone(),
+            limits: fixed(&self.settings.limits),
             tls: None,
         };
         let operators = tokio::spawn(http::serve(
             options,
             sync::Arc::new(self.admin.clone()),
-            admin_stopped,
+            admin_stopped.clone(),
         ));
+        if let Some(listener) = self.ready.take() {
+            let options = http::Options {
+                listener,
+                limits: fixed(&self.settings.limits),
+                tls: None,
+            };
+            let readiness = sync::Arc::new(admin::Readiness(self.admin.clone()));
+            self.tasks
+                .push(tokio::spawn(http::serve(options, readiness, admin_stopped)));
+        }
         log::info!(
             "the daemon {} serves callers on {}",
             self.settings.name,
@@ -364,7 +517,7 @@
             .record(timeline::Kind::Draining, timeline::Subject::default(), "");
         self.members.leave().await;
         self.home.drain().await;
-        time::sleep(LINGER_SPAN.span()).await;
+        time::sleep(self.settings.limits.linger_ms.span()).await;
         stop_public.send_replace(true);
         if let Err(e) = public.await {
             log::error!("the server for callers failed: {e}");
@@ -381,6 +534,11 @@
     }
 }
 
+/// Returns limits that never change.
+fn fixed(limits: &settings::Limits) -> tasks::watch::Receiver<settings::Limits> {
+    tasks::watch::channel(limits.clone()).1
+}
+
 async fn listen(
     address: net::SocketAddr,
     purpose: &'static str,
--- a/src/daemon/notes.rs
+++ b/src/daemon/notes.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::daemon::{follower, home, spread};
+use crate::daemon::{home, spread};
 use crate::protocol::{frame, peer};
 use crate::transport::quic;
 
@@ -12,8 +12,8 @@
     pub spreader: sync::Arc<spread::Spreader>,
     /// The cells here.
     pub home: sync::Arc<home::Home>,
-    /// The follower of the bundle.
-    pub follower: follower::Handle,
+    /// What takes the notes about bundles and targets.
+    pub taker: sync::Arc<dyn peer::NoteTaker>,
 }
 
 impl Notes {
@@ -40,7 +40,7 @@
                 peer::Note::Done
             }
             peer::Note::AskTargets => peer::Note::Targets(self.home.targets().await),
-            other => self.follower.note(from, other).await,
+            other => self.taker.take(from, other).await,
         }
     }
 }
--- /dev/null
+++ b/src/protocol/dialect.rs
@@ -0,0 +1,132 @@
+//! Dialects: how callers and targets name what the fleet must know of requests and answers.
+//!
+//! The entry reads callers' heads and writes refusals through a [`Dialect`]; the home completes heads for targets and
+//! reads their answers through it. [`Native`] is the product's own; an adapter to a platform brings another.
+
+use http::response::Parts;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+
+use crate::protocol::{headers, problem, refusal};
+use crate::state::{clock, ids};
+use crate::transport::body;
+
+/// A head that breaks the dialect's rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("a field of the head is malformed"))]
+pub struct Malformed;
+
+/// The identities of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Named<'a> {
+    /// The fleet's identity for it.
+    pub id: ids::RequestId,
+    /// The caller's own name for it; empty where it gave none.
+    pub name: &'a str,
+}
+
+/// One try of a request at a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Try<'a> {
+    /// The request.
+    pub request: Named<'a>,
+    /// The target's name in the bundle.
+    pub target: &'a str,
+    /// The time that is left until the deadline.
+    pub left: clock::Millis,
+}
+
+/// What the head of a target's answer tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// The answer to the request, no failure of the target.
+    Answered,
+    /// The answer to the request, and a failure of the target.
+    Failed,
+    /// The target refused the request undone; its answer is fit for the caller.
+    Shed,
+    /// The target states that the request did not run; its answer is not fit for the caller.
+    NotRun,
+    /// Another target stands at the address, and states that the request did not run.
+    Misplaced,
+    /// The answer is not fit for the caller and proves nothing: it belongs to another request, or may follow a run.
+    Unfit,
+}
+
+/// Names what the fleet must know of requests and answers.
+pub trait Dialect: Send + Sync {
+    /// Returns the caller's own name for the request; empty where it gives none.
+    fn name<'a>(&self, map: &'a HeaderMap) -> &'a str;
+
+    /// Returns the time that the caller gives the request; absent where it names none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the field is malformed.
+    fn deadline(&self, map: &HeaderMap) -> Result<Option<clock::Millis>, Malformed>;
+
+    /// Completes the head of a request to a target.
+    fn prepare(&self, map: &mut HeaderMap, attempt: &Try<'_>);
+
+    /// Reads the head of the answer to a try.
+    fn read(&self, answer: &Parts, attempt: &Try<'_>) -> Reading;
+
+    /// Completes the head of a target's answer to the caller.
+    fn complete(&self, map: &mut HeaderMap, request: &Named<'_>, target: &str);
+
+    /// Returns the answer that tells a caller of a refusal.
+    fn refuse(&self, refusal: &refusal::Refusal, request: &Named<'_>) -> Response<body::Body>;
+}
+
+/// The product's own dialect: fields whose names begin with `peridotspread-`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Native;
+
+impl Dialect for Native {
+    fn name<'a>(&self, _map: &'a HeaderMap) -> &'a str {
+        ""
+    }
+
+    fn deadline(&self, map: &HeaderMap) -> Result<Option<clock::Millis>, Malformed> {
+        milliseconds(map, headers::DEADLINE)
+    }
+
+    fn prepare(&self, map: &mut HeaderMap, attempt: &Try<'_>) {
+        map.insert(headers::DEADLINE, attempt.left.0.into());
+        problem::name_request(map, attempt.request.id);
+    }
+
+    fn read(&self, answer: &Parts, _attempt: &Try<'_>) -> Reading {
+        let sheds = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        if sheds && answer.headers.contains_key(header::RETRY_AFTER) {
+            return Reading::Shed;
+        }
+        if answer.status.is_server_error() {
+            return Reading::Failed;
+        }
+        Reading::Answered
+    }
+
+    fn complete(&self, map: &mut HeaderMap, request: &Named<'_>, target: &str) {
+        problem::name_request(map, request.id);
+        if let Ok(target) = HeaderValue::from_str(target) {
+            map.insert(headers::TARGET, target);
+        }
+    }
+
+    fn refuse(&self, refusal: &refusal::Refusal, request: &Named<'_>) -> Response<body::Body> {
+        problem::response(refusal, request.id)
+    }
+}
+
+/// Returns the whole number of milliseconds in the field called `name`; absent where there is no such field.
+///
+/// # Errors
+///
+/// Returns an error if the field holds anything else.
+pub fn milliseconds(map: &HeaderMap, name: &str) -> Result<Option<clock::Millis>, Malformed> {
+    let Some(value) = map.get(name) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|v| v.parse().ok());
+    number.map(clock::Millis).map(Some).ok_or(Malformed)
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! What the bytes mean: messages between daemons, refusals to callers, header fields, and the platform's interface.
 
 pub mod admin;
+pub mod dialect;
 pub mod frame;
 pub mod gossip;
 pub mod headers;
@@ -9,3 +10,4 @@
 pub mod problem;
 pub mod refusal;
 pub mod rollout;
+pub mod source;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -37,6 +37,12 @@
     pub tier: u8,
     /// The time that is left until the deadline.
     pub left: clock::Millis,
+    /// The time that is left in which an answer is worth most to the caller.
+    pub objective: clock::Millis,
+    /// The tries that the request may have, the first included.
+    pub tries: u32,
+    /// The caller's own name for the request, for logs and for telling answers apart; empty where it gave none.
+    pub name: String,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// What the request does, for the quarantine.
@@ -191,6 +197,13 @@
     Targets(Vec<TargetReport>),
     /// Nothing to tell; the reply to a note that needs none.
     Done,
+    /// Asks for what the platform told after `mark`, by a daemon that the platform does not answer.
+    AskNews {
+        /// The asker's mark in the platform's order of changes.
+        mark: u64,
+    },
+    /// Brings what the platform told: changes as JSON, up to the sender's mark.
+    News(Vec<u8>),
 }
 
 /// A bundle with the signature that makes it worth adopting.
@@ -237,6 +250,12 @@
     pub reason: String,
 }
 
+/// Answers the notes that concern what the platform told: bundles, targets, hosts.
+pub trait NoteTaker: Send + Sync {
+    /// Takes in a note of the daemon called `from`, and returns the reply.
+    fn take<'a>(&'a self, from: &'a str, note: Note) -> future::BoxFuture<'a, Note>;
+}
+
 /// Sends notes to other daemons.
 pub trait NoteSender: Send + Sync {
     /// Sends `note` to the daemon called `to`, and waits for its reply within a timeout of the implementation's own.
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -84,8 +84,14 @@
 /// The future of one call.
 pub type Call<'a, T> = future::BoxFuture<'a, Result<T, Error>>;
 
+/// The platform's list of hosts.
+pub trait Hosts: Send + Sync {
+    /// Reads the list.
+    fn hosts(&self) -> Call<'_, Vec<Host>>;
+}
+
 /// The platform, as the daemon and the command-line tool use it.
-pub trait Platform: Send + Sync {
+pub trait Platform: Hosts {
     /// Reads one row.
     fn read<'a>(&'a self, key: &'a str) -> Call<'a, Option<Row>>;
 
@@ -100,7 +106,4 @@
 
     /// Stores an object under the SHA-256 digest of its content; storing the same content twice does no harm.
     fn store<'a>(&'a self, digest: &'a str, content: &'a [u8]) -> Call<'a, ()>;
-
-    /// Reads the list of hosts.
-    fn hosts(&self) -> Call<'_, Vec<Host>>;
 }
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -41,6 +41,10 @@
     UnknownCaller,
     /// The request is malformed or passes a limit.
     BadRequest,
+    /// The head passes the limit.
+    HeadTooLong,
+    /// The body passes the limit.
+    BodyTooLong,
     /// The wait would pass the deadline.
     DeadlineTooShort,
     /// The deadline passed while the request waited.
@@ -65,6 +69,8 @@
     KeyReused,
     /// The connection to the target failed before the request was sent.
     ConnectFailed,
+    /// The targets that were tried refused the request undone.
+    TargetShed,
     /// The target broke the connection during the request.
     TargetBroke,
     /// The target did not answer before the deadline.
@@ -115,7 +121,7 @@
 
 impl Cause {
     /// Every cause, in the order of the reference page.
-    pub const ALL: [Cause; 19] = [
+    pub const ALL: [Cause; 22] = [
         Cause::NoBundle,
         Cause::NoRoute,
         Cause::UnknownCaller,
@@ -132,6 +138,9 @@
         Cause::AlreadyClaimed,
         Cause::KeyReused,
         Cause::ConnectFailed,
+        Cause::TargetShed,
+        Cause::HeadTooLong,
+        Cause::BodyTooLong,
         Cause::TargetBroke,
         Cause::TargetTimeout,
         Cause::HomeLost,
@@ -156,6 +165,9 @@
             Cause::AlreadyClaimed => "already-claimed",
             Cause::KeyReused => "key-reused",
             Cause::ConnectFailed => "connect-failed",
+            Cause::TargetShed => "target-shed",
+            Cause::HeadTooLong => "head-too-long",
+            Cause::BodyTooLong => "body-too-long",
             Cause::TargetBroke => "target-broke",
             Cause::TargetTimeout => "target-timeout",
             Cause::HomeLost => "home-lost",
@@ -183,6 +195,9 @@
             }
             Cause::KeyReused => "The idempotency key was used for a different request",
             Cause::ConnectFailed => "No connection to a target was had",
+            Cause::TargetShed => "The targets refused the request because they are full",
+            Cause::HeadTooLong => "The request's head passes the limit",
+            Cause::BodyTooLong => "The request's body passes the limit",
             Cause::TargetBroke => "The target broke the connection during the request",
             Cause::TargetTimeout => "The target did not answer before the deadline",
             Cause::HomeLost => "The daemon that handed the request to a target was lost",
@@ -195,6 +210,8 @@
             Cause::NoRoute => StatusCode::NOT_FOUND,
             Cause::UnknownCaller => StatusCode::UNAUTHORIZED,
             Cause::BadRequest => StatusCode::BAD_REQUEST,
+            Cause::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Cause::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Cause::AlreadyClaimed => StatusCode::CONFLICT,
             Cause::TargetBroke | Cause::HomeLost => StatusCode::BAD_GATEWAY,
@@ -208,6 +225,7 @@
             | Cause::Draining
             | Cause::Quarantined
             | Cause::ClaimUnavailable
+            | Cause::TargetShed
             | Cause::ConnectFailed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -35,6 +35,9 @@
 /// The most tries of one request.
 const TRIES: u64 = 10;
 
+/// The highest weight of a share.
+const WEIGHT: u64 = 1_000_000;
+
 /// The hexadecimal digits of a SHA-256 digest.
 const DIGEST_CHARS: usize = 64;
 
@@ -68,6 +71,7 @@
         "organisations",
         "services",
         "routes",
+        "callers",
     ]);
     root.required("version")
         .and_then(|v| v.integer(1..=LAST_VERSION));
@@ -89,6 +93,21 @@
     if let Some(routes) = root.required("routes") {
         check_routes(&routes.tables(), &names);
     }
+    if let Some(callers) = root.optional("callers").and_then(|c| c.table()) {
+        check_callers(callers);
+    }
+}
+
+fn check_callers(table: reader::Table<'_>) {
+    table.known(&["head_bytes", "body_bytes", "head_ms", "idle_ms"]);
+    for key in ["head_bytes", "body_bytes"] {
+        table
+            .required(key)
+            .and_then(|v| v.integer(1..=LAST_VERSION));
+    }
+    for key in ["head_ms", "idle_ms"] {
+        table.required(key).and_then(|v| v.integer(1..=LONGEST_MS));
+    }
 }
 
 fn check_tiers<'a>(value: reader::Value<'a>, names: &mut Names<'a>) {
@@ -280,8 +299,20 @@
 fn check_routes(routes: &[reader::Table<'_>], names: &Names<'_>) {
     let mut seen = BTreeSet::new();
     for route in routes {
-        route.known(&["host", "prefix", "service", "idempotent"]);
-        refer(*route, "service", "service", &names.services);
+        route.known(&[
+            "host",
+            "prefix",
+            "service",
+            "idempotent",
+            "repeatable",
+            "timeout_ms",
+            "objective_ms",
+            "tries",
+            "tier",
+            "split",
+        ]);
+        check_services_of(*route, names);
+        check_terms(*route, names);
         let host = route.optional("host").and_then(check_host);
         let methods = route.optional("idempotent");
         for method in methods.map_or(Vec::new(), |m| m.array()) {
@@ -301,6 +332,40 @@
     }
 }
 
+/// Checks where a route leads: to one service, or to several by weight.
+fn check_services_of(route: reader::Table<'_>, names: &Names<'_>) {
+    let Some(split) = route.optional("split") else {
+        refer(route, "service", "service", &names.services);
+        return;
+    };
+    if let Some(service) = route.optional("service") {
+        service.add("a route names `service` or `split`, not both");
+    }
+    let mut total = 0;
+    for share in split.tables() {
+        share.known(&["service", "weight"]);
+        refer(share, "service", "service", &names.services);
+        let weight = share.required("weight");
+        total += weight
+            .and_then(|w| w.integer(0..=WEIGHT))
+            .unwrap_or_default();
+    }
+    if total == 0 {
+        split.add("the weights of a split add up to nothing; give one service a weight above 0");
+    }
+}
+
+/// Checks how the requests of a route are served.
+fn check_terms(route: reader::Table<'_>, names: &Names<'_>) {
+    route.optional("repeatable").and_then(|r| r.boolean());
+    within(route, "timeout_ms", 1, LONGEST_MS);
+    within(route, "objective_ms", 1, LONGEST_MS);
+    within(route, "tries", 1, TRIES);
+    if route.optional("tier").is_some() {
+        refer(route, "tier", "tier", &names.tiers);
+    }
+}
+
 fn check_host(value: reader::Value<'_>) -> Option<&str> {
     let host = value.string()?.str;
     let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || ".-_[]:".contains(c);
--- a/src/state/bundle/diff.rs
+++ b/src/state/bundle/diff.rs
@@ -79,6 +79,9 @@
         "callers without a credential".to_owned(),
         json(&bundle.unknown),
     );
+    if let Some(callers) = &bundle.callers {
+        entries.insert("limits of callers".to_owned(), json(callers));
+    }
     for (rank, tier) in bundle.tiers.iter().enumerate() {
         entries.insert(format!("tier {}", tier.name), format!("rank {rank}"));
     }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -36,6 +36,9 @@
     pub services: Vec<Service>,
     /// Which requests go to which service.
     pub routes: Vec<Route>,
+    /// What callers may send; the daemon's own settings decide where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub callers: Option<Callers>,
 }
 
 /// A rank of callers.
@@ -161,7 +164,7 @@
 }
 
 /// Sends the requests under a path prefix to a service; the longest prefix wins, and a named host beats none.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The host that requests name, in lower case and without a port; any where absent.
@@ -169,11 +172,54 @@
     pub host: Option<String>,
     /// The path's prefix, by whole segments.
     pub prefix: String,
-    /// The service's name.
+    /// The service's name; not used where `split` names services.
+    #[serde(default)]
     pub service: String,
     /// Methods that are idempotent here beyond the safe ones (GET, HEAD, OPTIONS and TRACE).
     #[serde(default)]
     pub idempotent: Vec<String>,
+    /// Whether every request is idempotent, or none is, whatever its method; absent where the method decides.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub repeatable: Option<bool>,
+    /// The time that a request may take at most, whatever its caller allows, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub timeout_ms: Option<clock::Millis>,
+    /// The time within which an answer is worth most to its caller, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective_ms: Option<clock::Millis>,
+    /// Tries of one request, the first included; the service's own limit holds as well.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tries: Option<u32>,
+    /// The tier of its requests; that of the caller where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tier: Option<String>,
+    /// Services that share its requests by weight, in place of `service`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
+}
+
+/// The part of a route's requests that goes to one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// The service's name.
+    pub service: String,
+    /// Its weight among the shares.
+    pub weight: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Callers {
+    /// The bytes of a request's head.
+    pub head_bytes: usize,
+    /// The bytes of a request's body.
+    pub body_bytes: u64,
+    /// The time that a head may take, in milliseconds.
+    pub head_ms: clock::Millis,
+    /// The time that a connection may be idle between two requests, in milliseconds.
+    pub idle_ms: clock::Millis,
 }
 
 fn default_deadline() -> clock::Millis {
@@ -201,6 +247,31 @@
     }
 }
 
+impl Route {
+    /// Returns the service that takes a request, where `draw` is a number drawn evenly for the request.
+    pub fn service_for(&self, draw: u64) -> &str {
+        let total: u64 = self.split.iter().map(|s| u64::from(s.weight)).sum();
+        if total == 0 {
+            return &self.service;
+        }
+        let mut left = draw % total;
+        for share in &self.split {
+            let weight = u64::from(share.weight);
+            if left < weight {
+                return &share.service;
+            }
+            left -= weight;
+        }
+        &self.service
+    }
+
+    /// Returns whether a request with `method` may run more than once.
+    pub fn is_idempotent(&self, method: &http::Method) -> bool {
+        let by_method = method.is_safe() || self.idempotent.iter().any(|m| m == method.as_str());
+        self.repeatable.unwrap_or(by_method)
+    }
+}
+
 impl Service {
     /// Returns a service as it is after its removal from the bundle: no targets, no waiting requests.
     pub fn without_targets(name: &str) -> Service {
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -28,6 +28,9 @@
     pub advertise: Option<net::SocketAddr>,
     /// The address for operators, HTTP.
     pub admin: net::SocketAddr,
+    /// An address that tells whether the daemon is ready, HTTP, for a balancer that asks elsewhere than at `admin`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready: Option<net::SocketAddr>,
     /// Where the platform answers.
     pub platform: Platform,
     /// Keys and certificates.
@@ -55,7 +58,7 @@
 }
 
 /// Keys and certificates, each a path to a PEM file.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Keys {
     /// The fleet's certificate authority; only its certificates get in as peers.
@@ -90,10 +93,16 @@
     pub requests: usize,
     /// The bytes of a request's body that are kept for a retry.
     pub replay_bytes: usize,
-    /// How long a graceful shutdown waits for requests in flight, in milliseconds.
+    /// How long a leaving daemon goes on to take callers that the balancer still sends, in milliseconds.
+    pub linger_ms: clock::Millis,
+    /// How long a graceful shutdown waits for requests in flight after that, in milliseconds.
     pub drain_ms: clock::Millis,
     /// How long a caller may take to send a request's head, in milliseconds.
     pub head_ms: clock::Millis,
+    /// How long a caller's connection may be idle between two requests, in milliseconds; `head_ms` at least.
+    pub idle_ms: clock::Millis,
+    /// The bytes of a request's body.
+    pub body_bytes: u64,
 }
 
 impl Default for Limits {
@@ -104,9 +113,26 @@
             connections: 10_000,
             requests: 5_000,
             replay_bytes: 64 * 1024,
+            linger_ms: clock::Millis(3_000),
             drain_ms: clock::Millis(60_000),
             head_ms: clock::Millis(10_000),
+            idle_ms: clock::Millis(10_000),
+            body_bytes: u64::MAX,
+        }
+    }
+}
+
+impl Limits {
+    /// Returns the limits with what a bundle says of callers in place of the settings' own.
+    pub fn under(&self, callers: Option<&bundle::Callers>) -> Limits {
+        let mut limits = self.clone();
+        if let Some(callers) = callers {
+            limits.head_bytes = callers.head_bytes;
+            limits.head_ms = callers.head_ms;
+            limits.idle_ms = callers.idle_ms;
+            limits.body_bytes = callers.body_bytes;
         }
+        limits
     }
 }
 
@@ -159,6 +185,7 @@
         "peer",
         "advertise",
         "admin",
+        "ready",
         "platform",
         "keys",
         "limits",
@@ -173,6 +200,7 @@
     for key in ["listen", "admin"] {
         root.required(key).and_then(address);
     }
+    root.optional("ready").and_then(address);
     let peer = root.required("peer");
     match (peer, root.optional("advertise")) {
         (peer, Some(advertise)) => {
@@ -271,16 +299,22 @@
         "connections",
         "requests",
         "replay_bytes",
+        "linger_ms",
         "drain_ms",
         "head_ms",
+        "idle_ms",
+        "body_bytes",
     ]);
     within(table, "head_bytes", 1024, MOST_BYTES);
     within(table, "head_fields", 1, MOST);
     within(table, "connections", 1, MOST);
     within(table, "requests", 1, MOST);
     within(table, "replay_bytes", 0, MOST_BYTES);
+    within(table, "linger_ms", 0, LONGEST_MS);
     within(table, "drain_ms", 0, LONGEST_MS);
     within(table, "head_ms", 1, LONGEST_MS);
+    within(table, "idle_ms", 1, LONGEST_MS);
+    within(table, "body_bytes", 1, u64::MAX);
 }
 
 fn check_log(value: reader::Value<'_>) {
--- a/src/state/timeline.rs
+++ b/src/state/timeline.rs
@@ -66,6 +66,16 @@
     Platform,
 }
 
+impl Kind {
+    /// Returns whether the event is one step of a request, of which there are many.
+    fn is_about_request(self) -> bool {
+        matches!(
+            self,
+            Kind::Refused | Kind::Unknown | Kind::Dispatched | Kind::Answered | Kind::Claim
+        )
+    }
+}
+
 /// One event of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
@@ -165,7 +175,11 @@
             request: subject.request.map(|r| r.to_string()),
             detail: detail.to_owned(),
         };
-        log::debug!(target: "timeline", "{}", serde_json::to_string(&event).unwrap_or_default());
+        let level = match kind.is_about_request() {
+            true => log::Level::Debug,
+            false => log::Level::Info,
+        };
+        log::log!(target: "timeline", level, "{}", serde_json::to_string(&event).unwrap_or_default());
         if inner.kept.len() == KEPT_EVENTS {
             inner.kept.pop_front();
         }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -30,8 +30,8 @@
 pub struct Options {
     /// The bound socket.
     pub listener: tcp::TcpListener,
-    /// The limits of heads and connections.
-    pub limits: settings::Limits,
+    /// The limits of heads and connections; each connection takes those in force when it begins.
+    pub limits: tasks::watch::Receiver<settings::Limits>,
     /// TLS towards callers; plain HTTP where absent.
     pub tls: Option<sync::Arc<rustls::ServerConfig>>,
 }
@@ -42,7 +42,7 @@
     handler: sync::Arc<dyn Handler>,
     mut stop: tasks::watch::Receiver<bool>,
 ) {
-    let places = sync::Arc::new(tasks::Semaphore::new(options.limits.connections));
+    let places = sync::Arc::new(tasks::Semaphore::new(options.limits.borrow().connections));
     let connections = graceful::GracefulShutdown::new();
     let acceptor = options.tls.clone().map(tokio_rustls::TlsAcceptor::from);
     loop {
@@ -60,7 +60,7 @@
         let Ok(place) = places.clone().try_acquire_owned() else {
             log::warn!(
                 "the connection of {from} is closed: the limit of {} is reached",
-                options.limits.connections
+                options.limits.borrow().connections
             );
             continue;
         };
@@ -72,7 +72,7 @@
             stream,
             from,
             acceptor.clone(),
-            options.limits.clone(),
+            options.limits.borrow().clone(),
             handler.clone(),
             watcher,
         );
@@ -82,14 +82,12 @@
         });
     }
     drop(options.listener);
-    if time::timeout(options.limits.drain_ms.span(), connections.shutdown())
+    let patience = options.limits.borrow().drain_ms;
+    if time::timeout(patience.span(), connections.shutdown())
         .await
         .is_err()
     {
-        log::warn!(
-            "requests are cut: they took longer than {} to finish",
-            options.limits.drain_ms
-        );
+        log::warn!("requests are cut: they took longer than {patience} to finish");
     }
 }
 
@@ -122,7 +120,7 @@
     builder
         .http1()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.head_ms.span())
+        .header_read_timeout(limits.head_ms.max(limits.idle_ms).span())
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(limits.head_fields);
     builder
--- a/src/transport/keys.rs
+++ b/src/transport/keys.rs
@@ -194,6 +194,30 @@
     Ok(name.to_owned())
 }
 
+/// Parses a certificate in PEM; `place` is the name that errors give.
+///
+/// # Errors
+///
+/// Returns an error if the text holds no certificate.
+pub fn parse_certificate(place: &str, text: &str) -> Result<CertificateDer<'static>, Error> {
+    CertificateDer::from_pem_slice(text.as_bytes()).with_context(|_| PemSnafu {
+        place,
+        what: "certificate",
+    })
+}
+
+/// Parses a private key in PEM; `place` is the name that errors give.
+///
+/// # Errors
+///
+/// Returns an error if the text holds no private key.
+pub fn parse_key(place: &str, text: &str) -> Result<PrivateKeyDer<'static>, Error> {
+    PrivateKeyDer::from_pem_slice(text.as_bytes()).with_context(|_| PemSnafu {
+        place,
+        what: "private key",
+    })
+}
+
 /// Reads the certificates of a PEM file, of which there is at least one.
 ///
 /// # Errors
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! What moves the bytes: QUIC between daemons, HTTP to callers and targets, and the client of the platform.
 
 pub mod body;
+pub mod channel;
 pub mod client;
 pub mod http;
 pub mod keys;
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -1,37 +1,21 @@
 //! The platform's client over HTTP/1.1; `docs/PLATFORM.md` describes the interface.
 //!
-//! The client keeps a few idle connections. It tells apart what the callers of [`platform::Platform`] must tell apart:
-//! a call that was surely not acted on, and one whose answer was lost.
-
-use std::net;
-use std::sync;
+//! Its calls go over one [`channel::Channel`].
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::client::conn::http1;
-use hyper_util::rt;
 use serde::Serialize;
 use serde::de;
 
 use crate::protocol::platform;
 use crate::state::clock;
 use crate::state::settings;
-
-/// The idle connections that one client keeps.
-const IDLE_CONNECTIONS: usize = 4;
-
-/// The most bytes of one answer.
-const ANSWER_BYTES: usize = 64 * 1024 * 1024;
-
-type Body = http_body_util::Full<Bytes>;
-type Sender = http1::SendRequest<Body>;
+use crate::transport::channel::{self, Answer};
 
 /// The platform, reached over HTTP.
 #[derive(Debug)]
 pub struct HttpPlatform {
-    address: net::SocketAddr,
+    channel: channel::Channel,
     timeout: clock::Millis,
-    idle: sync::Mutex<Vec<Sender>>,
 }
 
 #[derive(Serialize)]
@@ -56,111 +40,22 @@
     key: String,
 }
 
-struct Answer {
-    status: http::StatusCode,
-    body: Bytes,
-}
-
 impl HttpPlatform {
     /// Creates a client; nothing is connected before the first call.
     pub fn new(settings: &settings::Platform) -> HttpPlatform {
         HttpPlatform {
-            address: settings.address,
+            channel: channel::Channel::new(settings.address),
             timeout: settings.timeout_ms,
-            idle: sync::Mutex::default(),
         }
     }
 
-    /// Makes one call within the timeout.
     async fn call(
         &self,
         method: http::Method,
         path: &str,
         body: Bytes,
     ) -> Result<Answer, platform::Error> {
-        let deadline = tokio::time::Instant::now() + self.timeout.span();
-        let request = self.request(method, path, body)?;
-        let (mut sender, request) = match self.idle_connection() {
-            Some(sender) => (sender, request),
-            None => (self.connect(deadline).await?, request),
-        };
-        let answer = match timeout(deadline, sender.try_send_request(request)).await? {
-            Ok(answer) => answer,
-            Err(mut e) => {
-                // The request comes back where the idle connection was closed before anything was sent on it.
-                let Some(request) = e.take_message() else {
-                    return lost(&e.into_error().to_string());
-                };
-                sender = self.connect(deadline).await?;
-                match timeout(deadline, sender.send_request(request)).await? {
-                    Ok(answer) => answer,
-                    Err(e) => return lost(&e.to_string()),
-                }
-            }
-        };
-        let status = answer.status();
-        let limited = http_body_util::Limited::new(answer.into_body(), ANSWER_BYTES);
-        let body = match timeout(deadline, limited.collect()).await? {
-            Ok(body) => body.to_bytes(),
-            Err(e) => return lost(&e.to_string()),
-        };
-        self.keep(sender);
-        Ok(Answer { status, body })
-    }
-
-    fn request(
-        &self,
-        method: http::Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<http::Request<Body>, platform::Error> {
-        http::Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::HOST, self.address.to_string())
-            .body(Body::new(body))
-            .or_else(|e| unavailable(&e.to_string()))
-    }
-
-    fn idle_connection(&self) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        while let Some(sender) = idle.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, sender: Sender) {
-        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        if idle.len() < IDLE_CONNECTIONS && !sender.is_closed() {
-            idle.push(sender);
-        }
-    }
-
-    async fn connect(&self, deadline: tokio::time::Instant) -> Result<Sender, platform::Error> {
-        let connecting = async {
-            let stream = tokio::net::TcpStream::connect(self.address)
-                .await
-                .or_else(|e| unavailable(&e.to_string()))?;
-            stream
-                .set_nodelay(true)
-                .or_else(|e| unavailable(&e.to_string()))?;
-            http1::handshake(rt::TokioIo::new(stream))
-                .await
-                .or_else(|e| unavailable(&e.to_string()))
-        };
-        let Ok(connected) = tokio::time::timeout_at(deadline, connecting).await else {
-            return unavailable("no connection within the timeout");
-        };
-        let (sender, connection) = connected?;
-        tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                log::debug!("a connection to the platform ended: {e}");
-            }
-        });
-        Ok(sender)
+        self.channel.call(method, path, body, self.timeout).await
     }
 
     async fn post<M: Serialize + Sync>(
@@ -173,6 +68,15 @@
     }
 }
 
+impl platform::Hosts for HttpPlatform {
+    fn hosts(&self) -> platform::Call<'_, Vec<platform::Host>> {
+        Box::pin(async move {
+            let answer = self.call(http::Method::GET, "/hosts", Bytes::new()).await?;
+            decode(accept(answer)?)
+        })
+    }
+}
+
 impl platform::Platform for HttpPlatform {
     fn read<'a>(&'a self, key: &'a str) -> platform::Call<'a, Option<platform::Row>> {
         Box::pin(async move { decode(accept(self.post("/table/read", &Read { key }).await?)?) })
@@ -227,24 +131,6 @@
             Ok(())
         })
     }
-
-    fn hosts(&self) -> platform::Call<'_, Vec<platform::Host>> {
-        Box::pin(async move {
-            let answer = self.call(http::Method::GET, "/hosts", Bytes::new()).await?;
-            decode(accept(answer)?)
-        })
-    }
-}
-
-/// Waits for an answer until `deadline`; past it the answer counts as lost.
-async fn timeout<F: Future>(
-    deadline: tokio::time::Instant,
-    f: F,
-) -> Result<F::Output, platform::Error> {
-    match tokio::time::timeout_at(deadline, f).await {
-        Ok(output) => Ok(output),
-        Err(_) => lost("no answer within the timeout"),
-    }
 }
 
 /// Passes on an answer of success; a 4xx or 503 says that the call was not acted on, any other leaves it open.
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -7,7 +7,7 @@
 use std::net;
 use std::sync;
 
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt;
@@ -17,12 +17,15 @@
 use crate::state::clock;
 use crate::transport::body;
 
-/// How long a target may take to accept a connection.
-const CONNECT_TIMEOUT: clock::Millis = clock::Millis(1_000);
+/// How long a target may take to accept a connection: several round trips between failure domains, and far less than
+/// a caller waits, so that another target can be tried.
+const CONNECT_TIMEOUT: clock::Millis = clock::Millis(300);
 /// How long a connection may have been idle to carry work that must not be sent twice.
 const FRESH_SPAN: clock::Millis = clock::Millis(500);
 /// How long a connection is kept without work.
 const IDLE_SPAN: clock::Millis = clock::Millis(30_000);
+/// How long before the target's own timeout an idle connection is given up, since a request may cross the close.
+const CLOSE_MARGIN: clock::Millis = clock::Millis(1_000);
 /// The idle connections kept for one target.
 const IDLE_PER_TARGET: usize = 16;
 
@@ -90,6 +93,14 @@
 struct Idle {
     connection: Connection,
     since: clock::Millis,
+    /// Until when the target keeps it.
+    until: clock::Millis,
+}
+
+impl Idle {
+    fn is_live(&self, now: clock::Millis) -> bool {
+        now < self.until && !self.connection.sender.is_closed()
+    }
 }
 
 impl Pool {
@@ -130,7 +141,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().expect("no holder panicked");
         let list = idle.get_mut(&address)?;
-        list.retain(|i| now - i.since < IDLE_SPAN && !i.connection.sender.is_closed());
+        list.retain(|i| i.is_live(now));
         let last = list.last()?;
         if now - last.since >= longest || !last.connection.sender.is_ready() {
             return None;
@@ -163,12 +174,12 @@
         })
     }
 
-    /// Takes back a connection whose answer has been read to the end.
+    /// Takes back a connection whose answer has been read to the end; the target keeps it idle for `keep`.
     ///
     /// # Panics
     ///
     /// Panics if a holder of the pool's lock panicked.
-    pub async fn put_back(&self, mut connection: Connection) {
+    pub async fn put_back(&self, mut connection: Connection, keep: clock::Millis) {
         if connection.sender.ready().await.is_err() {
             return;
         }
@@ -176,7 +187,11 @@
         let mut idle = self.idle.lock().expect("no holder panicked");
         let list = idle.entry(connection.address).or_default();
         if list.len() < IDLE_PER_TARGET {
-            list.push(Idle { connection, since });
+            list.push(Idle {
+                connection,
+                since,
+                until: since + keep,
+            });
         }
     }
 
@@ -189,12 +204,23 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().expect("no holder panicked");
         idle.retain(|_, list| {
-            list.retain(|i| now - i.since < IDLE_SPAN && !i.connection.sender.is_closed());
+            list.retain(|i| i.is_live(now));
             !list.is_empty()
         });
     }
 }
 
+/// Returns how long an idle connection may be used after an answer with this head.
+pub fn keep_alive(map: &HeaderMap) -> clock::Millis {
+    let values = map.get_all("keep-alive").iter();
+    let values = values.filter_map(|v| v.to_str().ok());
+    let mut parts = values.flat_map(|v| v.split(',')).map(str::trim);
+    let seconds = parts.find_map(|p| p.strip_prefix("timeout=")?.parse::<u64>().ok());
+    seconds.map_or(IDLE_SPAN, |s| {
+        (clock::Millis(s.saturating_mul(1_000)) - CLOSE_MARGIN).min(IDLE_SPAN)
+    })
+}
+
 /// The least buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
--- a/src/transport/quic/identity.rs
+++ b/src/transport/quic/identity.rs
@@ -18,15 +18,48 @@
 const ALPN: &[u8] = b"peridotspread/1";
 
 /// The keys of this daemon, as TLS needs them.
-pub(super) struct Identity {
+#[derive(Debug)]
+pub struct Identity {
     provider: Arc<rustls::crypto::CryptoProvider>,
     roots: Arc<rustls::RootCertStore>,
     chain: Vec<CertificateDer<'static>>,
     key: rustls_pki_types::PrivateKeyDer<'static>,
+    /// What the endpoint's secrets are derived from; the same in all runs of the daemon.
+    lasting: Vec<u8>,
 }
 
 impl Identity {
-    pub(super) fn read(settings: &settings::Settings) -> Result<Identity, Error> {
+    /// Takes up what the fleet's authority, whose certificate is `authority`, has issued to this daemon; all PEM.
+    ///
+    /// `lasting` is a secret of this daemon that outlives its runs, though its key does not.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a PEM can't be understood.
+    pub fn issued(
+        authority: &str,
+        issued: &keys::Issued,
+        lasting: &[u8],
+    ) -> Result<Identity, Error> {
+        let mut roots = rustls::RootCertStore::empty();
+        let root = keys::parse_certificate("the authority's certificate", authority);
+        roots.add(root.context(KeysSnafu)?).context(TlsSnafu)?;
+        let own = keys::parse_certificate("the daemon's certificate", &issued.certificate);
+        Ok(Identity {
+            provider: Arc::new(rustls::crypto::ring::default_provider()),
+            roots: Arc::new(roots),
+            chain: vec![own.context(KeysSnafu)?],
+            key: keys::parse_key("the daemon's key", &issued.key).context(KeysSnafu)?,
+            lasting: lasting.to_vec(),
+        })
+    }
+
+    /// Reads the keys that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be read, or does not hold this daemon's keys.
+    pub fn read(settings: &settings::Settings) -> Result<Identity, Error> {
         let mut roots = rustls::RootCertStore::empty();
         for certificate in keys::read_certificates(&settings.keys.authority).context(KeysSnafu)? {
             roots.add(certificate).context(TlsSnafu)?;
@@ -39,15 +72,17 @@
         let certified = keys::name_of(first).context(KeysSnafu)?;
         let name = &settings.name;
         ensure!(certified == *name, NameSnafu { name, certified });
+        let key = keys::read_key(&settings.keys.key).context(KeysSnafu)?;
         Ok(Identity {
             provider: Arc::new(rustls::crypto::ring::default_provider()),
             roots: Arc::new(roots),
             chain,
-            key: keys::read_key(&settings.keys.key).context(KeysSnafu)?,
+            lasting: key.secret_der().to_vec(),
+            key,
         })
     }
 
-    /// Returns the endpoint's settings. Their secrets follow from the private key, so that a daemon that starts again
+    /// Returns the endpoint's settings. Their secrets follow from what lasts, so that a daemon that starts again
     /// tells its peers at once that their old connections are gone.
     pub(super) fn endpoint(&self) -> quinn::EndpointConfig {
         let secret = self.secret("stateless reset");
@@ -61,12 +96,12 @@
         config
     }
 
-    /// Derives a secret for one purpose from the private key.
+    /// Derives a secret for one purpose.
     fn secret(&self, purpose: &str) -> [u8; 32] {
         let digest = sha2::Sha256::new()
             .chain_update(purpose)
             .chain_update([0])
-            .chain_update(self.key.secret_der());
+            .chain_update(&self.lasting);
         digest.finalize().into()
     }
 
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -26,7 +26,7 @@
 use error::{
     BindSnafu, BrokenSnafu, DatagramSnafu, DialSnafu, HandshakeSnafu, SilentSnafu, StreamSnafu,
 };
-use identity::Identity;
+pub use identity::Identity;
 use pool::{Link, Pool};
 
 pub use error::Error;
@@ -161,6 +161,23 @@
         timing: &Timing,
     ) -> Result<(Peers, mpsc::Receiver<Incoming>), Error> {
         let identity = Identity::read(settings)?;
+        Peers::bind_as(&identity, settings, timing)
+    }
+
+    /// Binds the address for peers of `settings` under `identity`, with times of the caller's own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the identity can't be used, or the address is not to be had.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a Tokio runtime.
+    pub fn bind_as(
+        identity: &Identity,
+        settings: &settings::Settings,
+        timing: &Timing,
+    ) -> Result<(Peers, mpsc::Receiver<Incoming>), Error> {
         let addr = settings.peer;
         let socket = net::UdpSocket::bind(addr).context(BindSnafu { addr })?;
         let local = socket.local_addr().context(BindSnafu { addr })?;
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -44,6 +44,8 @@
         ticket: ids::Ticket(ticket),
         tier: 0,
         deadline: Millis(1_000_000),
+        objective: Millis(1_000_000),
+        tries: u32::MAX,
         idempotent: true,
         replayable: true,
         fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -147,6 +147,8 @@
                     ticket: ids::Ticket(ticket),
                     tier,
                     deadline: self.now + Millis(span),
+                    objective: self.now + Millis(span),
+                    tries: u32::MAX,
                     idempotent,
                     replayable,
                     fingerprint: ids::Fingerprint(print),
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -258,6 +258,8 @@
             ticket: ids::Ticket(ticket),
             tier: 0,
             deadline: self.now + Millis(10_000),
+            objective: self.now + Millis(10_000),
+            tries: u32::MAX,
             idempotent,
             replayable: idempotent,
             fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -48,6 +48,7 @@
             prefix: format!("/fees-{n}"),
             service: "fees".to_owned(),
             idempotent: vec!["PUT".to_owned()],
+            ..bundle::Route::default()
         };
         bundle::Bundle {
             version: self.version,
