--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -76,6 +76,7 @@
             deadline: Millis::MAX,
             objective: Millis::MAX,
             tries: u32::MAX,
+            used: 0,
             idempotent: true,
             replayable: true,
             fingerprint: ids::Fingerprint(self.next),
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -111,6 +111,7 @@
             deadline: wanted.deadline,
             objective: wanted.deadline,
             tries: u32::MAX,
+            used: 0,
             idempotent: wanted.idempotent,
             replayable: true,
             fingerprint: wanted.fingerprint,
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -167,7 +167,7 @@
         for (_, other) in others.filter(|(_, t)| !t.is_normal()) {
             other.trial.pass_by();
         }
-        if work.tries == 0 {
+        if work.tries == 0 && work.excluded.is_empty() {
             self.budget.earn();
         }
         work.tries += 1;
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -1,6 +1,7 @@
 //! What happens to a cell, and what its home has to do about it.
 
 use crate::protocol::peer;
+pub use crate::protocol::peer::Outcome;
 use crate::protocol::refusal;
 use crate::state::bundle;
 use crate::state::clock;
@@ -20,6 +21,8 @@
     pub objective: clock::Millis,
     /// The tries that the request may have, the first included.
     pub tries: u32,
+    /// The tries that it had before it came here.
+    pub used: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Whether the body can be sent again on a retry.
@@ -28,27 +31,6 @@
     pub fingerprint: ids::Fingerprint,
 }
 
-/// How one try at a target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The target answered with a status that is no failure.
-    Answered,
-    /// The target answered with a status from 500 on.
-    Failed,
-    /// The target refused the request undone (503 with `Retry-After`), because it sheds load or drains.
-    Shed,
-    /// The target states that it did not run the request and will not, because it sheds load or drains.
-    NotRun,
-    /// Another target stands at the address; it states that it did not run the request.
-    Misplaced,
-    /// No connection was had; the request was not sent.
-    ConnectFailed,
-    /// The connection died after the request was sent.
-    Broken,
-    /// No answer came before the deadline.
-    TimedOut,
-}
-
 /// What happens to the cell.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -49,6 +49,8 @@
             cell::Outcome::Shed => self.shed(now, ticket, false, actions),
             cell::Outcome::NotRun => self.shed(now, ticket, true, actions),
             cell::Outcome::Misplaced => self.misplaced(now, ticket, actions),
+            cell::Outcome::Unlisted => self.unlisted(now, ticket, actions),
+            cell::Outcome::Withdrawn => drop(self.free(ticket)),
             cell::Outcome::ConnectFailed => self.unconnected(now, ticket, actions),
             cell::Outcome::Broken => self.broken(now, ticket, actions),
             cell::Outcome::TimedOut => {
@@ -209,6 +211,23 @@
         self.shed(now, ticket, true, actions);
     }
 
+    /// Takes a request back whose entry knows better of the target; nothing was sent, and nothing speaks against it.
+    fn unlisted(
+        &mut self,
+        now: clock::Millis,
+        ticket: ids::Ticket,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        let Some(run) = self.free(ticket) else {
+            return;
+        };
+        let mut work = run.work;
+        work.excluded.push(run.target);
+        work.tries -= 1;
+        let again = self.may_retry(now, &work) && self.holds_more();
+        self.put_back(now, work, again, actions);
+    }
+
     fn unconnected(
         &mut self,
         now: clock::Millis,
@@ -225,14 +244,10 @@
         self.judge(now, &run.target, class, run.added, actions);
         let mut work = run.work;
         work.excluded.push(run.target);
+        work.tries -= 1;
         // Nothing was sent: another try is no second run, and no load on any target.
-        work.since = now;
-        work.expiry = self.expiry(now, work.arrival.deadline);
-        if self.may_retry(now, &work) && self.holds_more() {
-            self.queue.push(work);
-        } else {
-            actions.push(give_up(&work));
-        }
+        let again = self.may_retry(now, &work) && self.holds_more();
+        self.put_back(now, work, again, actions);
     }
 
     fn broken(&mut self, now: clock::Millis, ticket: ids::Ticket, actions: &mut Vec<cell::Action>) {
@@ -303,6 +318,20 @@
 
     /// Puts a request back for another try, or gives it up.
     fn requeue(
+        &mut self,
+        now: clock::Millis,
+        work: queue::Waiting,
+        again: bool,
+        actions: &mut Vec<cell::Action>,
+    ) {
+        if again {
+            self.budget.spend();
+        }
+        self.put_back(now, work, again, actions);
+    }
+
+    /// Puts a request back into the queue, or gives it up.
+    fn put_back(
         &mut self,
         now: clock::Millis,
         mut work: queue::Waiting,
@@ -311,12 +340,10 @@
     ) {
         work.since = now;
         work.expiry = self.expiry(now, work.arrival.deadline);
-        if again {
-            self.budget.spend();
-            self.queue.push(work);
-            return;
+        match again {
+            true => self.queue.push(work),
+            false => actions.push(give_up(&work)),
         }
-        actions.push(give_up(&work));
     }
 
     /// Returns whether a request that may have run, or whose body was sent, may be tried again.
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -238,7 +238,7 @@
                 since: now,
                 expiry: self.expiry(now, arrival.deadline),
                 place: self.count,
-                tries: 0,
+                tries: arrival.used,
                 excluded: Vec::new(),
                 lost: None,
             }),
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -1,27 +1,28 @@
-//! The entry: takes a caller's request, picks a cell and its home, and returns the answer.
+//! The entry: takes a caller's request, picks a cell and its home, sends it to a target and returns the answer.
 //!
-//! It alone answers callers. Non-idempotent work takes two steps: until the entry has sent [`peer::ToHome::Go`], no
-//! home dispatches it, so a lost home proves that it did not run and another may be tried. After that the fleet never
-//! tries it again. Idempotent work goes in one step.
+//! It alone answers callers, and it alone sends their requests to targets, with the slots that homes grant it. So it
+//! knows what may have run: a home that is lost is replaced by another, whatever the request does.
 
 use std::net;
 use std::sync;
 
+use bytes::Bytes;
 use futures_util::future;
-use http::{Method, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, header};
 use hyper::body::Incoming;
 use tokio::sync as tasks;
 
 use crate::coordination::homes;
 use crate::coordination::member;
-use crate::daemon::claims::{Claimed, Claims, Settled};
+use crate::daemon::claim;
+use crate::daemon::claims::Claims;
 use crate::daemon::exchange;
 use crate::daemon::exchange::Attempt;
 use crate::daemon::home;
 use crate::daemon::metrics;
 use crate::daemon::spread;
 use crate::protocol::refusal::{Cause, Refusal};
-use crate::protocol::{dialect, headers, peer, problem};
+use crate::protocol::{dialect, headers, peer};
 use crate::state::{bundle, clock, ids, index, settings, timeline};
 use crate::transport::{body, http as server};
 
@@ -64,8 +65,8 @@
     pub spreader: sync::Arc<spread::Spreader>,
     /// The daemon's metrics.
     pub metrics: sync::Arc<metrics::Metrics>,
-    /// How callers are spoken to.
-    pub dialect: sync::Arc<dyn dialect::Dialect>,
+    /// What requests are sent to targets with.
+    pub tools: exchange::Tools,
 }
 
 /// The entry of one daemon.
@@ -85,14 +86,13 @@
 
 /// One request of a caller, read so far as the decisions need it.
 struct Call {
-    head: peer::Head,
+    /// What homes are asked; the cell, the times and the tries are filled in for each.
+    ask: peer::Ask,
+    outgoing: exchange::Outgoing,
     organisation: String,
     key: Option<String>,
-    deadline: clock::Millis,
     /// Until when an answer is worth most to the caller.
     objective: clock::Millis,
-    /// What has not been read of the body.
-    rest: Option<Incoming>,
 }
 
 impl server::Handler for sync::Arc<Entry> {
@@ -127,7 +127,12 @@
         let id = ids::RequestId::random();
         let began = self.options.clock.now();
         let mut seen = Seen {
-            name: self.options.dialect.name(request.headers()).to_owned(),
+            name: self
+                .options
+                .tools
+                .dialect
+                .name(request.headers())
+                .to_owned(),
             ..Seen::default()
         };
         let answered = match self.places.try_acquire() {
@@ -141,7 +146,7 @@
             request: Some(id),
         };
         match answered {
-            Ok(mut response) => {
+            Ok(response) => {
                 self.options.recorder.record(
                     timeline::Kind::Answered,
                     subject,
@@ -156,12 +161,6 @@
                     took_ms = took.0;
                     "answered"
                 );
-                let target = text(response.headers(), headers::TARGET).map(str::to_owned);
-                response.headers_mut().remove(headers::TARGET);
-                let named = seen.named(id);
-                let target = target.unwrap_or_default();
-                let dialect = &self.options.dialect;
-                dialect.complete(response.headers_mut(), &named, &target);
                 response
             }
             Err(refusal) => {
@@ -188,7 +187,7 @@
                     took_ms = took.0;
                     "refused"
                 );
-                self.options.dialect.refuse(&refusal, &seen.named(id))
+                self.options.tools.dialect.refuse(&refusal, &seen.named(id))
             }
         }
     }
@@ -203,47 +202,52 @@
         let rules = self.rules();
         seen.version = rules.bundle.version;
         let mut call = self.read(&rules, id, from, request).await?;
-        seen.service.clone_from(&call.head.cell.service);
-        seen.tier = call.head.tier;
-        let service = rules.index.service(&rules.bundle, &call.head.cell.service);
-        let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+        seen.service.clone_from(&call.ask.cell.service);
+        seen.tier = call.ask.tier;
         let mut tried = Vec::new();
-        // Why it is not proven that idempotent work did not run at a home tried before.
-        let mut lost = None;
         let mut last = Refusal::not_run(Cause::NoHome, Some(RETRY_SOON));
         while tried.len() < MAX_HOMES {
+            // Targets come and go while a request waits.
+            let rules = self.rules();
+            let service = rules.index.service(&rules.bundle, &call.ask.cell.service);
+            let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
             let Some(choice) = self.choose(service, &tried) else {
                 break;
             };
             seen.home.clone_from(&choice.home);
             seen.tried += 1;
-            call.head.peers = self.homes().peers(self.options.clock.now(), service);
-            let attempt = self.attempt(&mut call, &choice).await;
-            self.observe(&choice.home, &attempt);
+            call.ask.peers = self.homes().peers(self.options.clock.now(), service);
             let mut refused = false;
-            match attempt {
-                Attempt::Answer { response, .. } => return Ok(response),
-                Attempt::Refused { refusal, .. } if !another_home_may_serve(refusal) => {
-                    return Err(refusal.despite(lost));
+            match self.attempt(&mut call, &choice, service).await {
+                Attempt::Answer {
+                    mut response,
+                    target,
+                } => {
+                    self.observe(&choice.home, homes::Observation::Answered);
+                    let dialect = &self.options.tools.dialect;
+                    dialect.complete(response.headers_mut(), &seen.named(id), &target);
+                    return Ok(response);
                 }
-                Attempt::Refused { refusal, .. } => {
+                Attempt::Refused(refusal) => {
+                    self.observe(&choice.home, homes::Observation::Answered);
+                    if !another_home_may_serve(refusal) || call.outgoing.rest_is_sent() {
+                        return Err(refusal);
+                    }
                     refused = refusal.cause != Cause::Draining;
                     last = refusal;
                 }
-                Attempt::Lost { started, .. } if started && call.head.two_steps() => {
-                    return Err(Refusal::unknown(Cause::HomeLost));
-                }
-                Attempt::Lost { started, .. } => {
-                    log::debug!("the home {} is lost", choice.home);
-                    lost = lost.or(started.then_some(Cause::HomeLost));
+                Attempt::Lost(observation) => {
+                    self.observe(&choice.home, observation);
+                    log::info!(request = seen.name, id = id.to_string(), home = choice.home; "home lost");
                 }
             }
             tried.push(homes::Tried { choice, refused });
-            if self.options.clock.now() >= call.deadline {
-                return Err(Refusal::not_run(Cause::DeadlinePassed, None).despite(lost));
+            if self.options.clock.now() >= call.outgoing.deadline {
+                let refusal = Refusal::not_run(Cause::DeadlinePassed, None);
+                return Err(refusal.despite(call.outgoing.lost));
             }
         }
-        Err(last.despite(lost))
+        Err(last.despite(call.outgoing.lost))
     }
 
     /// Returns the bundle in force with its look-ups, which are prepared with the first request after an adoption.
@@ -280,7 +284,9 @@
             .unwrap_or_default();
         let route = rules.index.route(&rules.bundle, host, parts.uri.path());
         let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
-        let service = rules.index.service(&rules.bundle, route.service_for(id.0 as u64));
+        let service = rules
+            .index
+            .service(&rules.bundle, route.service_for(id.0 as u64));
         let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
         if parts.method == Method::CONNECT || parts.headers.contains_key(header::UPGRADE) {
             return Err(bad);
@@ -288,7 +294,7 @@
         if content_length(&parts.headers) > limits.body_bytes {
             return Err(Refusal::not_run(Cause::BodyTooLong, None));
         }
-        let asked = self.options.dialect.deadline(&parts.headers);
+        let asked = self.options.tools.dialect.deadline(&parts.headers);
         let left = asked.map_err(|_| bad)?.unwrap_or(service.deadline_ms);
         let timeout = route.timeout_ms.unwrap_or(MAX_DEADLINE);
         let left = left.min(timeout).min(MAX_DEADLINE);
@@ -317,40 +323,52 @@
         if let Some(left) = self.options.spreader.left(fingerprint) {
             return Err(Refusal::not_run(Cause::Quarantined, Some(left)));
         }
-        let mut fields = headers::to_fields(&parts.headers);
+        let mut fields = headers::passed_on(&parts.headers);
         exchange::add_forwarding(&mut fields, from, host);
         if headers::takes_trailers(&parts.headers) {
-            exchange::add_field(&mut fields, header::TE.as_str(), "trailers");
+            fields.append(header::TE, HeaderValue::from_static("trailers"));
         }
         let idempotent = route.is_idempotent(&parts.method);
         let tier = route.tier.as_ref().and_then(|t| rules.bundle.rank(t));
-        let head = peer::Head {
+        let name = self.options.tools.dialect.name(&parts.headers).to_owned();
+        let objective = route.objective_ms.unwrap_or(left).min(left);
+        let more = prefix.rest.is_some();
+        let ask = peer::Ask {
             request: id,
+            name: name.clone(),
             stamp: self.options.recorder.stamp(),
             cell: ids::CellId::new(&service.name, ""),
-            bundle: rules.bundle.version,
             tier: tier.unwrap_or(caller.tier),
             left,
-            objective: route.objective_ms.unwrap_or(left).min(left),
+            objective,
             tries: route.tries.unwrap_or(u32::MAX),
-            name: self.options.dialect.name(&parts.headers).to_owned(),
+            used: 0,
             idempotent,
+            replayable: !more,
             fingerprint,
-            method: parts.method.as_str().to_owned(),
-            uri,
-            fields,
-            body: prefix.first,
-            more: prefix.rest.is_some(),
-            trailers: headers::to_fields(&prefix.trailers),
             peers: Vec::new(),
         };
+        let outgoing = exchange::Outgoing {
+            id,
+            name,
+            method: parts.method,
+            uri: uri.parse().map_err(|_| bad)?,
+            fields,
+            first: Bytes::from(prefix.first),
+            rest: prefix.rest,
+            more,
+            trailers: prefix.trailers,
+            idempotent,
+            deadline: until,
+            tries: 0,
+            lost: None,
+        };
         Ok(Call {
-            objective: until - left + head.objective,
-            head,
+            ask,
+            outgoing,
             organisation: caller.organisation.to_owned(),
             key: key.filter(|_| !idempotent),
-            deadline: until,
-            rest: prefix.rest,
+            objective: until - left + objective,
         })
     }
 
@@ -373,106 +391,53 @@
         self.homes.lock().expect("no holder panicked")
     }
 
-    /// Takes in how a request at a home went on, and what the home told of its cell.
-    fn observe(&self, home: &str, attempt: &Attempt) {
+    /// Takes in how a request at a home went on.
+    fn observe(&self, home: &str, observation: homes::Observation) {
         let now = self.options.clock.now();
-        let mut homes = self.homes();
-        match attempt {
-            Attempt::Answer { summary, .. } | Attempt::Refused { summary, .. } => {
-                homes.observe(now, home, homes::Observation::Answered);
-                if let Some(summary) = summary {
-                    homes.learn(now, summary);
-                }
-            }
-            Attempt::Lost { observation, .. } => homes.observe(now, home, *observation),
-        }
+        self.homes().observe(now, home, observation);
     }
 
-    async fn attempt(&self, call: &mut Call, choice: &homes::Choice) -> Attempt {
+    async fn attempt(
+        &self,
+        call: &mut Call,
+        choice: &homes::Choice,
+        service: &bundle::Service,
+    ) -> Attempt {
+        let lost = Attempt::Lost(homes::Observation::Lost);
         let view = self.options.view.borrow().clone();
         let Some(member) = view.members.get(&choice.home) else {
-            return Attempt::unreached();
+            return lost;
         };
         let opening = self.options.links.open(&choice.home, member.peer);
-        let Ok(Some((recv, send))) = self.before(call.deadline, opening).await else {
-            return Attempt::unreached();
+        let Ok(Some((recv, send))) = self.before(call.outgoing.deadline, opening).await else {
+            return lost;
         };
-        call.head.cell = choice.cell.clone();
         let now = self.options.clock.now();
-        call.head.left = call.deadline - now;
-        call.head.objective = call.objective - now;
-        call.head.stamp = self.options.recorder.stamp();
-        let deadline = self.options.clock.instant(call.deadline);
-        let mut stream = exchange::Stream {
-            recv,
-            send,
-            deadline,
+        let ask = peer::Ask {
+            cell: choice.cell.clone(),
+            left: call.outgoing.deadline - now,
+            objective: call.objective - now,
+            used: call.outgoing.tries,
+            stamp: self.options.recorder.stamp(),
+            ..call.ask.clone()
         };
-        if let Err(lost) = stream.send_head(&call.head).await {
-            return lost;
-        }
-        if !call.head.two_steps() {
-            return stream.finish_one_step().await;
-        }
-        if let Err(ended) = stream.await_ready().await {
-            return ended;
-        }
-        let Some(key) = call.key.clone() else {
-            return self.go(stream, call).await;
+        let lane = exchange::Lane { recv, send };
+        let learn = |summary: &peer::Summary| {
+            self.homes().learn(self.options.clock.now(), summary);
         };
-        self.claim_and_go(stream, call, &key).await
-    }
-
-    /// Allows the dispatch; from here on the work may run.
-    async fn go(&self, mut stream: exchange::Stream, call: &mut Call) -> Attempt {
-        if stream.send_go().await.is_err() {
-            return Attempt::lost(true);
-        }
-        stream.finish(call.rest.take()).await
-    }
-
-    async fn claim_and_go(&self, stream: exchange::Stream, call: &mut Call, key: &str) -> Attempt {
-        let scope = [call.organisation.as_str(), call.head.cell.service.as_str()];
-        let claiming = self
-            .options
-            .claims
-            .claim(&scope, key, call.head.fingerprint);
-        let token = match self.before(call.deadline, claiming).await {
-            Ok(Claimed::Fresh(token)) => token,
-            Ok(Claimed::Ran(record)) => {
-                let response = problem::recorded(&record);
-                return Attempt::Answer {
-                    response,
-                    summary: None,
-                };
-            }
-            Ok(Claimed::Unknown) => {
-                return Attempt::refused(Refusal::unknown(Cause::AlreadyClaimed));
-            }
-            Ok(Claimed::KeyReused) => {
-                return Attempt::refused(Refusal::not_run(Cause::KeyReused, None));
-            }
-            Ok(Claimed::Unavailable) | Err(_) => {
-                return Attempt::refused(Refusal::not_run(
-                    Cause::ClaimUnavailable,
-                    Some(RETRY_SOON),
-                ));
-            }
+        let claim = claim::Claim {
+            claims: self.options.claims.as_ref(),
+            scope: [&call.organisation, &service.name],
+            key: call.key.as_deref(),
+            fingerprint: call.ask.fingerprint,
         };
-        let attempt = self.go(stream, call).await;
-        match &attempt {
-            Attempt::Answer { response, .. } => self
-                .options
-                .claims
-                .settle(token, Settled::Ran(problem::record(response))),
-            Attempt::Refused { refusal, .. }
-                if refusal.outcome == crate::protocol::refusal::Outcome::NotRun =>
-            {
-                self.options.claims.settle(token, Settled::NotRun);
-            }
-            Attempt::Refused { .. } | Attempt::Lost { .. } => {}
-        }
-        attempt
+        let offer = exchange::Offer {
+            tools: &self.options.tools,
+            service,
+            learn: &learn,
+            claim: &claim,
+        };
+        offer.make(lane, ask, &mut call.outgoing).await
     }
 }
 
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -1,24 +1,132 @@
-//! One request's stream from the entry to a home, as the entry sees it.
+//! One request's way from its entry: slots from homes, tries at targets, and the answer.
+//!
+//! An [`Offer`] asks a home for a slot on a [`Lane`] and sends the request to the target that it grants. Only this entry
+//! ever sends the request, so it knows what may have run; a home that is lost on the way takes nothing with it.
 
 use std::net;
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sha2::{Digest, Sha256};
 use tokio::time as timers;
 
 use crate::coordination::homes;
-use crate::daemon::home;
-use crate::protocol::refusal::{Cause, Refusal};
+use crate::daemon::{claim, claims, home, passing};
+use crate::protocol::dialect::{self, Reading};
+use crate::protocol::peer::{FromHome, Outcome, ToHome};
+use crate::protocol::refusal::{self, Cause, Refusal};
 use crate::protocol::{frame, headers, peer};
-use crate::state::{clock, ids};
-use crate::transport::body;
+use crate::state::{bundle, clock, ids};
+use crate::transport::{body, pool};
 
-/// How long a home may be silent about a request that it has not finished.
-const HOME_PATIENCE: clock::Millis = clock::Millis(800);
+/// How long a home may take for its first sign: several round trips between failure domains, and far less than a
+/// caller waits. A home that is late has granted nothing that was used, so another may be asked.
+const FIRST_PATIENCE: clock::Millis = clock::Millis(250);
+/// How long a home may be silent about a request that waits; it gives a sign every 250 ms.
+const WAITING_PATIENCE: clock::Millis = clock::Millis(600);
+/// How long after the deadline an answer may still come, whose target watches the deadline itself: a round trip.
+const DEADLINE_MARGIN: clock::Millis = clock::Millis(25);
+/// When to come back after targets refused a request because they are full; about one request's run.
+const SHED_RETRY: clock::Millis = clock::Millis(300);
+/// When to come back after no connection to a target was had.
+const CONNECT_RETRY: clock::Millis = clock::Millis(500);
+/// The bytes of an unwanted answer that are read to keep its connection; refusals are short.
+const DISCARD_BYTES: usize = 4 * 1024;
+/// How long the rest of an unwanted answer may take.
+const DISCARD_TIMEOUT: clock::Millis = clock::Millis(100);
+
+/// What an entry sends requests with.
+pub struct Tools {
+    /// The daemon's clock.
+    pub clock: clock::Clock,
+    /// The connections to targets.
+    pub pool: sync::Arc<pool::Pool>,
+    /// How targets are spoken to.
+    pub dialect: sync::Arc<dyn dialect::Dialect>,
+}
+
+/// A request as it goes to targets.
+pub struct Outgoing {
+    /// The fleet's identity for it.
+    pub id: ids::RequestId,
+    /// The caller's own name for it.
+    pub name: String,
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: http::Uri,
+    /// The fields, without those that concern one connection.
+    pub fields: HeaderMap,
+    /// The body, or its first bytes.
+    pub first: Bytes,
+    /// What has not been read of the body; the request can be sent once only where there is some.
+    pub rest: Option<Incoming>,
+    /// Whether more of the body followed when it was read.
+    pub more: bool,
+    /// The trailers of a body that is here as a whole.
+    pub trailers: HeaderMap,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When its caller gives up.
+    pub deadline: clock::Millis,
+    /// The tries that were sent to targets.
+    pub tries: u32,
+    /// Why it is not proven that an earlier try did not run.
+    pub lost: Option<Cause>,
+}
+
+impl Outgoing {
+    /// Returns whether the body can't be sent again, since a part of it is gone.
+    pub fn rest_is_sent(&self) -> bool {
+        self.more && self.rest.is_none()
+    }
+
+    fn named(&self) -> dialect::Named<'_> {
+        dialect::Named {
+            id: self.id,
+            name: &self.name,
+        }
+    }
+
+    fn has_body(&self) -> bool {
+        self.more || !self.first.is_empty() || !self.trailers.is_empty()
+    }
+
+    /// Builds the request to a target; absent if its body was sent before.
+    fn build(&mut self, tools: &Tools, target: &str) -> Option<Request<body::Body>> {
+        let first = self.first.clone();
+        let body = match self.more {
+            true => body::prefixed(first, self.rest.take()?),
+            false => body::with_trailers(first, self.trailers.clone()),
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.fields.clone();
+        if self.has_body() && !self.fields.contains_key(header::CONTENT_LENGTH) {
+            // The library sends no body with some methods unless its framing is named.
+            let chunked = HeaderValue::from_static("chunked");
+            request
+                .headers_mut()
+                .insert(header::TRANSFER_ENCODING, chunked);
+        }
+        let attempt = self.attempt(tools, target);
+        tools.dialect.prepare(request.headers_mut(), &attempt);
+        Some(request)
+    }
+
+    fn attempt<'a>(&'a self, tools: &Tools, target: &'a str) -> dialect::Try<'a> {
+        dialect::Try {
+            request: self.named(),
+            target,
+            left: self.deadline - tools.clock.now(),
+        }
+    }
+}
 
 /// How offering a request to a home ended.
 pub enum Attempt {
@@ -26,53 +134,341 @@
     Answer {
         /// The answer.
         response: Response<body::Body>,
-        /// The cell's state, if the answer came from it.
-        summary: Option<peer::Summary>,
-    },
-    /// The home refused.
-    Refused {
-        /// The refusal.
-        refusal: Refusal,
-        /// The cell's state, if the refusal came from it.
-        summary: Option<peer::Summary>,
-    },
-    /// The home was lost.
-    Lost {
-        /// Whether the request may have been dispatched.
-        started: bool,
-        /// What that says about the home.
-        observation: homes::Observation,
+        /// The target.
+        target: String,
     },
+    /// The request is refused, or its outcome is unknown.
+    Refused(Refusal),
+    /// The home was lost before it granted anything.
+    Lost(homes::Observation),
+}
+
+/// What the last try brought, for the caller if no other follows.
+enum Last {
+    /// An answer that counts as a failure.
+    Answer(Box<Answer>),
+    /// No answer.
+    Refusal(Refusal),
+}
+
+/// A target's answer, whose body is still to be read from the connection.
+struct Answer {
+    head: response::Parts,
+    body: Incoming,
+    connection: pool::Connection,
+    target: String,
 }
 
-impl Attempt {
-    /// The entry itself refuses.
-    pub fn refused(refusal: Refusal) -> Attempt {
-        Attempt::Refused {
-            refusal,
-            summary: None,
+/// How one try at a target ended.
+enum Try {
+    /// The head of an answer came.
+    Answer(Box<Answer>),
+    /// No answer came.
+    Failed(Outcome, Refusal),
+    /// The home gave the try up while it was in flight.
+    Abandoned,
+}
+
+impl Try {
+    fn not_sent(outcome: Outcome) -> Try {
+        let refusal = Refusal::not_run(Cause::ConnectFailed, Some(CONNECT_RETRY));
+        Try::Failed(outcome, refusal)
+    }
+
+    fn unknown(outcome: Outcome, cause: Cause) -> Try {
+        Try::Failed(outcome, Refusal::unknown(cause))
+    }
+}
+
+/// What a request is offered to a home with.
+pub struct Offer<'a> {
+    /// The way to targets.
+    pub tools: &'a Tools,
+    /// The service as this entry knows it.
+    pub service: &'a bundle::Service,
+    /// Takes the cell's state each time that the home tells it.
+    pub learn: &'a (dyn Fn(&peer::Summary) + Sync),
+    /// The claim of the request's key.
+    pub claim: &'a claim::Claim<'a>,
+}
+
+/// How far a request has come at one home.
+#[derive(Default)]
+struct Progress {
+    last: Option<Last>,
+    /// Whether the request may be sent, and the token of its claim.
+    claimed: Option<Option<claims::Token>>,
+}
+
+impl Offer<'_> {
+    /// Offers a request to the home at the other end of `lane`, and sends it to the targets that the home grants.
+    pub async fn make(&self, lane: Lane, ask: peer::Ask, outgoing: &mut Outgoing) -> Attempt {
+        let mut progress = Progress::default();
+        let attempt = self.run(lane, ask, outgoing, &mut progress).await;
+        let token = progress.claimed.flatten();
+        match &attempt {
+            Attempt::Answer { response, .. } => self.claim.ran(token, response.status().as_u16()),
+            Attempt::Refused(refusal) => self.claim.refused(token, refusal),
+            Attempt::Lost(_) => {}
         }
+        attempt
     }
 
-    /// The home could not be reached at all.
-    pub fn unreached() -> Attempt {
-        Attempt::lost(false)
+    async fn run(
+        &self,
+        mut lane: Lane,
+        ask: peer::Ask,
+        outgoing: &mut Outgoing,
+        progress: &mut Progress,
+    ) -> Attempt {
+        if lane.send(&ToHome::Ask(Box::new(ask))).await.is_err() {
+            return Attempt::Lost(homes::Observation::Lost);
+        }
+        let deadline = self.tools.clock.instant(outgoing.deadline);
+        let mut patience = FIRST_PATIENCE;
+        loop {
+            match lane.next(deadline, patience).await {
+                Next::Message(FromHome::Queued) => patience = WAITING_PATIENCE,
+                // The home may take back a try that has ended meanwhile.
+                Next::Message(FromHome::Abandon) => {}
+                Next::Message(FromHome::Granted { target, summary }) => {
+                    summary.iter().for_each(self.learn);
+                    if let Some(refused) = self.permit(&mut lane, outgoing, progress).await {
+                        return refused;
+                    }
+                    match self.use_grant(lane, outgoing, &target).await {
+                        Used::Answered(attempt) => return attempt,
+                        Used::Failed(kept, rest) => {
+                            progress.last = Some(kept);
+                            lane = rest;
+                        }
+                    }
+                    patience = FIRST_PATIENCE;
+                }
+                Next::Message(FromHome::Refused { refusal, summary }) => {
+                    summary.iter().for_each(self.learn);
+                    return Attempt::Refused(refusal.despite(outgoing.lost));
+                }
+                Next::Deadline => {
+                    let refusal = Refusal::not_run(Cause::DeadlinePassed, None);
+                    return Attempt::Refused(refusal.despite(outgoing.lost));
+                }
+                Next::Message(FromHome::GiveUp) => {
+                    return self.end(progress.last.take(), lane, outgoing);
+                }
+                // What the last try brought is all that there is.
+                Next::Broken | Next::Silent if progress.last.is_some() => {
+                    return self.end(progress.last.take(), lane, outgoing);
+                }
+                Next::Silent => return Attempt::Lost(homes::Observation::Stalled),
+                Next::Broken => return Attempt::Lost(homes::Observation::Lost),
+            }
+        }
     }
 
-    /// The stream to the home broke.
-    pub fn lost(started: bool) -> Attempt {
-        Attempt::Lost {
-            started,
-            observation: homes::Observation::Lost,
+    /// Claims the request's key before its first try; returns the request's end where it may not be sent.
+    async fn permit(
+        &self,
+        lane: &mut Lane,
+        outgoing: &Outgoing,
+        progress: &mut Progress,
+    ) -> Option<Attempt> {
+        if progress.claimed.is_some() {
+            return None;
         }
+        let left = outgoing.deadline - self.tools.clock.now();
+        let ended = match self.claim.make(left).await {
+            claim::Permission::Granted(token) => {
+                progress.claimed = Some(token);
+                return None;
+            }
+            claim::Permission::Refused(refusal) => Attempt::Refused(refusal),
+            claim::Permission::Answered(response) => Attempt::Answer {
+                response,
+                target: String::new(),
+            },
+        };
+        lane.report(Outcome::Withdrawn).await;
+        Some(ended)
+    }
+
+    /// Sends the request to the target that was granted, and tells the home how that ended.
+    async fn use_grant(&self, mut lane: Lane, outgoing: &mut Outgoing, target: &str) -> Used {
+        let kept = match self.try_at(&mut lane, outgoing, target).await {
+            Try::Answer(answer) => {
+                let reading = read(self.tools, outgoing, &answer);
+                lane.report(outcome_of(reading)).await;
+                if reading == Reading::Answered {
+                    return Used::Answered(self.pass_on(lane, *answer, outgoing));
+                }
+                keep(self.tools, reading, answer, outgoing)
+            }
+            Try::Failed(outcome, refusal) => {
+                if refusal.outcome == refusal::Outcome::Unknown {
+                    outgoing.lost = Some(refusal.cause);
+                }
+                lane.report(outcome).await;
+                Last::Refusal(refusal)
+            }
+            Try::Abandoned => {
+                outgoing.lost = Some(Cause::TargetTimeout);
+                Last::Refusal(Refusal::unknown(Cause::TargetTimeout))
+            }
+        };
+        Used::Failed(kept, lane)
     }
 
-    /// The home gave no sign although one was due.
-    fn stalled(started: bool) -> Attempt {
-        Attempt::Lost {
-            started,
-            observation: homes::Observation::Stalled,
+    /// Ends a request by what its last try brought.
+    fn end(&self, last: Option<Last>, lane: Lane, outgoing: &Outgoing) -> Attempt {
+        match last {
+            Some(Last::Answer(answer)) => self.pass_on(lane, *answer, outgoing),
+            Some(Last::Refusal(refusal)) => Attempt::Refused(refusal.despite(outgoing.lost)),
+            None => Attempt::Refused(Refusal::unknown(Cause::TargetBroke)),
+        }
+    }
+
+    /// Sends the request to a target, unless this entry knows better of it.
+    async fn try_at(&self, lane: &mut Lane, outgoing: &mut Outgoing, name: &str) -> Try {
+        let tools = self.tools;
+        let known = self.service.targets.iter().find(|t| t.name == name);
+        let Some(target) = known.filter(|t| !t.leaving) else {
+            return Try::not_sent(Outcome::Unlisted);
+        };
+        let began = tools.clock.now();
+        let acquired = tools
+            .pool
+            .acquire(target.address, outgoing.idempotent)
+            .await;
+        let mut connection = match acquired {
+            Ok(connection) => connection,
+            Err(e) => {
+                log_try(outgoing, name, &e.to_string(), tools.clock.now() - began);
+                return Try::not_sent(Outcome::ConnectFailed);
+            }
+        };
+        let Some(request) = outgoing.build(tools, name) else {
+            return Try::not_sent(Outcome::Withdrawn);
+        };
+        outgoing.tries += 1;
+        let at = tools.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span();
+        let sending = async {
+            let sent = timers::timeout_at(at.into(), connection.send(request)).await;
+            (sent, connection)
+        };
+        let (sent, connection) = tokio::select! {
+            biased;
+            done = sending => done,
+            () = lane.abandoned() => {
+                log_try(outgoing, name, "given up by its home", tools.clock.now() - began);
+                return Try::Abandoned;
+            }
+        };
+        let took = tools.clock.now() - began;
+        match sent {
+            Ok(Ok(response)) => {
+                log_try(outgoing, name, response.status().as_str(), took);
+                let (head, body) = response.into_parts();
+                Try::Answer(Box::new(Answer {
+                    head,
+                    body,
+                    connection,
+                    target: name.to_owned(),
+                }))
+            }
+            Ok(Err(e)) => {
+                log_try(outgoing, name, &e.to_string(), took);
+                match e.never_sent() {
+                    true => Try::not_sent(Outcome::ConnectFailed),
+                    false => Try::unknown(Outcome::Broken, Cause::TargetBroke),
+                }
+            }
+            Err(_) => {
+                log_try(outgoing, name, "no answer before the deadline", took);
+                Try::unknown(Outcome::TimedOut, Cause::TargetTimeout)
+            }
+        }
+    }
+
+    /// Passes an answer on to the caller, piece by piece as it comes.
+    fn pass_on(&self, lane: Lane, answer: Answer, outgoing: &Outgoing) -> Attempt {
+        let mut response = Response::new(());
+        *response.status_mut() = answer.head.status;
+        *response.headers_mut() = headers::passed_on(&answer.head.headers);
+        let passing = passing::Passing::new(passing::Options {
+            body: answer.body,
+            keep: pool::keep_alive(&answer.head.headers),
+            connection: answer.connection,
+            pool: self.tools.pool.clone(),
+            lane,
+            until: self.tools.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span(),
+        });
+        Attempt::Answer {
+            response: response.map(|()| passing.boxed_unsync()),
+            target: answer.target,
+        }
+    }
+}
+
+/// What came of a grant.
+enum Used {
+    /// The target answered.
+    Answered(Attempt),
+    /// The try failed; the home decides whether another follows.
+    Failed(Last, Lane),
+}
+
+/// Logs how one try went.
+fn log_try(outgoing: &Outgoing, target: &str, result: &str, took: clock::Millis) {
+    log::info!(
+        request = outgoing.name, id = outgoing.id.to_string(), target = target, result = result,
+        tries = outgoing.tries, took_ms = took.0;
+        "tried"
+    );
+}
+
+fn read(tools: &Tools, outgoing: &Outgoing, answer: &Answer) -> Reading {
+    let attempt = outgoing.attempt(tools, &answer.target);
+    tools.dialect.read(&answer.head, &attempt)
+}
+
+/// Keeps what an answer that is no success is good for, should no other try follow.
+fn keep(tools: &Tools, reading: Reading, answer: Box<Answer>, outgoing: &mut Outgoing) -> Last {
+    match reading {
+        Reading::Answered | Reading::Shed => Last::Answer(answer),
+        Reading::Failed => {
+            outgoing.lost = Some(Cause::TargetBroke);
+            Last::Answer(answer)
         }
+        Reading::NotRun | Reading::Misplaced => {
+            tokio::spawn(discard(*answer, tools.pool.clone()));
+            Last::Refusal(Refusal::not_run(Cause::TargetShed, Some(SHED_RETRY)))
+        }
+        Reading::Unfit => {
+            outgoing.lost = Some(Cause::TargetBroke);
+            Last::Refusal(Refusal::unknown(Cause::TargetBroke))
+        }
+    }
+}
+
+/// Tells how a try with an answer ended.
+fn outcome_of(reading: Reading) -> Outcome {
+    match reading {
+        Reading::Answered => Outcome::Answered,
+        Reading::Failed => Outcome::Failed,
+        Reading::Shed => Outcome::Shed,
+        Reading::NotRun => Outcome::NotRun,
+        Reading::Misplaced => Outcome::Misplaced,
+        Reading::Unfit => Outcome::Broken,
+    }
+}
+
+/// Reads what is left of an answer that nobody wants, so that its connection serves again.
+async fn discard(answer: Answer, pool: sync::Arc<pool::Pool>) {
+    let keep = pool::keep_alive(&answer.head.headers);
+    let rest = http_body_util::Limited::new(answer.body, DISCARD_BYTES).collect();
+    match timers::timeout(DISCARD_TIMEOUT.span(), rest).await {
+        Ok(Ok(_)) => pool.put_back(answer.connection, keep).await,
+        Ok(Err(_)) | Err(_) => log::debug!("a connection is closed with an unwanted answer"),
     }
 }
 
@@ -147,224 +543,73 @@
 }
 
 /// Tells targets who the caller is: the fields `Via`, `X-Forwarded-For` and `X-Forwarded-Host`.
-pub fn add_forwarding(fields: &mut Vec<peer::Field>, from: net::SocketAddr, host: &str) {
-    add_field(fields, "via", "1.1 peridotspread");
-    add_field(fields, "x-forwarded-for", &from.ip().to_string());
-    if !host.is_empty() {
-        add_field(fields, "x-forwarded-host", host);
+pub fn add_forwarding(fields: &mut HeaderMap, from: net::SocketAddr, host: &str) {
+    fields.append("via", HeaderValue::from_static("1.1 peridotspread"));
+    if let Ok(from) = HeaderValue::from_str(&from.ip().to_string()) {
+        fields.append("x-forwarded-for", from);
+    }
+    if let Ok(host) = HeaderValue::from_str(host)
+        && !host.is_empty()
+    {
+        fields.append("x-forwarded-host", host);
     }
 }
 
-/// Adds a field to those of a request.
-pub fn add_field(fields: &mut Vec<peer::Field>, name: &str, value: &str) {
-    fields.push(peer::Field {
-        name: name.to_owned(),
-        value: value.as_bytes().to_vec(),
-    });
-}
-
-/// A stream to a home.
-pub struct Stream {
+/// A request's stream to a home.
+pub struct Lane {
     /// The home's half.
     pub recv: home::Reader,
     /// The entry's half; the home cancels the request when it closes.
     pub send: home::Writer,
-    /// When the caller gives up.
-    pub deadline: time::Instant,
 }
 
-impl Stream {
-    /// Sends the request's head.
+/// What came next on a lane.
+enum Next {
+    Message(FromHome),
+    /// The stream broke, or brought what the protocol does not allow.
+    Broken,
+    /// The home was silent for too long.
+    Silent,
+    /// The caller gave up.
+    Deadline,
+}
+
+impl Lane {
+    /// Sends a message to the home.
     ///
     /// # Errors
     ///
-    /// Returns the attempt's end if the stream breaks.
-    pub async fn send_head(&mut self, head: &peer::Head) -> Result<(), Attempt> {
-        let message = peer::ToHome::Head(Box::new(head.clone()));
-        frame::send(&mut self.send, &message)
-            .await
-            .map_err(|_| Attempt::lost(false))
+    /// Returns an error if the stream breaks; the home may have read the message all the same.
+    pub async fn send(&mut self, message: &ToHome) -> Result<(), frame::Error> {
+        frame::send(&mut self.send, message).await
     }
 
-    /// Waits until the home holds a slot for work that takes two steps.
-    ///
-    /// # Errors
-    ///
-    /// Returns the attempt's end if the home refuses or falls silent.
-    pub async fn await_ready(&mut self) -> Result<(), Attempt> {
-        loop {
-            match self.next(Some(HOME_PATIENCE)).await {
-                Next::Message(peer::FromHome::Ready) => return Ok(()),
-                Next::Message(peer::FromHome::Queued) => {}
-                Next::Message(peer::FromHome::Refused { refusal, summary }) => {
-                    return Err(Attempt::Refused { refusal, summary });
-                }
-                Next::Message(_) | Next::Broken => return Err(Attempt::lost(false)),
-                Next::Silent => return Err(Attempt::stalled(false)),
-                Next::Deadline => {
-                    let refusal = Refusal::not_run(Cause::DeadlinePassed, None);
-                    return Err(Attempt::refused(refusal));
-                }
-            }
+    /// Tells the home how a try ended; one that is lost by now frees the slot by itself.
+    async fn report(&mut self, outcome: Outcome) {
+        if let Err(e) = self.send(&ToHome::Done(outcome)).await {
+            log::debug!("an outcome does not reach the home: {e}");
         }
     }
 
     /// Waits for the next message, until the deadline or until the home was silent for longer than `patience`.
-    async fn next(&mut self, patience: Option<clock::Millis>) -> Next {
-        let silent = patience.map(|p| time::Instant::now() + p.span());
-        let until = silent.map_or(self.deadline, |s| s.min(self.deadline));
+    async fn next(&mut self, deadline: time::Instant, patience: clock::Millis) -> Next {
+        let until = deadline.min(time::Instant::now() + patience.span());
         match timers::timeout_at(until.into(), frame::receive(&mut self.recv)).await {
             Ok(Ok(message)) => Next::Message(message),
             Ok(Err(_)) => Next::Broken,
-            Err(_) if until == self.deadline => Next::Deadline,
+            Err(_) if until == deadline => Next::Deadline,
             Err(_) => Next::Silent,
         }
     }
 
-    /// Allows the home to dispatch.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the stream breaks; the home may have been told all the same.
-    pub async fn send_go(&mut self) -> Result<(), frame::Error> {
-        frame::send(&mut self.send, &peer::ToHome::Go).await
-    }
-
-    /// Sends the rest of the body and waits for the answer to work that the home was allowed to dispatch.
-    pub async fn finish(self, rest: Option<Incoming>) -> Attempt {
-        self.await_answer(rest, None).await
-    }
-
-    /// Waits for the answer to work that may run again elsewhere if the home falls silent.
-    pub async fn finish_one_step(self) -> Attempt {
-        self.await_answer(None, Some(HOME_PATIENCE)).await
-    }
-
-    async fn await_answer(
-        mut self,
-        rest: Option<Incoming>,
-        patience: Option<clock::Millis>,
-    ) -> Attempt {
-        let mut sending = Sending::default();
-        if let Some(rest) = rest {
-            let send = std::mem::replace(&mut self.send, Box::new(tokio::io::sink()));
-            sending = Sending(Some(tokio::spawn(send_rest(send, rest))));
-        }
+    /// Resolves when the home gives up the try in flight; never where the home is lost, whose word is not needed.
+    async fn abandoned(&mut self) {
         loop {
-            match self.next(patience).await {
-                Next::Message(peer::FromHome::Queued) => {}
-                Next::Message(peer::FromHome::Answer {
-                    status,
-                    fields,
-                    target,
-                    summary,
-                }) => {
-                    let response = answer(self, sending, status, &fields, &target);
-                    return Attempt::Answer {
-                        response,
-                        summary: Some(summary),
-                    };
-                }
-                Next::Message(peer::FromHome::Refused { refusal, summary }) => {
-                    return Attempt::Refused { refusal, summary };
-                }
-                Next::Message(_) | Next::Broken => return Attempt::lost(true),
-                Next::Silent => return Attempt::stalled(true),
-                Next::Deadline => return Attempt::refused(Refusal::unknown(Cause::TargetTimeout)),
+            match frame::receive(&mut self.recv).await {
+                Ok(FromHome::Abandon) => return,
+                Ok(_) => {}
+                Err(_) => std::future::pending().await,
             }
         }
     }
 }
-
-/// What came next on a stream.
-enum Next {
-    Message(peer::FromHome),
-    /// The stream broke, or brought what the protocol does not allow.
-    Broken,
-    /// The home was silent for too long.
-    Silent,
-    /// The caller gave up.
-    Deadline,
-}
-
-/// The task that sends the rest of a body, if there is one; it holds the entry's half of the stream, whose closing
-/// cancels the request.
-#[derive(Default)]
-struct Sending(Option<tokio::task::JoinHandle<home::Writer>>);
-
-impl Drop for Sending {
-    fn drop(&mut self) {
-        if let Some(task) = &self.0 {
-            task.abort();
-        }
-    }
-}
-
-/// Sends the rest of a body, and keeps the stream open by returning it.
-async fn send_rest(mut send: home::Writer, mut rest: Incoming) -> home::Writer {
-    let mut trailers = HeaderMap::new();
-    while let Some(frame) = rest.frame().await {
-        // A body that the caller cut short gets no end, so that the target sees the cut.
-        let Ok(frame) = frame else { return send };
-        match frame.into_data() {
-            Ok(data) => {
-                if frame::send_data(&mut send, &data).await.is_err() {
-                    return send;
-                }
-            }
-            Err(other) => trailers = other.into_trailers().unwrap_or_default(),
-        }
-    }
-    let end = peer::ToHome::End(headers::to_fields(&trailers));
-    if let Err(e) = frame::send(&mut send, &end).await {
-        log::debug!("the end of a body was not sent: {e}");
-    }
-    send
-}
-
-fn answer(
-    stream: Stream,
-    sending: Sending,
-    status: u16,
-    fields: &[peer::Field],
-    target: &str,
-) -> Response<body::Body> {
-    let (pieces, receiver) = body::channel();
-    tokio::spawn(read_answer(stream, sending, pieces));
-    let mut response = Response::new(body::streamed(Bytes::new(), receiver));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    *response.headers_mut() = headers::from_fields(fields);
-    if let Ok(target) = target.parse() {
-        response.headers_mut().insert(headers::TARGET, target);
-    }
-    response
-}
-
-/// Passes the answer's pieces to the caller until the end, a cut, or the caller leaves.
-async fn read_answer(
-    mut stream: Stream,
-    sending: Sending,
-    pieces: tokio::sync::mpsc::Sender<body::Piece>,
-) {
-    loop {
-        let next = tokio::select! {
-            next = frame::read(&mut stream.recv) => next,
-            () = pieces.closed() => break,
-        };
-        let piece = match next {
-            Ok(frame::Frame::Data(data)) => body::Piece::Data(data),
-            Ok(control) => match frame::decode::<peer::FromHome>(&control) {
-                Ok(peer::FromHome::End(trailers)) => {
-                    body::Piece::End(headers::from_fields(&trailers))
-                }
-                Ok(_) | Err(_) => break,
-            },
-            Err(_) => break,
-        };
-        let ends = matches!(piece, body::Piece::End(_));
-        if pieces.send(piece).await.is_err() || ends {
-            break;
-        }
-    }
-    drop(sending);
-}
--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -8,7 +8,7 @@
 use crate::daemon::{home, member, notes};
 use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, settings};
-use crate::transport::quic;
+use crate::transport::{pool, quic};
 
 /// The time between two readings of the list of hosts.
 const HOSTS_SPAN: clock::Millis = clock::Millis(30_000);
@@ -99,10 +99,7 @@
 }
 
 /// Tells the membership of the platform's hosts, often while it knows of no others and rarely after that.
-pub(super) async fn follow_hosts(
-    hosts: sync::Arc<dyn platform::Hosts>,
-    members: member::Handle,
-) {
+pub(super) async fn follow_hosts(hosts: sync::Arc<dyn platform::Hosts>, members: member::Handle) {
     loop {
         match hosts.hosts().await {
             Ok(hosts) => members.add_seeds(&hosts),
@@ -115,9 +112,9 @@
 }
 
 /// Closes idle connections to targets from time to time.
-pub(super) async fn sweep(home: sync::Arc<home::Home>) {
+pub(super) async fn sweep(pool: sync::Arc<pool::Pool>) {
     loop {
         time::sleep(SWEEP_SPAN.span()).await;
-        home.sweep();
+        pool.sweep();
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod cell;
+pub mod claim;
 pub mod claims;
 pub mod entry;
 pub mod exchange;
@@ -18,6 +19,7 @@
 pub mod metrics;
 mod node;
 pub mod notes;
+pub mod passing;
 pub mod registry;
 pub mod spread;
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,8 +9,8 @@
 
 use crate::coordination::member as membership;
 use crate::daemon::{
-    admin, cell, claims, entry, feeds, follower, home, lease, links, member, metrics, notes, registry,
-    spread,
+    admin, cell, claims, entry, exchange, feeds, follower, home, lease, links, member, metrics,
+    notes, registry, spread,
 };
 use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
@@ -190,6 +190,7 @@
     hosts: sync::Arc<dyn platform::Hosts>,
     backing: Backing,
     dialect: sync::Arc<dyn dialect::Dialect>,
+    pool: sync::Arc<pool::Pool>,
     metrics: sync::Arc<metrics::Metrics>,
     peers: quic::Peers,
 }
@@ -204,6 +205,8 @@
 impl Base {
     fn new(parts: Parts, peers: quic::Peers) -> Result<Base, Error> {
         let (settings, incarnation) = (&parts.settings, parts.incarnation);
+        let clock = clock::Clock::start();
+        let pool = pool::Pool::new(clock, settings.limits.head_bytes);
         let recorder = timeline::Recorder::new(&settings.name, incarnation);
         recorder.record(
             timeline::Kind::Started,
@@ -212,12 +215,13 @@
         );
         Ok(Base {
             settings: settings.clone(),
-            clock: clock::Clock::start(),
+            clock,
             incarnation,
             recorder: sync::Arc::new(recorder),
             hosts: parts.hosts,
             backing: parts.backing,
             dialect: parts.dialect,
+            pool: sync::Arc::new(pool),
             metrics: sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?),
             peers,
         })
@@ -353,11 +357,6 @@
             recorder: self.recorder.clone(),
             bundle: bundle.clone(),
             view: fleet.view.clone(),
-            pool: sync::Arc::new(pool::Pool::new(
-                self.clock,
-                self.settings.limits.head_bytes,
-            )),
-            dialect: self.dialect.clone(),
             budget: self.budget(),
             spread: spreader.clone(),
         }));
@@ -387,7 +386,11 @@
             claims: self.claims(fleet).await?,
             spreader: spreader.clone(),
             metrics: self.metrics.clone(),
-            dialect: self.dialect.clone(),
+            tools: exchange::Tools {
+                clock: self.clock,
+                pool: self.pool.clone(),
+                dialect: self.dialect.clone(),
+            },
         }))
     }
 
@@ -450,7 +453,7 @@
             tokio::spawn(feeds::pass_on_limits(bundle.clone(), limits)),
             tokio::spawn(feeds::follow_hosts(base.hosts, members.clone())),
             tokio::spawn(feeds::pass_on_views(fleet.view, home.clone())),
-            tokio::spawn(feeds::sweep(home.clone())),
+            tokio::spawn(feeds::sweep(base.pool.clone())),
         ];
         Ok(Node {
             settings: base.settings,
@@ -522,7 +525,6 @@
         if let Err(e) = public.await {
             log::error!("the server for callers failed: {e}");
         }
-        self.home.finish(self.settings.limits.drain_ms).await;
         self.recorder
             .record(timeline::Kind::Stopped, timeline::Subject::default(), "");
         stop_admin.send_replace(true);
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -1,7 +1,7 @@
 //! Dialects: how callers and targets name what the fleet must know of requests and answers.
 //!
-//! The entry reads callers' heads and writes refusals through a [`Dialect`]; the home completes heads for targets and
-//! reads their answers through it. [`Native`] is the product's own; an adapter to a platform brings another.
+//! The entry reads callers' heads and writes refusals through a [`Dialect`]; it completes heads for targets and reads
+//! their answers through it too. [`Native`] is the product's own; an adapter to a platform brings another.
 
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -90,14 +90,12 @@
     if payload.len() > MAX_FRAME_BYTES {
         return TooLongSnafu { len: payload.len() }.fail();
     }
-    let mut header = [kind; HEADER_BYTES];
-    header[1..].copy_from_slice(
-        &u32::try_from(payload.len())
-            .unwrap_or(u32::MAX)
-            .to_le_bytes(),
-    );
-    to.write_all(&header).await.context(IoSnafu)?;
-    to.write_all(payload).await.context(IoSnafu)?;
+    let len = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
+    frame.push(kind);
+    frame.extend_from_slice(&len.to_le_bytes());
+    frame.extend_from_slice(payload);
+    to.write_all(&frame).await.context(IoSnafu)?;
     to.flush().await.context(IoSnafu)
 }
 
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -1,9 +1,7 @@
 //! Header fields: names of our own, and which fields concern one connection and are not passed on.
 
 use http::header;
-use http::{HeaderMap, HeaderName, HeaderValue};
-
-use crate::protocol::peer;
+use http::{HeaderMap, HeaderName};
 
 /// The time that the caller gives the request, in milliseconds; passed on to targets less what has been used.
 pub const DEADLINE: &str = "peridotspread-deadline-ms";
@@ -34,17 +32,14 @@
 ///
 /// `Content-Length` is passed on, so that an answer cut short is seen to be short, but never beside
 /// `Transfer-Encoding`, which goes before it.
-pub fn to_fields(map: &HeaderMap) -> Vec<peer::Field> {
+pub fn passed_on(map: &HeaderMap) -> HeaderMap {
     let named = named_by_connection(map);
     let chunked = map.contains_key(header::TRANSFER_ENCODING);
-    map.iter()
-        .filter(|(name, _)| !concerns_connection(name) && !named.iter().any(|n| n == name.as_str()))
-        .filter(|(name, _)| !(chunked && **name == header::CONTENT_LENGTH))
-        .map(|(name, value)| peer::Field {
-            name: name.as_str().to_owned(),
-            value: value.as_bytes().to_vec(),
-        })
-        .collect()
+    let fields = map.iter().filter(|(name, _)| {
+        let framing = chunked && **name == header::CONTENT_LENGTH;
+        !concerns_connection(name) && !framing && !named.iter().any(|n| n == name.as_str())
+    });
+    fields.map(|(n, v)| (n.clone(), v.clone())).collect()
 }
 
 /// Returns whether the sender of `map` takes trailers, as its `TE` says.
@@ -67,16 +62,3 @@
         .map(|n| n.trim().to_ascii_lowercase())
         .collect()
 }
-
-/// Returns `fields` as a header map; fields that are not valid are left out.
-pub fn from_fields(fields: &[peer::Field]) -> HeaderMap {
-    let mut map = HeaderMap::with_capacity(fields.len());
-    for field in fields {
-        let name = HeaderName::from_bytes(field.name.as_bytes());
-        let value = HeaderValue::from_bytes(&field.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            map.append(name, value);
-        }
-    }
-    map
-}
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,8 +1,8 @@
 //! Messages between daemons, encoded by `postcard`.
 //!
-//! A request travels on a QUIC stream of its own: the entry sends [`ToHome`], the home answers with [`FromHome`].
-//! Non-idempotent work, and work with a long body, takes two steps: the home answers [`FromHome::Ready`] once it holds a slot, and dispatches only
-//! after [`ToHome::Go`]. Everything else between daemons is a [`Note`].
+//! An entry asks a cell's home for a slot on a QUIC stream of the request's own ([`ToHome`], [`FromHome`]), and sends the
+//! request to the target itself. Only the entry ever sends it, so it alone knows what may have run, and a home that is
+//! lost takes nothing with it. Everything else between daemons is a [`Note`].
 
 use futures_util::future;
 use serde::{Deserialize, Serialize};
@@ -13,26 +13,17 @@
 use crate::state::ids;
 use crate::state::timeline;
 
-/// A header field as bytes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Field {
-    /// The name, in lower case.
-    pub name: String,
-    /// The value.
-    pub value: Vec<u8>,
-}
-
-/// A request's head, as the entry sends it to a cell's home.
+/// What an entry asks of a cell's home: a slot at a target for one request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Head {
+pub struct Ask {
     /// The request.
     pub request: ids::RequestId,
+    /// The caller's own name for the request, for logs; empty where it gave none.
+    pub name: String,
     /// The sender's clock.
     pub stamp: timeline::Stamp,
     /// The cell that is to serve it.
     pub cell: ids::CellId,
-    /// The version of the bundle that the entry decided by.
-    pub bundle: u64,
     /// The caller's tier; 0 is served first.
     pub tier: u8,
     /// The time that is left until the deadline.
@@ -41,39 +32,41 @@
     pub objective: clock::Millis,
     /// The tries that the request may have, the first included.
     pub tries: u32,
-    /// The caller's own name for the request, for logs and for telling answers apart; empty where it gave none.
-    pub name: String,
+    /// The tries that it had at other homes.
+    pub used: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the body can be sent again on a retry.
+    pub replayable: bool,
     /// What the request does, for the quarantine.
     pub fingerprint: ids::Fingerprint,
-    /// The method.
-    pub method: String,
-    /// The path and query.
-    pub uri: String,
-    /// The header fields, without those that concern one connection.
-    pub fields: Vec<Field>,
-    /// The body, or its first bytes.
-    pub body: Vec<u8>,
-    /// Whether more of the body follows as pieces; if not, the request can be sent to a target again.
-    pub more: bool,
-    /// The trailers of a body that is here as a whole.
-    pub trailers: Vec<Field>,
     /// The load and evidence of the service's other cells, as the entry last saw them.
     pub peers: Vec<Summary>,
 }
 
-impl Head {
-    /// Returns whether the request has a body or trailers.
-    pub fn has_body(&self) -> bool {
-        self.more || !self.body.is_empty() || !self.trailers.is_empty()
-    }
-
-    /// Returns whether the home awaits [`ToHome::Go`] before it dispatches: for work that must not run twice, and for
-    /// bodies that can't be sent again.
-    pub fn two_steps(&self) -> bool {
-        !self.idempotent || self.more
-    }
+/// How one try at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The target answered with a status that is no failure.
+    Answered,
+    /// The target answered with a status from 500 on.
+    Failed,
+    /// The target refused the request undone (503 with `Retry-After`), because it sheds load or drains.
+    Shed,
+    /// The target states that it did not run the request and will not, because it sheds load or drains.
+    NotRun,
+    /// Another target stands at the address; it states that it did not run the request.
+    Misplaced,
+    /// No connection was had; the request was not sent.
+    ConnectFailed,
+    /// The connection died after the request was sent.
+    Broken,
+    /// No answer came before the deadline.
+    TimedOut,
+    /// The entry knows no such target, or knows that it leaves; nothing was sent.
+    Unlisted,
+    /// The entry gave the slot back unused.
+    Withdrawn,
 }
 
 /// What one cell's home tells about its cell, along with each answer.
@@ -99,24 +92,29 @@
     pub age: clock::Millis,
 }
 
-/// What the entry sends on a request's stream.
+/// What the entry sends on a request's stream; a stream that ends without [`ToHome::Ended`] cancels the request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToHome {
-    /// The request's head; always first.
-    Head(Box<Head>),
-    /// Allows the home to dispatch non-idempotent work.
-    Go,
-    /// Ends the body, with its trailers.
-    End(Vec<Field>),
+    /// Asks for a slot; always first.
+    Ask(Box<Ask>),
+    /// Tells how a try ended, or that its answer's head came.
+    Done(Outcome),
+    /// Tells that the answer has ended; always last.
+    Ended,
 }
 
 /// What the home sends on a request's stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromHome {
-    /// The request waits, or runs; tells the entry from time to time that the home is alive.
+    /// The request waits; tells the entry from time to time that the home is alive.
     Queued,
-    /// A slot is held for non-idempotent work, which awaits [`ToHome::Go`].
-    Ready,
+    /// A slot at the target is the request's: the entry sends it there now.
+    Granted {
+        /// The target's name.
+        target: String,
+        /// The cell's state.
+        summary: Option<Summary>,
+    },
     /// The request is refused; always last.
     Refused {
         /// The refusal.
@@ -124,19 +122,10 @@
         /// The cell's state.
         summary: Option<Summary>,
     },
-    /// The head of the target's answer.
-    Answer {
-        /// The HTTP status.
-        status: u16,
-        /// The header fields, without those that concern one connection.
-        fields: Vec<Field>,
-        /// The target that answered.
-        target: String,
-        /// The cell's state.
-        summary: Summary,
-    },
-    /// Ends the answer, with its trailers; an answer without it was cut short.
-    End(Vec<Field>),
+    /// The failed try is final; always last.
+    GiveUp,
+    /// The try in flight is to be given up, since its target stalls; a grant at another target follows.
+    Abandon,
 }
 
 /// How a target is judged at its cell's home.
--- a/src/protocol/problem.rs
+++ b/src/protocol/problem.rs
@@ -74,13 +74,6 @@
     }
 }
 
-/// Returns what is kept of a target's answer to keyed work.
-pub fn record(response: &Response<body::Body>) -> Record {
-    Record {
-        status: response.status().as_u16(),
-    }
-}
-
 /// Returns the answer to a resend of keyed work that ran before.
 pub fn recorded(record: &Record) -> Response<body::Body> {
     let mut response = Response::new(body::whole(Bytes::new()));
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -3,10 +3,11 @@
 use std::error;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http::HeaderMap;
 use http_body::Frame;
-use http_body_util::{BodyExt, Full, StreamBody, combinators};
+use http_body_util::{BodyExt, BodyStream, Full, StreamBody, combinators};
+use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 /// What a body's source may report.
@@ -59,6 +60,13 @@
     StreamBody::new(pieces).boxed_unsync()
 }
 
+/// Returns a body that starts with `first` and goes on with what is left of a caller's.
+pub fn prefixed(first: Bytes, rest: Incoming) -> Body {
+    let first = stream::iter([Ok(Frame::data(first))]);
+    let rest = BodyStream::new(rest.map_err(Error::from));
+    StreamBody::new(first.chain(rest)).boxed_unsync()
+}
+
 /// Returns a body that is here as a whole and ends in `trailers`.
 pub fn with_trailers(bytes: Bytes, trailers: HeaderMap) -> Body {
     if trailers.is_empty() {
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -46,6 +46,7 @@
         deadline: Millis(1_000_000),
         objective: Millis(1_000_000),
         tries: u32::MAX,
+        used: 0,
         idempotent: true,
         replayable: true,
         fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -149,6 +149,7 @@
                     deadline: self.now + Millis(span),
                     objective: self.now + Millis(span),
                     tries: u32::MAX,
+                    used: 0,
                     idempotent,
                     replayable,
                     fingerprint: ids::Fingerprint(print),
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -260,6 +260,7 @@
             deadline: self.now + Millis(10_000),
             objective: self.now + Millis(10_000),
             tries: u32::MAX,
+            used: 0,
             idempotent,
             replayable: idempotent,
             fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -13,8 +13,8 @@
 use hyper_util::rt;
 use peridotspread::coordination::member;
 use peridotspread::daemon::claims::{Claimed, Claims, Settled, Token};
-use peridotspread::daemon::{cell, entry, home, metrics, spread};
-use peridotspread::protocol::peer;
+use peridotspread::daemon::{cell, entry, exchange, home, metrics, spread};
+use peridotspread::protocol::{dialect, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
 use peridotspread::transport::{body, http as server, pool};
 use tokio::net::{TcpListener, TcpStream};
@@ -54,7 +54,6 @@
         recorder: recorder.clone(),
         bundle: bundle_seen.clone(),
         view: view_seen.clone(),
-        pool: pool::Pool::new(clock, limits.head_bytes),
         budget: sync::Arc::new(NoBudget),
         spread: sync::Arc::new(NoSpread),
     }));
@@ -75,13 +74,18 @@
         claims: sync::Arc::new(FreshClaims),
         spreader,
         metrics: sync::Arc::new(metrics::Metrics::new().unwrap()),
+        tools: exchange::Tools {
+            clock,
+            pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes)),
+            dialect: sync::Arc::new(dialect::Native),
+        },
     }));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
     let options = server::Options {
         listener,
-        limits,
+        limits: watch::channel(limits).1,
         tls: None,
     };
     tokio::spawn(server::serve(options, sync::Arc::new(entry), stopped));
