--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub mod partners;
 pub mod quarantine;
 mod random;
+pub mod readers;
 pub mod registry;
 pub mod retry;
 pub mod trial;
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -73,16 +73,33 @@
         Some(away)
     }
 
-    /// Takes in a reading of one topic; returns whether rules or targets are others now.
+    /// Takes in a reading of one topic from the platform; returns whether rules or targets are others now.
     pub fn take(&mut self, now: clock::Millis, topic: Topic, reading: &Reading) -> bool {
+        self.take_from(now, topic, reading, false)
+    }
+
+    /// Takes in what a peer knows of one topic; returns whether rules or targets are others now.
+    ///
+    /// A peer tells of a target that vanished how long it keeps it, which holds here too.
+    pub fn take_news(&mut self, now: clock::Millis, topic: Topic, reading: &Reading) -> bool {
+        self.take_from(now, topic, reading, true)
+    }
+
+    fn take_from(
+        &mut self,
+        now: clock::Millis,
+        topic: Topic,
+        reading: &Reading,
+        settled: bool,
+    ) -> bool {
         let mut changed = false;
         if reading.whole && topic == Topic::Targets {
-            changed |= self.drop_unnamed(now, reading);
+            changed |= self.drop_unnamed(now, reading, settled);
         }
         for change in reading.changes.iter().filter(|c| c.topic == topic) {
             changed |= match topic {
                 Topic::Rules => self.take_rules(change),
-                Topic::Targets => self.take_target(now, change),
+                Topic::Targets => self.take_target(now, change, settled),
             };
         }
         let mark = self.marks.entry(topic).or_default();
@@ -130,8 +147,8 @@
         Some(sync::Arc::new(bundle))
     }
 
-    /// Returns what a peer misses that knows everything up to `mark`.
-    pub fn news(&self, topic: Topic, mark: u64) -> Reading {
+    /// Returns at time `now` what a peer misses that knows everything up to `mark`.
+    pub fn news(&self, now: clock::Millis, topic: Topic, mark: u64) -> Reading {
         let known = self.mark(topic).unwrap_or_default();
         let newer = |slot_mark: u64| slot_mark > mark;
         let changes = match topic {
@@ -143,6 +160,7 @@
                         key: String::new(),
                         mark: self.rules_mark,
                         item: Some(Item::Rules(Box::new(r.clone()))),
+                        grace: clock::Millis::ZERO,
                     })
                     .collect()
             }
@@ -154,8 +172,8 @@
                         topic,
                         key: key.clone(),
                         mark: slot.mark,
-                        // A target that vanished is told of as such: its grace is the peer's own affair.
                         item: slot.standing().cloned().map(Item::Target),
+                        grace: slot.doomed.unwrap_or(now) - now,
                     })
                     .collect()
             }
@@ -163,7 +181,7 @@
         Reading {
             changes,
             mark: known,
-            whole: mark == 0 && known > 0,
+            whole: false,
         }
     }
 
@@ -183,9 +201,11 @@
         changed
     }
 
-    fn take_target(&mut self, now: clock::Millis, change: &Change) -> bool {
+    fn take_target(&mut self, now: clock::Millis, change: &Change, settled: bool) -> bool {
         let held = self.targets.get(&change.key);
-        if held.is_some_and(|s| s.mark >= change.mark) {
+        // A target in its grace here may be gone for the peer, by the same change.
+        let confirms = |s: &Slot| settled && s.doomed.is_some() && s.mark == change.mark;
+        if held.is_some_and(|s| s.mark >= change.mark && !confirms(s)) {
             return false;
         }
         let told = match &change.item {
@@ -193,7 +213,8 @@
             Some(Item::Rules(_)) | None => None,
         };
         if told.is_none() {
-            return self.vanish(now, &change.key, change.mark);
+            let grace = self.grace(now, change, settled);
+            return self.vanish(now, &change.key, change.mark, grace);
         }
         let changed = held.and_then(|s| s.told.as_ref()) != told.as_ref();
         let slot = Slot {
@@ -206,10 +227,17 @@
         changed
     }
 
+    /// Returns how long a target that vanished is kept: as long as the peer that tells of it keeps it, or until the
+    /// platform has been back for long enough.
+    fn grace(&self, now: clock::Millis, change: &Change, settled: bool) -> clock::Millis {
+        match settled {
+            true => change.grace,
+            false => self.settling - now,
+        }
+    }
+
     /// Takes in that nothing stands under a key; returns whether that changes the targets at once.
-    fn vanish(&mut self, now: clock::Millis, key: &str, mark: u64) -> bool {
-        let settling = self.away.is_some() || now < self.settling;
-        let until = self.settling;
+    fn vanish(&mut self, now: clock::Millis, key: &str, mark: u64, grace: clock::Millis) -> bool {
         let slot = self.targets.entry(key.to_owned()).or_insert(Slot {
             mark,
             told: None,
@@ -218,8 +246,8 @@
         });
         slot.mark = slot.mark.max(mark);
         let leaves = slot.told.as_ref().is_some_and(|t| t.target.leaving);
-        if settling && slot.told.is_some() && !leaves {
-            slot.doomed = Some(until.max(now));
+        if grace > clock::Millis::ZERO && slot.told.is_some() && !leaves {
+            slot.doomed = Some(now + grace);
             return false;
         }
         slot.doomed = None;
@@ -228,7 +256,7 @@
     }
 
     /// Takes targets as vanished that a whole reading does not name.
-    fn drop_unnamed(&mut self, now: clock::Millis, reading: &Reading) -> bool {
+    fn drop_unnamed(&mut self, now: clock::Millis, reading: &Reading, settled: bool) -> bool {
         let named = |key: &String| reading.changes.iter().any(|c| c.key == *key);
         let slots = self.targets.iter();
         let missing = slots.filter(|(key, s)| {
@@ -236,8 +264,12 @@
         });
         let missing: Vec<_> = missing.map(|(key, _)| key.clone()).collect();
         let mut changed = false;
+        let grace = match settled {
+            true => clock::Millis::ZERO,
+            false => self.settling - now,
+        };
         for key in missing {
-            changed |= self.vanish(now, &key, reading.mark);
+            changed |= self.vanish(now, &key, reading.mark, grace);
         }
         changed
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -293,6 +293,7 @@
     ) -> Result<InForce, Error> {
         let options = registry::Options {
             name: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
             clock: self.clock,
             source: source.clone(),
             members: fleet.view.clone(),
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -1,7 +1,9 @@
 //! The actor of the registry: carries [`coordination::registry::Registry`] over a platform that tells rules and targets.
 //!
-//! One task a topic follows the platform. While the platform does not answer, a peer that it answers tells the news.
+//! One task a topic hears the news, from where [`readers`] decides: the platform, the reader of the failure domain, or any
+//! other daemon.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync;
 
 use futures_util::future;
@@ -9,25 +11,27 @@
 use tokio::{sync as tasks, time};
 
 use crate::coordination;
-use crate::coordination::member;
+use crate::coordination::{member, readers};
 use crate::protocol::peer;
 use crate::protocol::source::{self, Reading, Topic};
-use crate::state::{bundle, clock, ids, timeline};
-
-/// How long the platform may wait for changes before it answers; so long, a silent platform stays unnoticed.
-const FOLLOW_SPAN: clock::Millis = clock::Millis(4_000);
-/// The pause after the platform did not answer; it doubles each time.
-const FIRST_PAUSE: clock::Millis = clock::Millis(100);
-/// The longest pause after the platform did not answer.
-const LONGEST_PAUSE: clock::Millis = clock::Millis(800);
-/// The time between two questions to peers while the platform does not answer: a fraction of the time within which
-/// news must be in force.
-const ASK_SPAN: clock::Millis = clock::Millis(300);
+use crate::state::{bundle, clock, timeline};
+
+/// How long the platform may wait for changes before it answers: so long, and a call's timeout, a silent platform stays
+/// unnoticed, which must be well under the time within which news must be in force.
+const FOLLOW_SPAN: clock::Millis = clock::Millis(700);
+/// How long a peer may wait for changes before it answers; as [`FOLLOW_SPAN`] for a silent peer.
+const ASK_SPAN: clock::Millis = clock::Millis(700);
+/// How long a peer's reply may take beyond that: several round trips between failure domains.
+const REPLY_TIMEOUT: clock::Millis = clock::Millis(300);
+/// How long ago the platform may have answered a peer whose news is fresh: a wait and the longest call.
+const FRESH_SPAN: clock::Millis = clock::Millis(1_800);
 
 /// What the registry works with.
 pub struct Options {
     /// The daemon's name.
     pub name: String,
+    /// The daemon's failure domain.
+    pub domain: String,
     /// The daemon's clock.
     pub clock: clock::Clock,
     /// The platform.
@@ -45,6 +49,8 @@
 pub struct Handle {
     actor: sync::Arc<Stop>,
     bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
+    /// Changes with each news, and when the platform is lost.
+    news: tasks::watch::Receiver<u64>,
 }
 
 /// Stops the actor when dropped.
@@ -63,27 +69,57 @@
     targets: Reading,
 }
 
+impl News {
+    fn is_empty(&self) -> bool {
+        self.rules.changes.is_empty() && self.targets.changes.is_empty()
+    }
+}
+
+/// What came of one round of hearing news.
+enum Heard {
+    /// The platform answered about a topic, or did not.
+    Platform(Topic, Result<Reading, source::Error>),
+    /// A peer replied, with the time since the platform answered it; or it did not reply.
+    Peer(String, Option<(Option<clock::Millis>, News)>),
+}
+
 /// What the actor is told.
 enum Message {
-    /// The platform answered, or did not; the reply is the mark to follow on from.
-    Read {
+    /// Asks where to hear news of a topic next.
+    Next {
         topic: Topic,
-        outcome: Result<Reading, source::Error>,
-        reply: tasks::oneshot::Sender<Option<u64>>,
+        reply: tasks::oneshot::Sender<Order>,
     },
-    /// A peer told its news.
-    News(News),
+    /// News were heard, or not.
+    Heard(Box<Heard>),
     /// A peer asks.
     Asked {
-        mark: u64,
-        reply: tasks::oneshot::Sender<News>,
+        marks: Marks,
+        reply: tasks::oneshot::Sender<peer::Note>,
     },
-    /// It may be time to ask a peer.
-    Ask,
     /// Time passed.
     Tick,
 }
 
+/// How far the topics are known.
+#[derive(Clone, Copy, Debug)]
+struct Marks {
+    rules: u64,
+    targets: u64,
+}
+
+/// What the task of a topic does next.
+enum Order {
+    /// It reads the topic from the platform as a whole.
+    Read,
+    /// It follows the topic at the platform.
+    Follow(u64),
+    /// It asks a peer about all topics.
+    Ask(String, Marks),
+    /// It does nothing for a while; another task or a later time brings news.
+    Pause(clock::Millis),
+}
+
 /// Starts the registry.
 ///
 /// # Errors
@@ -91,15 +127,16 @@
 /// Returns an error if the actor can't be started.
 pub async fn spawn(options: Options) -> Result<Handle, ractor::SpawnErr> {
     let (sender, bundle) = tasks::watch::channel(sync::Arc::default());
-    let source = options.source.clone();
-    let (actor, _) = Actor::spawn(None, Carrier, (options, sender)).await?;
+    let (source, notes) = (options.source.clone(), options.sender.clone());
+    let (news, fresh) = tasks::watch::channel(0);
+    let (actor, _) = Actor::spawn(None, Carrier, (options, sender, news)).await?;
     for topic in Topic::ALL {
-        tokio::spawn(follow(topic, source.clone(), actor.clone()));
+        tokio::spawn(hear(topic, source.clone(), notes.clone(), actor.clone()));
     }
-    tokio::spawn(ask_when_cut_off(actor.clone()));
     Ok(Handle {
         actor: sync::Arc::new(Stop(actor)),
         bundle,
+        news: fresh,
     })
 }
 
@@ -113,60 +150,110 @@
 impl peer::NoteTaker for Handle {
     fn take<'a>(&'a self, _from: &'a str, note: peer::Note) -> future::BoxFuture<'a, peer::Note> {
         Box::pin(async move {
-            let peer::Note::AskNews { mark } = note else {
+            let peer::Note::AskNews {
+                rules,
+                targets,
+                wait,
+            } = note
+            else {
                 return peer::Note::Done;
             };
-            let (reply, replied) = tasks::oneshot::channel();
-            let asked = Message::Asked { mark, reply };
-            if self.actor.0.send_message(asked).is_err() {
-                return peer::Note::Done;
-            }
-            match replied.await.map(|news| serde_json::to_vec(&news)) {
-                Ok(Ok(bytes)) => peer::Note::News(bytes),
-                Ok(Err(e)) => {
-                    log::error!("news can't be written for a peer: {e}");
-                    peer::Note::Done
-                }
-                Err(_) => peer::Note::Done,
+            let marks = Marks { rules, targets };
+            let mut news = self.news.clone();
+            news.mark_unchanged();
+            let first = self.ask(marks).await;
+            if !is_idle(&first) {
+                return first;
             }
+            // Without news in time, the reply says at least how fresh this daemon is.
+            let _ = time::timeout(wait.min(ASK_SPAN).span(), news.changed()).await;
+            self.ask(marks).await
         })
     }
 }
 
-/// Follows one topic until the actor ends.
-async fn follow(topic: Topic, source: sync::Arc<dyn source::Source>, actor: ActorRef<Message>) {
-    let mut mark = None;
-    let mut pause = FIRST_PAUSE;
+/// Returns whether the news are none, by a daemon that the platform answers.
+fn is_idle(note: &peer::Note) -> bool {
+    matches!(note, peer::Note::News { age: Some(_), changes } if changes.is_empty())
+}
+
+impl Handle {
+    async fn ask(&self, marks: Marks) -> peer::Note {
+        let (reply, replied) = tasks::oneshot::channel();
+        if self
+            .actor
+            .0
+            .send_message(Message::Asked { marks, reply })
+            .is_err()
+        {
+            return peer::Note::Done;
+        }
+        replied.await.unwrap_or(peer::Note::Done)
+    }
+}
+
+/// Hears news of one topic until the actor ends.
+async fn hear(
+    topic: Topic,
+    source: sync::Arc<dyn source::Source>,
+    notes: sync::Arc<dyn peer::NoteSender>,
+    actor: ActorRef<Message>,
+) {
     loop {
-        let outcome = match mark {
-            Some(mark) => source.follow(topic, mark, FOLLOW_SPAN).await,
-            None => source.read(topic).await,
-        };
-        let failed = matches!(outcome, Err(source::Error::Unavailable { .. }));
-        let forgotten = matches!(outcome, Err(source::Error::Forgotten));
         let (reply, replied) = tasks::oneshot::channel();
-        let read = Message::Read {
-            topic,
-            outcome,
-            reply,
-        };
-        if actor.send_message(read).is_err() {
+        if actor.send_message(Message::Next { topic, reply }).is_err() {
             return;
         }
-        let Ok(known) = replied.await else { return };
-        mark = known.filter(|_| !forgotten);
-        if failed {
-            time::sleep(pause.span()).await;
-            pause = clock::Millis(pause.0 * 2).min(LONGEST_PAUSE);
-        } else {
-            pause = FIRST_PAUSE;
+        let Ok(order) = replied.await else { return };
+        let heard = match order {
+            Order::Read => Heard::Platform(topic, source.read(topic).await),
+            Order::Follow(mark) => {
+                Heard::Platform(topic, source.follow(topic, mark, FOLLOW_SPAN).await)
+            }
+            Order::Ask(name, marks) => {
+                let reply = ask_peer(notes.as_ref(), &name, marks).await;
+                Heard::Peer(name, reply)
+            }
+            Order::Pause(span) => {
+                time::sleep(span.span()).await;
+                continue;
+            }
+        };
+        if actor.send_message(Message::Heard(Box::new(heard))).is_err() {
+            return;
         }
     }
 }
 
-async fn ask_when_cut_off(actor: ActorRef<Message>) {
-    while actor.send_message(Message::Ask).is_ok() {
-        time::sleep(ASK_SPAN.span()).await;
+async fn ask_peer(
+    notes: &dyn peer::NoteSender,
+    name: &str,
+    marks: Marks,
+) -> Option<(Option<clock::Millis>, News)> {
+    let ask = peer::Note::AskNews {
+        rules: marks.rules,
+        targets: marks.targets,
+        wait: ASK_SPAN,
+    };
+    let asking = notes.send(name, ask);
+    let Ok(replied) = time::timeout((ASK_SPAN + REPLY_TIMEOUT).span(), asking).await else {
+        log::info!(peer = name; "no news from a peer in time");
+        return None;
+    };
+    match replied {
+        Ok(peer::Note::News { age, changes }) if changes.is_empty() => Some((age, News::default())),
+        Ok(peer::Note::News { age, changes }) => match serde_json::from_slice(&changes) {
+            Ok(news) => Some((age, news)),
+            Err(e) => {
+                log::warn!(peer = name; "news of a peer can't be understood: {e}");
+                None
+            }
+        },
+        Ok(_) => None,
+        Err(e) => {
+            log::info!(peer = name, reason = e.to_string(); "no news from a peer");
+            None
+        }
     }
 }
 
@@ -174,10 +261,15 @@
 
 struct State {
     registry: coordination::registry::Registry,
+    readers: readers::Readers,
     options: Options,
     bundle: tasks::watch::Sender<sync::Arc<bundle::Bundle>>,
-    /// The topics that the platform does not answer about.
-    lost: Vec<Topic>,
+    news: tasks::watch::Sender<u64>,
+    /// When each topic was last fresh.
+    fresh: BTreeMap<Topic, clock::Millis>,
+    /// The topics to be read as a whole, since the platform dropped its history.
+    forgotten: BTreeSet<Topic>,
+    lost: bool,
     /// When the registry is to be ticked.
     armed: clock::Millis,
 }
@@ -185,18 +277,27 @@
 impl Actor for Carrier {
     type Msg = Message;
     type State = State;
-    type Arguments = (Options, tasks::watch::Sender<sync::Arc<bundle::Bundle>>);
+    type Arguments = (
+        Options,
+        tasks::watch::Sender<sync::Arc<bundle::Bundle>>,
+        tasks::watch::Sender<u64>,
+    );
 
     async fn pre_start(
         &self,
         _myself: ActorRef<Message>,
-        (options, bundle): Self::Arguments,
+        (options, bundle, news): Self::Arguments,
     ) -> Result<State, ActorProcessingErr> {
+        let now = options.clock.now();
         Ok(State {
             registry: coordination::registry::Registry::default(),
+            readers: readers::Readers::new(now, &options.name, &options.domain),
             options,
             bundle,
-            lost: Vec::new(),
+            news,
+            fresh: BTreeMap::new(),
+            forgotten: BTreeSet::new(),
+            lost: false,
             armed: clock::Millis::MAX,
         })
     }
@@ -209,27 +310,18 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = state.options.clock.now();
         match message {
-            Message::Read {
-                topic,
-                outcome,
-                reply,
-            } => {
-                state.take_outcome(now, topic, outcome);
-                // The task that follows a topic ends with the actor.
-                let _ = reply.send(state.registry.mark(topic));
-            }
-            Message::News(news) => {
-                state.take(now, Topic::Rules, &news.rules, "peer");
-                state.take(now, Topic::Targets, &news.targets, "peer");
+            Message::Next { topic, reply } => {
+                // The task that hears of a topic ends with the actor.
+                let _ = reply.send(state.next(now, topic));
             }
-            Message::Asked { mark, reply } => {
+            Message::Heard(heard) => match *heard {
+                Heard::Platform(topic, outcome) => state.hear_platform(now, topic, outcome),
+                Heard::Peer(name, reply) => state.hear_peer(now, &name, reply),
+            },
+            Message::Asked { marks, reply } => {
                 // A peer that no longer waits asks again.
-                let _ = reply.send(News {
-                    rules: state.registry.news(Topic::Rules, mark),
-                    targets: state.registry.news(Topic::Targets, mark),
-                });
+                let _ = reply.send(state.tell(now, marks));
             }
-            Message::Ask => state.ask(&myself),
             Message::Tick => {
                 state.armed = clock::Millis::MAX;
                 if state.registry.tick(now) {
@@ -243,45 +335,135 @@
 }
 
 impl State {
-    fn take_outcome(
+    /// Decides what the task of a topic does next. That of the targets asks peers about all topics.
+    fn next(&mut self, now: clock::Millis, topic: Topic) -> Order {
+        let view = self.options.members.borrow().clone();
+        match self.readers.plan(now, &view) {
+            readers::Plan::Peer(_) if topic != Topic::Targets => Order::Pause(ASK_SPAN),
+            readers::Plan::Peer(name) => Order::Ask(name, self.marks()),
+            readers::Plan::Wait(until) => Order::Pause(until - now + clock::Millis(1)),
+            readers::Plan::Platform => match self.registry.mark(topic) {
+                Some(mark) if !self.forgotten.contains(&topic) => Order::Follow(mark),
+                _ => Order::Read,
+            },
+        }
+    }
+
+    fn marks(&self) -> Marks {
+        let mark = |topic| self.registry.mark(topic).unwrap_or_default();
+        Marks {
+            rules: mark(Topic::Rules),
+            targets: mark(Topic::Targets),
+        }
+    }
+
+    fn hear_platform(
         &mut self,
         now: clock::Millis,
         topic: Topic,
         outcome: Result<Reading, source::Error>,
     ) {
+        let unanswered = matches!(outcome, Err(source::Error::Unavailable { .. }));
+        self.readers.note_platform(now, !unanswered);
         match outcome {
             Ok(reading) => {
-                self.regain(now, topic);
-                self.take(now, topic, &reading, "platform");
+                self.forgotten.remove(&topic);
+                self.fresh.insert(topic, now);
+                self.note_contact(now);
+                self.log(topic, &reading, "platform");
+                if self.registry.take(now, topic, &reading) {
+                    self.publish(topic.as_str());
+                }
             }
             Err(source::Error::Forgotten) => {
                 log::info!(topic = topic.as_str(); "the platform dropped its history; reading as a whole");
-                self.regain(now, topic);
+                self.forgotten.insert(topic);
             }
-            Err(e) => {
-                if !self.lost.contains(&topic) {
-                    log::warn!(topic = topic.as_str(), reason = e.to_string(); "platform lost");
-                    self.record(timeline::Kind::Platform, "lost");
-                    self.lost.push(topic);
+            Err(e) => self.note_loss(now, &e.to_string()),
+        }
+    }
+
+    fn hear_peer(
+        &mut self,
+        now: clock::Millis,
+        name: &str,
+        reply: Option<(Option<clock::Millis>, News)>,
+    ) {
+        let Some((age, news)) = reply else {
+            self.readers.note_stale(now, name);
+            return;
+        };
+        let fresh = age.filter(|age| *age <= FRESH_SPAN);
+        match fresh {
+            Some(age) => {
+                for topic in Topic::ALL {
+                    let at = self.fresh.entry(topic).or_default();
+                    *at = (now - age).max(*at);
                 }
-                self.registry.lose(now);
+                self.note_contact(now);
             }
+            None => self.readers.note_stale(now, name),
+        }
+        let mut changed = false;
+        for (topic, reading) in [(Topic::Rules, &news.rules), (Topic::Targets, &news.targets)] {
+            self.log(topic, reading, name);
+            changed |= self.registry.take_news(now, topic, reading);
+        }
+        if changed {
+            self.publish("news of a peer");
         }
     }
 
-    fn regain(&mut self, now: clock::Millis, topic: Topic) {
-        let before = self.lost.len();
-        self.lost.retain(|t| *t != topic);
-        if before == 0 || !self.lost.is_empty() {
-            return;
+    /// Tells a peer what it misses, and how fresh that is.
+    fn tell(&self, now: clock::Millis, marks: Marks) -> peer::Note {
+        let news = News {
+            rules: self.registry.news(now, Topic::Rules, marks.rules),
+            targets: self.registry.news(now, Topic::Targets, marks.targets),
+        };
+        let changes = match news.is_empty() {
+            true => Ok(Vec::new()),
+            false => serde_json::to_vec(&news),
+        };
+        let changes = changes.unwrap_or_else(|e| {
+            log::error!("news can't be written for a peer: {e}");
+            Vec::new()
+        });
+        peer::Note::News {
+            age: self.age(now),
+            changes,
+        }
+    }
+
+    /// Returns how long ago the platform told of all topics; absent while it is lost.
+    fn age(&self, now: clock::Millis) -> Option<clock::Millis> {
+        if self.lost {
+            return None;
         }
+        let at = |topic: &Topic| self.fresh.get(topic).copied();
+        let ats: Option<Vec<_>> = Topic::ALL.iter().map(at).collect();
+        Some(now - ats?.into_iter().min()?)
+    }
+
+    fn note_contact(&mut self, now: clock::Millis) {
+        self.lost = false;
         if let Some(away) = self.registry.regain(now) {
             log::info!(away_ms = away.0; "platform regained");
             self.record(timeline::Kind::Platform, "regained");
         }
     }
 
-    fn take(&mut self, now: clock::Millis, topic: Topic, reading: &Reading, from: &str) {
+    fn note_loss(&mut self, now: clock::Millis, reason: &str) {
+        if !self.lost {
+            log::warn!(reason = reason; "platform lost");
+            self.record(timeline::Kind::Platform, "lost");
+            self.lost = true;
+            // Peers that wait for news learn that there is none to be had here.
+            self.news.send_modify(|n| *n += 1);
+        }
+        self.registry.lose(now);
+    }
+
+    fn log(&self, topic: Topic, reading: &Reading, from: &str) {
         for change in &reading.changes {
             log::info!(
                 topic = topic.as_str(), key = change.key, mark = change.mark, from = from,
@@ -289,9 +471,6 @@
                 "platform told"
             );
         }
-        if self.registry.take(now, topic, reading) {
-            self.publish(topic.as_str());
-        }
     }
 
     fn publish(&mut self, why: &str) {
@@ -311,38 +490,7 @@
             "bundle in force"
         );
         self.bundle.send_replace(bundle);
-    }
-
-    /// Asks a peer for news while the platform does not answer.
-    fn ask(&self, myself: &ActorRef<Message>) {
-        if self.lost.is_empty() {
-            return;
-        }
-        let view = self.options.members.borrow().clone();
-        let others = view.members.iter();
-        let others = others.filter(|(name, m)| {
-            **name != self.options.name && m.liveness == member::Liveness::Alive
-        });
-        let others: Vec<_> = others.map(|(name, _)| name).collect();
-        let draw = ids::RequestId::random().0;
-        let Some(peer) = others.get((draw % others.len().max(1) as u128) as usize) else {
-            return;
-        };
-        let known = Topic::ALL.map(|t| self.registry.mark(t).unwrap_or_default());
-        let mark = known.into_iter().min().unwrap_or_default();
-        let (peer, sender) = ((*peer).clone(), self.options.sender.clone());
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            match sender.send(&peer, peer::Note::AskNews { mark }).await {
-                Ok(peer::Note::News(bytes)) => match serde_json::from_slice(&bytes) {
-                    // A registry that has ended needs no news.
-                    Ok(news) => drop(myself.send_message(Message::News(news))),
-                    Err(e) => log::warn!(peer = peer; "news of a peer can't be understood: {e}"),
-                },
-                Ok(_) => {}
-                Err(e) => log::debug!("{e}"),
-            }
-        });
+        self.news.send_modify(|n| *n += 1);
     }
 
     fn record(&self, kind: timeline::Kind, detail: &str) {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -186,13 +186,22 @@
     Targets(Vec<TargetReport>),
     /// Nothing to tell; the reply to a note that needs none.
     Done,
-    /// Asks for what the platform told after `mark`, by a daemon that the platform does not answer.
+    /// Asks for what the platform told after two marks in its order of changes.
     AskNews {
-        /// The asker's mark in the platform's order of changes.
-        mark: u64,
+        /// The asker's mark of the rules.
+        rules: u64,
+        /// The asker's mark of the targets.
+        targets: u64,
+        /// How long the reply may wait for something new.
+        wait: clock::Millis,
+    },
+    /// Brings what the platform told: changes as JSON, up to the sender's marks.
+    News {
+        /// How long ago the platform last answered, by the sender's clock; absent while it does not.
+        age: Option<clock::Millis>,
+        /// The changes; empty where there are none.
+        changes: Vec<u8>,
     },
-    /// Brings what the platform told: changes as JSON, up to the sender's mark.
-    News(Vec<u8>),
 }
 
 /// A bundle with the signature that makes it worth adopting.
--- a/src/protocol/source.rs
+++ b/src/protocol/source.rs
@@ -59,6 +59,9 @@
     pub mark: u64,
     /// What stands there now; absent where nothing does, or nothing that can be used.
     pub item: Option<Item>,
+    /// How long what vanished is to be kept all the same; zero where the platform itself tells.
+    #[serde(default)]
+    pub grace: clock::Millis,
 }
 
 /// What was read of a topic.
