coordination: one cell a service at small sizes, targets ranked by doubt, near ones first; retries from one bucket

Cause: each cell compared a target with the others, and with a third of all targets failing at any time one failure said little; four cells a service had four retry budgets. Now Bayes' rule over two states gives each target a doubt that fades, one home sees all of a service's slots, and the token bucket holds what the operators allow for the whole service. Ruled out: forwarding against sending oneself makes no difference here.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -325,6 +325,7 @@
             floor: service.floor,
             deadline_ms: clock::Millis(5_000),
             queue: QUEUE,
+            cells: None,
             ejection: service.ejection.clone(),
             retry: bundle::Retry::default(),
             targets: list.collect(),
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -112,6 +112,7 @@
             objective: wanted.deadline,
             tries: u32::MAX,
             used: 0,
+            origin: ids::Place::default(),
             idempotent: wanted.idempotent,
             replayable: true,
             fingerprint: wanted.fingerprint,
--- a/crates/lab/src/replay/scene.rs
+++ b/crates/lab/src/replay/scene.rs
@@ -278,6 +278,7 @@
         floor,
         deadline_ms: clock::Millis(10_000),
         queue: QUEUE,
+        cells: None,
         ejection: fleet.ejection.clone(),
         retry: fleet.retry.clone(),
         targets: targets.collect(),
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -18,12 +18,25 @@
 /// The longest time that a request waits for a target in favour while one that is avoided is free.
 const MOST_PATIENCE: clock::Millis = clock::Millis(1_000);
 
+/// The doubt above which a target is kept for requests that have waited, where they may run more than once.
+const MOST_DOUBT: f64 = 0.7;
+/// The same for requests that have one try.
+const MOST_DOUBT_ONCE: f64 = 0.4;
+/// How long a request waits for a target that is sound enough: about the time in which several slots come free.
+pub(super) const SOUND_PATIENCE: clock::Millis = clock::Millis(300);
+
 /// How well a free target fits a request; the least is taken.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Fit {
     /// Whether a request that crashed another target runs there, and this one did so too.
     clash: bool,
     rank: Rank,
+    /// How likely the target is to fail, in levels.
+    doubt: usize,
+    /// Whether it is in use up to its last slot, where targets tend to be slower.
+    crowded: bool,
+    /// Whether it stands in another failure domain than the entry that sends to it.
+    far: bool,
     score: f64,
     load: usize,
     granted: u64,
@@ -111,12 +124,16 @@
             _ if !target.is_free(now) => return None,
             _ if !target.is_normal() && self.patient_until() > now => return None,
             _ if !target.is_normal() => Rank::Avoided,
+            _ if !self.is_sound_enough(now, work, target) => return None,
             _ if target.overdue > 0 => Rank::Overdue,
             _ => Rank::Normal,
         };
         Some(Fit {
             clash: suspect && target.suspects > 0,
             rank,
+            doubt: target.doubt.level(now),
+            crowded: target.busy + 1 >= target.slots(now).max(2),
+            far: target.place != work.arrival.origin,
             score: if rank == Rank::Avoided {
                 target.score.value()
             } else {
@@ -127,6 +144,29 @@
         })
     }
 
+    /// Returns whether a target is sound enough for a request: while it has not waited for long, one of the sounder ones is
+    /// likely to come free. Work that has one try only is held to more.
+    fn is_sound_enough(
+        &self,
+        now: clock::Millis,
+        work: &queue::Waiting,
+        target: &target::Target,
+    ) -> bool {
+        let repeatable = work.arrival.idempotent && work.arrival.replayable;
+        let most = if repeatable {
+            MOST_DOUBT
+        } else {
+            MOST_DOUBT_ONCE
+        };
+        let doubt = target.doubt.value(now);
+        if doubt <= most || now - work.since >= SOUND_PATIENCE {
+            return true;
+        }
+        // Where no target is sound enough, there is nothing to wait for.
+        let mut others = self.targets.values().filter(|t| t.takes_work());
+        !others.any(|t| t.doubt.value(now) <= most)
+    }
+
     /// Returns when waiting requests may go to targets that are avoided.
     ///
     /// That is as soon as one of them has waited for the time that a slot is held: until then another target is likely to
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -29,6 +29,8 @@
     pub replayable: bool,
     /// What the request does, for the quarantine.
     pub fingerprint: ids::Fingerprint,
+    /// The failure domain that it comes from.
+    pub origin: ids::Place,
 }
 
 /// What happens to the cell.
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -43,6 +43,11 @@
         if known.is_none_or(|r| r.phase == Phase::Answering) {
             return;
         }
+        if let Some(run) = known
+            && let Some(target) = self.targets.get_mut(&run.target)
+        {
+            target.doubt.take(now, outcome);
+        }
         match outcome {
             cell::Outcome::Answered => self.answered(now, ticket, actions),
             cell::Outcome::Failed => self.failed(now, ticket, actions),
--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -6,6 +6,7 @@
 use crate::coordination::trial;
 use crate::state::bundle;
 use crate::state::clock;
+use crate::state::ids;
 
 use super::target;
 use super::{Cell, Rules};
@@ -35,7 +36,7 @@
         };
         self.budget.adopt(&service.retry);
         let own = service.targets.iter();
-        let own = own.filter(|t| t.domain == self.id.domain);
+        let own = own.filter(|t| service.cell_of(t) == self.id);
         let own: BTreeMap<_, _> = own.map(|t| (t.name.as_str(), t)).collect();
         for (name, target) in &mut self.targets {
             let stays = own.get(name.as_str()).is_some_and(|t| !t.leaving);
@@ -56,6 +57,7 @@
                 target.ramp = trial::Ramp::new(now);
             }
             target.total = rule.slots;
+            target.place = ids::Place::of(&rule.domain);
             target.leaving = rule.leaving;
         }
         self.keep_floor(actions);
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -3,8 +3,10 @@
 use crate::coordination::ejection;
 use crate::coordination::evidence;
 use crate::coordination::judge;
+use crate::coordination::soundness;
 use crate::coordination::trial;
 use crate::state::clock;
+use crate::state::ids;
 
 /// The pause after a target shed a request or took no connection; it doubles with each one in a row.
 const FIRST_PAUSE: clock::Millis = clock::Millis(50);
@@ -32,8 +34,12 @@
     pub(super) suspects: usize,
     /// What its requests told.
     pub(super) evidence: evidence::Evidence,
-    /// What speaks against it.
+    /// What speaks against it, in comparison with the others.
     pub(super) score: judge::Score,
+    /// How likely it is to fail the next request.
+    pub(super) doubt: soundness::Doubt,
+    /// The failure domain that it stands in.
+    pub(super) place: ids::Place,
     /// Its standing.
     pub(super) ejection: ejection::Ejection,
     /// Its way back.
@@ -74,6 +80,8 @@
             suspects: 0,
             evidence: evidence::Evidence::default(),
             score: judge::Score::default(),
+            doubt: soundness::Doubt::new(now),
+            place: ids::Place::default(),
             ejection: ejection::Ejection::default(),
             trial: trial::Trial::default(),
             ramp: trial::Ramp::new(now),
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -22,6 +22,10 @@
             .min(first(self.held.first().map(|h| h.0)))
             .min(first(self.lingering.first().map(|l| l.0)))
             .min(self.queue.deadline());
+        if let Some(since) = self.queue.oldest() {
+            let patient = since + super::dispatch::SOUND_PATIENCE;
+            wake = wake.min(patient.max(self.last + clock::Millis(50)));
+        }
         let patience = self.patient_until();
         for (name, target) in &self.targets {
             wake = wake.min(self.standing_wake(name, target));
--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -21,8 +21,9 @@
 
 use judge::Judge;
 
+pub use crate::state::hash::hash;
 pub use judge::Observation;
-pub use rank::{hash, rank};
+pub use rank::rank;
 
 /// How much better another cell must be before a request leaves its own failure domain, in milliseconds.
 const OWN_DOMAIN_MS: f64 = 25.0;
@@ -211,7 +212,7 @@
         .targets
         .iter()
         .filter(|t| !t.leaving)
-        .map(|t| ids::CellId::new(&service.name, &t.domain))
+        .map(|t| service.cell_of(t))
         .collect();
     cells.sort();
     cells.dedup();
--- a/src/coordination/homes/rank.rs
+++ b/src/coordination/homes/rank.rs
@@ -1,23 +1,9 @@
 //! Rendezvous hashing: the order in which daemons are home of a cell.
 
 use crate::coordination::member;
-use crate::coordination::random;
+use crate::state::hash;
 use crate::state::ids;
 
-const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-
-/// Hashes `parts` with FNV-1a and a finishing mix; the result is the same on all hosts and in all versions.
-pub fn hash(parts: &[&str]) -> u64 {
-    random::mix(parts.iter().fold(OFFSET, |h, part| absorb(h, part)))
-}
-
-/// Takes one more part into a hash before its finishing mix.
-fn absorb(state: u64, part: &str) -> u64 {
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let bytes = part.bytes().chain([0xff]);
-    bytes.fold(state, |h, byte| (h ^ u64::from(byte)).wrapping_mul(PRIME))
-}
-
 /// Returns the names of the daemons that may be home of `cell`, best first.
 ///
 /// Alive daemons of the cell's failure domain come first, then suspect ones; where the failure domain has none, the
@@ -28,7 +14,7 @@
         .iter()
         .filter(|(_, m)| m.liveness != member::Liveness::Leaving)
         .map(|(name, m)| {
-            let score = hash(&[&cell.service, &cell.domain, name]);
+            let score = hash::hash(&[&cell.service, &cell.domain, name]);
             (
                 m.domain != cell.domain,
                 m.liveness,
@@ -47,18 +33,13 @@
     view: &'a member::View,
     count: usize,
 ) -> Vec<&'a str> {
-    let state = absorb(absorb(OFFSET, &cell.service), &cell.domain);
+    let state = hash::begin(&[&cell.service, &cell.domain]);
     let near = view
         .members
         .iter()
         .filter(|(_, m)| m.liveness == member::Liveness::Alive && m.domain == cell.domain);
     let mut ranked: Vec<_> = near
-        .map(|(name, _)| {
-            (
-                std::cmp::Reverse(random::mix(absorb(state, name))),
-                name.as_str(),
-            )
-        })
+        .map(|(name, _)| (std::cmp::Reverse(hash::finish(state, name)), name.as_str()))
         .collect();
     if ranked.len() < count {
         return rank(cell, view).into_iter().take(count).collect();
--- a/src/coordination/member/digest.rs
+++ b/src/coordination/member/digest.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::coordination::member::table::Entry;
-use crate::coordination::random;
 use crate::protocol::gossip;
+use crate::state::hash;
 
 /// The groups that members are put into by a hash of their names.
 const GROUPS: usize = 64;
@@ -19,8 +19,8 @@
     let mut groups = vec![0; GROUPS];
     for entry in members.values().filter(|e| e.is_live()) {
         let (incarnation, round, state) = entry.about.rank();
-        let said = random::mix(incarnation.0) ^ (u64::from(round) << 8) ^ state as u64;
-        groups[group(entry)] ^= random::mix(entry.points[0] ^ random::mix(said)) as u32;
+        let said = hash::mix(incarnation.0) ^ (u64::from(round) << 8) ^ state as u64;
+        groups[group(entry)] ^= hash::mix(entry.points[0] ^ hash::mix(said)) as u32;
     }
     groups
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -17,4 +17,5 @@
 pub mod readers;
 pub mod registry;
 pub mod retry;
+pub mod soundness;
 pub mod trial;
--- a/src/coordination/random.rs
+++ b/src/coordination/random.rs
@@ -1,15 +1,10 @@
 //! Numbers drawn within decisions: the same seed gives the same numbers, so that decisions can be replayed.
 
+use crate::state::hash;
+
 /// The step between the states of the sequence.
 const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// Spreads every bit of `h` over the whole number.
-pub(crate) fn mix(mut h: u64) -> u64 {
-    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    h ^ (h >> 33)
-}
-
 /// A sequence of numbers that depends on its seed alone.
 #[derive(Clone, Debug)]
 pub(crate) struct Random {
@@ -25,7 +20,7 @@
     /// Draws a number below `bound`, which must not be zero.
     pub(crate) fn below(&mut self, bound: u64) -> u64 {
         self.state = self.state.wrapping_add(STEP);
-        mix(self.state) % bound
+        hash::mix(self.state) % bound
     }
 
     /// Draws an index into a sequence of `len` items, which must not be empty.
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -17,7 +17,7 @@
 /// The longest pause after the platform did not answer.
 const LONGEST_PAUSE: clock::Millis = clock::Millis(800);
 /// The time after the start in which a daemon knows too few others to leave the reading to one of them.
-const SETTLING_SPAN: clock::Millis = clock::Millis(2_000);
+const SETTLING_SPAN: clock::Millis = clock::Millis(700);
 
 /// Where to hear the next news.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -19,6 +19,16 @@
 /// How long a target that is gone is remembered, so that peers learn of it.
 const GONE_SPAN: clock::Millis = clock::Millis(120_000);
 
+/// The slots of targets that one cell holds: many, so that a request finds a free and sound target among them, and few
+/// enough for the home's processor, at some requests a second for each slot.
+const SLOTS_PER_CELL: usize = 64;
+
+/// Returns the number of cells for targets; powers of two, so that it seldom changes as targets come and go.
+fn cells_for(targets: &[bundle::Target]) -> usize {
+    let slots: usize = targets.iter().map(|t| t.slots).sum();
+    slots.div_ceil(SLOTS_PER_CELL).next_power_of_two()
+}
+
 /// What stands under one key of the targets.
 #[derive(Clone, Debug)]
 struct Slot {
@@ -143,6 +153,10 @@
             service.targets = own.map(|t| t.target.clone()).collect();
             // Avoiding protects callers of a platform's targets; none is taken out of service as a whole.
             service.floor = service.targets.len();
+            let cells = cells_for(&service.targets);
+            service.cells = Some(cells);
+            // The burst is the whole service's.
+            service.retry.burst /= cells as f64;
         }
         Some(sync::Arc::new(bundle))
     }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -346,6 +346,7 @@
             idempotent,
             replayable: !more,
             fingerprint,
+            origin: ids::Place::of(&self.options.settings.domain),
             peers: Vec::new(),
         };
         let outgoing = exchange::Outgoing {
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -250,6 +250,7 @@
             idempotent: ask.idempotent,
             replayable: ask.replayable,
             fingerprint: ask.fingerprint,
+            origin: ask.origin,
         }
     }
 }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -40,6 +40,8 @@
     pub replayable: bool,
     /// What the request does, for the quarantine.
     pub fingerprint: ids::Fingerprint,
+    /// The entry's failure domain.
+    pub origin: ids::Place,
     /// The load and evidence of the service's other cells, as the entry last saw them.
     pub peers: Vec<Summary>,
 }
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -35,6 +35,12 @@
 /// The most tries of one request.
 const TRIES: u64 = 10;
 
+/// The most cells that the targets of a service are dealt to.
+const CELLS: u64 = 10_000;
+
+/// The most retries that may come at once.
+const MOST_BURST: f64 = 1_000_000.0;
+
 /// The highest weight of a share.
 const WEIGHT: u64 = 1_000_000;
 
@@ -183,6 +189,7 @@
             "floor",
             "deadline_ms",
             "queue",
+            "cells",
             "ejection",
             "retry",
             "targets",
@@ -190,6 +197,7 @@
         unique_name(service, "service", &mut names.services);
         within(service, "deadline_ms", 1, LONGEST_MS);
         within(service, "queue", 0, QUEUE);
+        within(service, "cells", 1, CELLS);
         if let Some(table) = service.optional("ejection").and_then(|e| e.table()) {
             check_ejection(table);
         }
@@ -232,7 +240,10 @@
 }
 
 fn check_retry(table: reader::Table<'_>) {
-    table.known(&["budget_pct", "tries"]);
+    table.known(&["budget_pct", "tries", "burst"]);
+    if let Some(burst) = table.optional("burst") {
+        burst.number(0.0..=MOST_BURST);
+    }
     if let Some(budget) = table.optional("budget_pct") {
         budget.number(0.0..=100.0);
     }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::clock;
+use crate::state::hash;
 use crate::state::ids;
 
 pub(crate) mod check;
@@ -92,6 +93,9 @@
     /// The requests that may wait in the queue of one cell.
     #[serde(default = "default_queue")]
     pub queue: usize,
+    /// The cells that the targets are dealt to, whatever their failure domains; one for each failure domain where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cells: Option<usize>,
     /// How targets are judged.
     #[serde(default)]
     pub ejection: Ejection,
@@ -132,6 +136,8 @@
     pub budget_pct: f64,
     /// Tries of one request, the first included.
     pub tries: u32,
+    /// The retries that may come at once in one cell, whatever the share.
+    pub burst: f64,
 }
 
 impl Default for Retry {
@@ -139,6 +145,7 @@
         Retry {
             budget_pct: 10.0,
             tries: 3,
+            burst: 10.0,
         }
     }
 }
@@ -222,6 +229,9 @@
     pub idle_ms: clock::Millis,
 }
 
+/// What stands for the failure domain of cells that targets are dealt to; no failure domain's name begins so.
+const DEALT_PREFIX: &str = "#";
+
 fn default_deadline() -> clock::Millis {
     clock::Millis(10_000)
 }
@@ -280,20 +290,29 @@
             floor: 0,
             deadline_ms: default_deadline(),
             queue: 0,
+            cells: None,
             ejection: Ejection::default(),
             retry: Retry::default(),
             targets: Vec::new(),
         }
     }
 
+    /// Returns the cell of one of the targets.
+    pub fn cell_of(&self, target: &Target) -> ids::CellId {
+        match self.cells {
+            Some(cells) => {
+                let dealt = hash::hash(&[&target.name]) % cells.max(1) as u64;
+                ids::CellId::new(&self.name, &format!("{DEALT_PREFIX}{dealt}"))
+            }
+            None => ids::CellId::new(&self.name, &target.domain),
+        }
+    }
+
     /// Groups the targets by their cells.
     pub fn cells(&self) -> BTreeMap<ids::CellId, Vec<&Target>> {
         let mut cells = BTreeMap::<ids::CellId, Vec<&Target>>::new();
         for target in &self.targets {
-            cells
-                .entry(ids::CellId::new(&self.name, &target.domain))
-                .or_default()
-                .push(target);
+            cells.entry(self.cell_of(target)).or_default().push(target);
         }
         cells
     }
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::state::hash;
+
 /// One service's targets in one failure domain: the unit that has a home.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellId {
@@ -64,6 +66,19 @@
 )]
 pub struct Ticket(pub u64);
 
+/// A failure domain, by a hash of its name.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Place(pub u64);
+
+impl Place {
+    /// Returns the failure domain called `name`.
+    pub fn of(name: &str) -> Place {
+        Place(hash::hash(&[name]))
+    }
+}
+
 /// Identifies what a request does, for the quarantine of requests that crash targets.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub mod bundle;
 pub mod clock;
 pub mod findings;
+pub mod hash;
 pub mod ids;
 pub mod index;
 pub mod operator;
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -30,6 +30,7 @@
         floor,
         deadline_ms: Millis(10_000),
         queue: 4,
+        cells: None,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry {
             budget_pct: 100.0,
@@ -47,6 +48,7 @@
         objective: Millis(1_000_000),
         tries: u32::MAX,
         used: 0,
+        origin: ids::Place::default(),
         idempotent: true,
         replayable: true,
         fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -150,6 +150,7 @@
                     objective: self.now + Millis(span),
                     tries: u32::MAX,
                     used: 0,
+                    origin: ids::Place::default(),
                     idempotent,
                     replayable,
                     fingerprint: ids::Fingerprint(print),
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -171,6 +171,7 @@
         floor: scene.floor,
         deadline_ms: Millis(10_000),
         queue: 100,
+        cells: None,
         ejection: bundle::Ejection {
             avoid: scene.avoid,
             eject: scene.eject,
@@ -261,6 +262,7 @@
             objective: self.now + Millis(10_000),
             tries: u32::MAX,
             used: 0,
+            origin: ids::Place::default(),
             idempotent,
             replayable: idempotent,
             fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -31,6 +31,7 @@
         floor: 1,
         deadline_ms: Millis(10_000),
         queue: 100,
+        cells: None,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry::default(),
         targets: domains.iter().map(|d| target(d, d)).collect(),
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -60,6 +60,7 @@
                 floor: self.floor,
                 deadline_ms: clock::Millis(10_000),
                 queue: 100,
+                cells: None,
                 ejection: bundle::Ejection::default(),
                 retry: bundle::Retry::default(),
                 targets,
