--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -28,6 +28,7 @@
         deadline_ms: Millis(10_000),
         queue,
         cells: None,
+        soundness: false,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry::default(),
         targets: targets.collect(),
--- a/crates/lab/src/fleet/files.rs
+++ b/crates/lab/src/fleet/files.rs
@@ -71,6 +71,7 @@
             peer: place.peer,
             advertise: place.advertise,
             admin: place.admin,
+            ready: None,
             platform: settings::Platform {
                 address: place.platform,
                 timeout_ms: clock::Millis(1_000),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -294,6 +294,7 @@
         };
         bundle::Bundle {
             version: 1,
+            callers: None,
             tiers: TIERS.iter().map(tier).collect(),
             unknown: bundle::Unknown::LastTier,
             organisations: TIERS.iter().map(organisation).collect(),
@@ -326,6 +327,7 @@
             deadline_ms: clock::Millis(5_000),
             queue: QUEUE,
             cells: None,
+            soundness: false,
             ejection: service.ejection.clone(),
             retry: bundle::Retry::default(),
             targets: list.collect(),
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -172,7 +172,13 @@
             cell::Outcome::TimedOut => {
                 self.sends[send].lost = Some(refusal::Cause::TargetTimeout);
             }
-            cell::Outcome::Answered | cell::Outcome::Shed | cell::Outcome::ConnectFailed => {}
+            cell::Outcome::Answered
+            | cell::Outcome::Shed
+            | cell::Outcome::ConnectFailed
+            | cell::Outcome::NotRun
+            | cell::Outcome::Misplaced
+            | cell::Outcome::Unlisted
+            | cell::Outcome::Withdrawn => {}
         }
         self.drive(world, place, cell::Event::Done { ticket, outcome });
         if outcome == cell::Outcome::Answered {
@@ -326,9 +332,13 @@
     let refusal = match last {
         Some(cell::Outcome::Answered) => return world::Answer::Served,
         Some(cell::Outcome::Failed | cell::Outcome::Shed) => return world::Answer::Failed,
-        Some(cell::Outcome::ConnectFailed) => {
-            refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(fleet::RETRY_SOON))
-        }
+        Some(
+            cell::Outcome::ConnectFailed
+            | cell::Outcome::NotRun
+            | cell::Outcome::Misplaced
+            | cell::Outcome::Unlisted
+            | cell::Outcome::Withdrawn,
+        ) => refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(fleet::RETRY_SOON)),
         Some(cell::Outcome::TimedOut) => refusal::Refusal::unknown(refusal::Cause::TargetTimeout),
         Some(cell::Outcome::Broken) | None => {
             refusal::Refusal::unknown(refusal::Cause::TargetBroke)
--- a/crates/lab/src/replay/scene.rs
+++ b/crates/lab/src/replay/scene.rs
@@ -279,6 +279,7 @@
         deadline_ms: clock::Millis(10_000),
         queue: QUEUE,
         cells: None,
+        soundness: false,
         ejection: fleet.ejection.clone(),
         retry: fleet.retry.clone(),
         targets: targets.collect(),
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -131,7 +131,10 @@
         Some(Fit {
             clash: suspect && target.suspects > 0,
             rank,
-            doubt: target.doubt.level(now),
+            doubt: match self.rules.soundness {
+                true => target.doubt.level(now),
+                false => 0,
+            },
             crowded: target.busy + 1 >= target.slots(now).max(2),
             far: target.place != work.arrival.origin,
             score: if rank == Rank::Avoided {
@@ -152,6 +155,9 @@
         work: &queue::Waiting,
         target: &target::Target,
     ) -> bool {
+        if !self.rules.soundness {
+            return true;
+        }
         let repeatable = work.arrival.idempotent && work.arrival.replayable;
         let most = if repeatable {
             MOST_DOUBT
@@ -207,10 +213,11 @@
         for (_, other) in others.filter(|(_, t)| !t.is_normal()) {
             other.trial.pass_by();
         }
-        if work.tries == 0 && work.excluded.is_empty() {
+        if work.tries == 0 {
             self.budget.earn();
         }
         work.tries += 1;
+        work.sent += 1;
         let running = Running {
             work,
             target: name.to_owned(),
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -228,7 +228,7 @@
         };
         let mut work = run.work;
         work.excluded.push(run.target);
-        work.tries -= 1;
+        work.sent -= 1;
         let again = self.may_retry(now, &work) && self.holds_more();
         self.put_back(now, work, again, actions);
     }
@@ -249,7 +249,7 @@
         self.judge(now, &run.target, class, run.added, actions);
         let mut work = run.work;
         work.excluded.push(run.target);
-        work.tries -= 1;
+        work.sent -= 1;
         // Nothing was sent: another try is no second run, and no load on any target.
         let again = self.may_retry(now, &work) && self.holds_more();
         self.put_back(now, work, again, actions);
@@ -369,7 +369,7 @@
         !self.draining
             && now < work.arrival.deadline
             && self.budget.allows(work.tries)
-            && work.tries < work.arrival.tries
+            && work.sent < work.arrival.tries
             && self.targets.iter().any(untried)
     }
 
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -77,6 +77,8 @@
 #[derive(Debug, Default)]
 struct Rules {
     queue: usize,
+    /// Whether targets are ranked by doubt.
+    soundness: bool,
     ejection: bundle::Ejection,
     /// The ejections that the service's floor allows.
     spare: usize,
@@ -239,6 +241,7 @@
                 expiry: self.expiry(now, arrival.deadline),
                 place: self.count,
                 tries: arrival.used,
+                sent: arrival.used,
                 excluded: Vec::new(),
                 lost: None,
             }),
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -20,6 +20,8 @@
     pub(super) place: u64,
     /// The tries that it had.
     pub(super) tries: u32,
+    /// The tries that were sent to a target.
+    pub(super) sent: u32,
     /// The targets that it is not tried at again.
     pub(super) excluded: Vec<String>,
     /// Why its outcome is unknown, where it may have run.
--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -31,6 +31,7 @@
         let healthy = service.targets.iter().filter(|t| !t.leaving).count();
         self.rules = Rules {
             queue: service.queue,
+            soundness: service.soundness,
             ejection: service.ejection.clone(),
             spare: healthy.saturating_sub(service.floor),
         };
--- a/src/daemon/passing.rs
+++ b/src/daemon/passing.rs
@@ -39,6 +39,8 @@
     body: Incoming,
     until: pin::Pin<Box<timers::Sleep>>,
     rest: Option<Rest>,
+    /// What cut the answer, until what came before it has been passed on.
+    cut: Option<body::Error>,
 }
 
 /// What is done with at the end.
@@ -61,6 +63,7 @@
                 pool: options.pool,
                 lane: options.lane,
             }),
+            cut: None,
         };
         if passing.body.is_end_stream() {
             passing.finish();
@@ -68,6 +71,14 @@
         passing
     }
 
+    /// Cuts the answer, and lets the server write what came before: it drops that with the error.
+    fn cut<T>(&mut self, cx: &task::Context<'_>, error: body::Error) -> task::Poll<T> {
+        self.rest = None;
+        self.cut = Some(error);
+        cx.waker().wake_by_ref();
+        task::Poll::Pending
+    }
+
     /// Gives back what the answer held.
     fn finish(&mut self) {
         let Some(mut rest) = self.rest.take() else {
@@ -89,11 +100,13 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<Frame<Bytes>, body::Error>>> {
+        if let Some(error) = self.cut.take() {
+            return task::Poll::Ready(Some(Err(error)));
+        }
         let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
         let task::Poll::Ready(next) = polled else {
             if self.until.as_mut().poll(cx).is_ready() {
-                self.rest = None;
-                return task::Poll::Ready(Some(Err(Box::new(body::Cut))));
+                return self.cut(cx, Box::new(body::Cut));
             }
             return task::Poll::Pending;
         };
@@ -104,10 +117,7 @@
                 }
                 task::Poll::Ready(Some(Ok(frame)))
             }
-            Some(Err(e)) => {
-                self.rest = None;
-                task::Poll::Ready(Some(Err(Box::new(e))))
-            }
+            Some(Err(e)) => self.cut(cx, Box::new(e)),
             None => {
                 self.finish();
                 task::Poll::Ready(None)
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -190,6 +190,7 @@
             "deadline_ms",
             "queue",
             "cells",
+            "soundness",
             "ejection",
             "retry",
             "targets",
@@ -198,6 +199,7 @@
         within(service, "deadline_ms", 1, LONGEST_MS);
         within(service, "queue", 0, QUEUE);
         within(service, "cells", 1, CELLS);
+        service.optional("soundness").and_then(|s| s.boolean());
         if let Some(table) = service.optional("ejection").and_then(|e| e.table()) {
             check_ejection(table);
         }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -96,6 +96,9 @@
     /// The cells that the targets are dealt to, whatever their failure domains; one for each failure domain where absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cells: Option<usize>,
+    /// Whether targets are ranked by how their last requests went, for targets that fail briefly and often.
+    #[serde(default)]
+    pub soundness: bool,
     /// How targets are judged.
     #[serde(default)]
     pub ejection: Ejection,
@@ -291,6 +294,7 @@
             deadline_ms: default_deadline(),
             queue: 0,
             cells: None,
+            soundness: false,
             ejection: Ejection::default(),
             retry: Retry::default(),
             targets: Vec::new(),
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -31,10 +31,12 @@
         deadline_ms: Millis(10_000),
         queue: 4,
         cells: None,
+        soundness: false,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry {
             budget_pct: 100.0,
             tries: 3,
+            ..bundle::Retry::default()
         },
         targets: targets.collect(),
     }
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -172,6 +172,7 @@
         deadline_ms: Millis(10_000),
         queue: 100,
         cells: None,
+        soundness: false,
         ejection: bundle::Ejection {
             avoid: scene.avoid,
             eject: scene.eject,
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -32,6 +32,7 @@
         deadline_ms: Millis(10_000),
         queue: 100,
         cells: None,
+        soundness: false,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry::default(),
         targets: domains.iter().map(|d| target(d, d)).collect(),
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -52,6 +52,7 @@
         };
         bundle::Bundle {
             version: self.version,
+            callers: None,
             tiers: ["paying", "free"].map(tier).into(),
             unknown: bundle::Unknown::default(),
             organisations: Vec::new(),
@@ -61,6 +62,7 @@
                 deadline_ms: clock::Millis(10_000),
                 queue: 100,
                 cells: None,
+                soundness: false,
                 ejection: bundle::Ejection::default(),
                 retry: bundle::Retry::default(),
                 targets,
--- a/tests/testsuite/support/fleet.rs
+++ b/tests/testsuite/support/fleet.rs
@@ -41,6 +41,7 @@
             peer: free,
             advertise: None,
             admin: free,
+            ready: None,
             platform: settings::Platform {
                 address: free,
                 timeout_ms: clock::Millis(1_000),
