--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -235,16 +235,21 @@
     fn arrive(&mut self, now: clock::Millis, arrival: Arrival, actions: &mut Vec<Action>) {
         self.count += 1;
         match self.admit(now, &arrival) {
-            Ok(()) => self.queue.push(queue::Waiting {
-                arrival,
-                since: now,
-                expiry: self.expiry(now, arrival.deadline),
-                place: self.count,
-                tries: arrival.used,
-                sent: arrival.used,
-                excluded: Vec::new(),
-                lost: None,
-            }),
+            Ok(()) => {
+                if arrival.used > 0 {
+                    self.budget.spend();
+                }
+                self.queue.push(queue::Waiting {
+                    arrival,
+                    since: now,
+                    expiry: self.expiry(now, arrival.deadline),
+                    place: self.count,
+                    tries: arrival.used,
+                    sent: arrival.used,
+                    excluded: Vec::new(),
+                    lost: None,
+                });
+            }
             Err(refusal) => actions.push(Action::Refuse {
                 ticket: arrival.ticket,
                 refusal,
@@ -272,6 +277,10 @@
         if wait > clock::Millis::ZERO && now + wait + run >= arrival.deadline {
             return refuse(refusal::Cause::DeadlineTooShort, Some(retry_after(wait)));
         }
+        // Another home has sent the request before: here too that is a retry.
+        if arrival.used > 0 && !self.budget.funded() {
+            return refuse(refusal::Cause::TargetShed, Some(retry_after(wait)));
+        }
         Ok(())
     }
 
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -156,9 +156,11 @@
         trial.min(self.ramp.next(now, self.total))
     }
 
-    /// Pauses it after it shed a request: it sheds load, or drains.
+    /// Pauses it after it shed a request: it sheds load, or drains. One that sheds with slots to spare does so by some
+    /// fault, whatever its load, and gets no longer pauses.
     pub(super) fn pause_shedding(&mut self, now: clock::Millis) {
-        self.pause(now, SHEDDING_DOUBLINGS);
+        let full = self.busy + 1 >= self.total;
+        self.pause(now, if full { SHEDDING_DOUBLINGS } else { 0 });
     }
 
     /// Pauses it after it took no connection: it may be restarting.
--- a/src/coordination/member/rings.rs
+++ b/src/coordination/member/rings.rs
@@ -2,7 +2,8 @@
 //!
 //! Every member stands on several rings, each in an order of its own, and watches its successor on each. The successors
 //! of all members together make a graph of constant degree and logarithmic diameter, so that the cost a daemon does not
-//! grow with the fleet, and news reaches everyone within few hops.
+//! grow with the fleet, and news reaches everyone within few hops. On all rings but one, members of one failure domain
+//! stand together: most probes stay within it, and each member still has a watcher that is anywhere.
 
 use std::collections::BTreeSet;
 
@@ -14,9 +15,21 @@
 /// A member's places on the rings.
 pub(super) type Points = [u64; RINGS];
 
-/// Returns the places of the member called `name`.
-pub(super) fn points(name: &str) -> Points {
-    ["ring-0", "ring-1", "ring-2", "ring-3"].map(|ring| homes::hash(&[ring, name]))
+/// The bits of a place that the failure domain decides where its members stand together.
+const DOMAIN_BITS: u32 = 16;
+
+/// Returns the places of the member called `name` in `domain`.
+pub(super) fn points(name: &str, domain: &str) -> Points {
+    let together = |ring| {
+        let place = homes::hash(&[ring, name]) >> DOMAIN_BITS;
+        homes::hash(&[ring, "domain", domain]) << (u64::BITS - DOMAIN_BITS) | place
+    };
+    [
+        homes::hash(&["ring-0", name]),
+        together("ring-1"),
+        together("ring-2"),
+        together("ring-3"),
+    ]
 }
 
 /// The members next to one member.
--- a/src/coordination/member/table.rs
+++ b/src/coordination/member/table.rs
@@ -265,7 +265,8 @@
 
     /// Finds the members next to the one called `name` among those that live.
     pub(super) fn neighbours_of(&self, name: &str) -> rings::Neighbours {
-        let at = rings::points(name);
+        let known = self.members.get(name).map(|e| e.points);
+        let at = known.unwrap_or_else(|| rings::points(name, ""));
         let live = self.members.iter().filter(|(_, e)| e.is_live());
         let mut places = live.map(|(name, e)| (name.as_str(), &e.points));
         rings::neighbours(name, &at, &mut places)
@@ -361,8 +362,8 @@
         self.moved |= lives != lived;
         self.changed = true;
         let entry = Entry {
+            points: rings::points(name, &about.domain),
             about,
-            points: rings::points(name),
             since: now,
         };
         self.members.insert(name.to_owned(), entry);
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -305,6 +305,8 @@
 fn transport(timing: &Timing) -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config
+        // Messages are short: looking for longer packets costs each connection more than all of them.
+        .mtu_discovery_config(None)
         .max_idle_timeout((timing.idle.max(timing.silence).span() * 2).try_into().ok())
         .max_concurrent_bidi_streams(pool::FIRST_STREAMS.into())
         .max_concurrent_uni_streams(SIGNALS.into())
