coordination: the limit on doubt rises as a request's time to wait runs out

Cause: targets that break connections at once have free slots at once, and drew what waited under load; avoided targets passed by the limit on doubt. Kept: the limit rises to 1 until the objective can just be met.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -18,12 +18,14 @@
 /// The longest time that a request waits for a target in favour while one that is avoided is free.
 const MOST_PATIENCE: clock::Millis = clock::Millis(1_000);
 
-/// The doubt above which a target is kept for requests that have waited, where they may run more than once.
+/// The doubt above which a target takes one request at a time.
+const SINGLE_DOUBT: f64 = 0.5;
+/// The highest doubt for requests that may run more than once: most of these are served by the next try.
 const MOST_DOUBT: f64 = 0.7;
-/// The same for requests that have one try.
+/// The highest doubt for requests that have one try.
 const MOST_DOUBT_ONCE: f64 = 0.4;
-/// How long a request waits for a target that is sound enough: about the time in which several slots come free.
-pub(super) const SOUND_PATIENCE: clock::Millis = clock::Millis(300);
+/// The shortest time in which a waiting request comes to accept any target.
+const LEAST_PATIENCE: clock::Millis = clock::Millis(100);
 
 /// How well a free target fits a request; the least is taken.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -119,12 +121,14 @@
     ) -> Option<Fit> {
         let print = work.arrival.fingerprint;
         let suspect = self.strikes.suspects(now, print, name);
+        if !self.is_sound_enough(now, work, target) {
+            return None;
+        }
         let rank = match target.awaits_trial(now) {
             true if work.fits_trial() && !suspect => Rank::Trial,
             _ if !target.is_free(now) => return None,
             _ if !target.is_normal() && self.patient_until() > now => return None,
             _ if !target.is_normal() => Rank::Avoided,
-            _ if !self.is_sound_enough(now, work, target) => return None,
             _ if target.overdue > 0 => Rank::Overdue,
             _ => Rank::Normal,
         };
@@ -147,8 +151,11 @@
         })
     }
 
-    /// Returns whether a target is sound enough for a request: while it has not waited for long, one of the sounder ones is
-    /// likely to come free. Work that has one try only is held to more.
+    /// Returns whether a target is sound enough for a request.
+    ///
+    /// Work that has one try only is held to more than work that may be repeated. A target that fails at once has its slot
+    /// free at once: without a limit it would draw all that waits under load. So the limit rises only as the request's
+    /// time to wait runs out, and a target in doubt takes one request at a time.
     fn is_sound_enough(
         &self,
         now: clock::Millis,
@@ -158,19 +165,29 @@
         if !self.rules.soundness {
             return true;
         }
+        let doubt = target.doubt.value(now);
+        if doubt > SINGLE_DOUBT && target.busy > 0 {
+            return false;
+        }
+        let most = self.most_doubt(now, work);
+        // Where no target is sound enough, there is nothing to wait for.
+        let mut others = self.targets.values().filter(|t| t.takes_work());
+        doubt <= most || !others.any(|t| t.doubt.value(now) <= most)
+    }
+
+    /// Returns the highest doubt about a target that a request is sent to.
+    fn most_doubt(&self, now: clock::Millis, work: &queue::Waiting) -> f64 {
         let repeatable = work.arrival.idempotent && work.arrival.replayable;
-        let most = if repeatable {
+        let least = if repeatable {
             MOST_DOUBT
         } else {
             MOST_DOUBT_ONCE
         };
-        let doubt = target.doubt.value(now);
-        if doubt <= most || now - work.since >= SOUND_PATIENCE {
-            return true;
-        }
-        // Where no target is sound enough, there is nothing to wait for.
-        let mut others = self.targets.values().filter(|t| t.takes_work());
-        !others.any(|t| t.doubt.value(now) <= most)
+        let run = clock::Millis(self.hold.unwrap_or_default() as u64);
+        let patience = (work.arrival.objective - run) - work.since;
+        let patience = patience.max(LEAST_PATIENCE);
+        let waited = (now - work.since).0 as f64 / patience.0 as f64;
+        least + (1.0 - least) * waited.min(1.0)
     }
 
     /// Returns when waiting requests may go to targets that are avoided.
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -14,6 +14,9 @@
 /// A tick that comes later than this after it was due shows that the home itself was paused.
 const LATE_SPAN: clock::Millis = clock::Millis(100);
 
+/// How often waiting requests are looked at again, as they come to accept targets that are in doubt.
+const PATIENCE_STEP: clock::Millis = clock::Millis(50);
+
 impl Cell {
     /// Returns when [`cell::Event::Tick`] is due at the latest; later than the last event that was handled.
     pub fn wake(&self) -> clock::Millis {
@@ -22,9 +25,8 @@
             .min(first(self.held.first().map(|h| h.0)))
             .min(first(self.lingering.first().map(|l| l.0)))
             .min(self.queue.deadline());
-        if let Some(since) = self.queue.oldest() {
-            let patient = since + super::dispatch::SOUND_PATIENCE;
-            wake = wake.min(patient.max(self.last + clock::Millis(50)));
+        if self.rules.soundness && !self.queue.is_empty() {
+            wake = wake.min(self.last + PATIENCE_STEP);
         }
         let patience = self.patient_until();
         for (name, target) in &self.targets {
