coordination: quarantine only what comes again; bundles of changes that come together

Now three targets must break, which no single request reaches, and changes of 60 ms are published together. Doubt fades within 5 s at most: with 20 s, targets that were sound again stood idle.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -178,10 +178,9 @@
     /// Returns the highest doubt about a target that a request is sent to.
     fn most_doubt(&self, now: clock::Millis, work: &queue::Waiting) -> f64 {
         let repeatable = work.arrival.idempotent && work.arrival.replayable;
-        let least = if repeatable {
-            MOST_DOUBT
-        } else {
-            MOST_DOUBT_ONCE
+        let least = match repeatable {
+            true => MOST_DOUBT,
+            false => MOST_DOUBT_ONCE,
         };
         let run = clock::Millis(self.hold.unwrap_or_default() as u64);
         let patience = (work.arrival.objective - run) - work.since;
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -272,7 +272,7 @@
             self.judge(now, &name, evidence::Class::Failed, added, actions);
         }
         let struck = suspect || blame != target::Blame::Request;
-        let guilty = struck && self.strikes.add(now, print, &name);
+        let guilty = struck && self.strikes.add(now, print, &name, self.rules.soundness);
         if guilty {
             self.convict(now, print, actions);
         }
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -14,6 +14,9 @@
 const STRIKE_SPAN: clock::Millis = clock::Millis(600_000);
 /// The targets that a request crashes before it is quarantined.
 const TARGETS: usize = 2;
+/// The same where sound requests are broken often: more targets than one request is sent to, so that only one that comes
+/// again is quarantined.
+const TARGETS_OF_MANY: usize = 3;
 /// The crashes of one and the same target before the request is quarantined.
 const REPEATS: u32 = 3;
 /// The fingerprints that one table holds; the ones closest to expiry give way.
@@ -64,11 +67,18 @@
 }
 
 impl Strikes {
-    /// Counts a crash of `target`; returns whether the fingerprint is to be quarantined.
+    /// Counts a crash of `target`; returns whether the fingerprint is to be quarantined. `noisy` tells that targets break
+    /// the connections of sound requests often.
     ///
     /// Crashes of one target alone need a third strike: a target that breaks connections by its own fault must not bring
     /// ordinary requests into quarantine.
-    pub fn add(&mut self, now: clock::Millis, fingerprint: ids::Fingerprint, target: &str) -> bool {
+    pub fn add(
+        &mut self,
+        now: clock::Millis,
+        fingerprint: ids::Fingerprint,
+        target: &str,
+        noisy: bool,
+    ) -> bool {
         self.by_print.retain(|_, s| s.last + STRIKE_SPAN > now);
         let strike = self.by_print.entry(fingerprint).or_insert_with(|| Strike {
             targets: Vec::new(),
@@ -80,7 +90,8 @@
         if !strike.targets.iter().any(|t| t == target) {
             strike.targets.push(target.to_owned());
         }
-        let guilty = strike.targets.len() >= TARGETS || strike.count >= REPEATS;
+        let targets = if noisy { TARGETS_OF_MANY } else { TARGETS };
+        let guilty = strike.targets.len() >= targets || strike.count >= REPEATS;
         evict(&mut self.by_print, |s| s.last);
         guilty
     }
--- a/src/coordination/soundness.rs
+++ b/src/coordination/soundness.rs
@@ -13,8 +13,8 @@
 const PRIOR: f64 = 0.15;
 /// The time in which what is known of a target loses most of its weight: about as long as a target stays bad.
 const FADING_MS: f64 = 2_500.0;
-/// The longest such time, for a target that failed again each time that it was tried.
-const MOST_FADING_MS: f64 = 20_000.0;
+/// The same for a target that failed several times in a row.
+const LONG_FADING_MS: f64 = 5_000.0;
 
 /// The likelihoods of one outcome, at a target that is bad and at one that is sound.
 struct Likelihood {
@@ -67,8 +67,10 @@
 
     /// Returns the probability that the target is bad.
     pub fn value(&self, now: clock::Millis) -> f64 {
-        let doublings = self.failures.saturating_sub(1).min(4);
-        let fading = (FADING_MS * f64::from(1 << doublings)).min(MOST_FADING_MS);
+        let fading = match self.failures {
+            0 | 1 => FADING_MS,
+            _ => LONG_FADING_MS,
+        };
         let weight = (-((now - self.at).0 as f64) / fading).exp();
         PRIOR + (self.value - PRIOR) * weight
     }
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -26,6 +26,10 @@
 /// How long ago the platform may have answered a peer whose news is fresh: a wait and the longest call.
 const FRESH_SPAN: clock::Millis = clock::Millis(1_800);
 
+/// How long changes are gathered before a bundle is published: a small part of the time within which they must be in
+/// force, since each bundle costs every part of the daemon time.
+const PUBLISH_SPAN: clock::Millis = clock::Millis(60);
+
 /// What the registry works with.
 pub struct Options {
     /// The daemon's name.
@@ -270,6 +274,8 @@
     /// The topics to be read as a whole, since the platform dropped its history.
     forgotten: BTreeSet<Topic>,
     lost: bool,
+    /// What changed since the bundle was last published, and when it first did.
+    unpublished: Option<(clock::Millis, String)>,
     /// When the registry is to be ticked.
     armed: clock::Millis,
 }
@@ -298,6 +304,7 @@
             fresh: BTreeMap::new(),
             forgotten: BTreeSet::new(),
             lost: false,
+            unpublished: None,
             armed: clock::Millis::MAX,
         })
     }
@@ -325,10 +332,11 @@
             Message::Tick => {
                 state.armed = clock::Millis::MAX;
                 if state.registry.tick(now) {
-                    state.publish("targets did not come back");
+                    state.note_change(now, "targets did not come back");
                 }
             }
         }
+        state.publish_due(now);
         state.arm(&myself, now);
         Ok(())
     }
@@ -372,7 +380,7 @@
                 self.note_contact(now);
                 self.log(topic, &reading, "platform");
                 if self.registry.take(now, topic, &reading) {
-                    self.publish(topic.as_str());
+                    self.note_change(now, topic.as_str());
                 }
             }
             Err(source::Error::Forgotten) => {
@@ -410,7 +418,7 @@
             changed |= self.registry.take_news(now, topic, reading);
         }
         if changed {
-            self.publish("news of a peer");
+            self.note_change(now, "news of a peer");
         }
     }
 
@@ -473,6 +481,21 @@
         }
     }
 
+    /// Notes that the bundle is another one now; changes that come together are published together.
+    fn note_change(&mut self, now: clock::Millis, why: &str) {
+        self.unpublished.get_or_insert((now, why.to_owned()));
+        // Peers that wait for news are told at once.
+        self.news.send_modify(|n| *n += 1);
+    }
+
+    fn publish_due(&mut self, now: clock::Millis) {
+        let first = self.bundle.borrow().version == 0;
+        let due = |(since, _): &mut (clock::Millis, String)| first || now - *since >= PUBLISH_SPAN;
+        if let Some((_, why)) = self.unpublished.take_if(due) {
+            self.publish(&why);
+        }
+    }
+
     fn publish(&mut self, why: &str) {
         let Some(bundle) = self.registry.bundle() else {
             return;
@@ -490,7 +513,6 @@
             "bundle in force"
         );
         self.bundle.send_replace(bundle);
-        self.news.send_modify(|n| *n += 1);
     }
 
     fn record(&self, kind: timeline::Kind, detail: &str) {
@@ -500,7 +522,15 @@
 
     /// Arms the timer for the registry's next tick.
     fn arm(&mut self, myself: &ActorRef<Message>, now: clock::Millis) {
-        let wake = self.registry.wake().max(now + clock::Millis(1));
+        let publish = self
+            .unpublished
+            .as_ref()
+            .map(|(since, _)| *since + PUBLISH_SPAN);
+        let wake = self
+            .registry
+            .wake()
+            .min(publish.unwrap_or(clock::Millis::MAX));
+        let wake = wake.max(now + clock::Millis(1));
         if wake >= self.armed || wake == clock::Millis::MAX {
             return;
         }
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -14,6 +14,7 @@
 mod retry;
 mod scene;
 mod scenes;
+mod soundness;
 
 /// Builds a service whose targets all stand in one failure domain.
 fn service(targets: usize, slots: usize, floor: usize) -> bundle::Service {
--- /dev/null
+++ b/tests/testsuite/cell/soundness.rs
@@ -0,0 +1,166 @@
+//! Targets that fail briefly and often: soundness, proofs that nothing ran, and the limits on sends.
+
+use super::*;
+
+/// A service whose targets are ranked by soundness.
+fn sound(targets: usize, slots: usize) -> bundle::Service {
+    bundle::Service {
+        soundness: true,
+        queue: 1_000,
+        ..service(targets, slots, targets)
+    }
+}
+
+/// Offers `count` requests, one each 10 ms, while one target breaks each connection at once and the other takes 100 ms;
+/// returns how many were broken.
+fn broken_under_load(rules: &bundle::Service, count: u64) -> usize {
+    let mut desk = Desk::new(rules);
+    let mut broken = 0;
+    let mut running = Vec::new();
+    let mut pending = Vec::new();
+    for ticket in 0..count {
+        let deadline = desk.now + Millis(2_000);
+        let objective = desk.now + Millis(1_000);
+        pending.extend(desk.arrive(cell::Arrival {
+            deadline,
+            objective,
+            ..writing(ticket)
+        }));
+        for _ in 0..10 {
+            pending.extend(desk.pass(1));
+            while let Some(action) = pending.pop() {
+                let Action::Grant { ticket, target } = action else {
+                    continue;
+                };
+                desk.handle(Event::Dispatch(ticket));
+                if target == "t0" {
+                    broken += 1;
+                    pending.extend(desk.done(ticket.0, Outcome::Broken));
+                } else {
+                    running.push((desk.now + Millis(100), ticket));
+                }
+            }
+            let now = desk.now;
+            let over: Vec<_> = running.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, ticket) in over {
+                pending.extend(desk.done(ticket.0, Outcome::Answered));
+                pending.extend(desk.handle(Event::Release(ticket)));
+            }
+        }
+    }
+    broken
+}
+
+#[test]
+fn a_target_that_breaks_at_once_does_not_draw_what_waits() {
+    let with = broken_under_load(&sound(2, 2), 300);
+    let mut rules = sound(2, 2);
+    rules.soundness = false;
+    let without = broken_under_load(&rules, 300);
+    assert!(
+        with * 4 < without,
+        "{with} of 300 broken, {without} without"
+    );
+}
+
+#[test]
+fn one_broken_connection_is_enough_to_pass_a_target_over() {
+    let mut desk = Desk::new(&sound(2, 3));
+    desk.warm(8);
+    let (bad, _) = desk.run(writing(1), 1, Outcome::Broken);
+    for ticket in 2..12 {
+        let (target, _) = desk.run(writing(ticket), 20, Outcome::Answered);
+        assert_ne!(target, bad);
+    }
+}
+
+#[test]
+fn a_target_in_doubt_is_tried_again_after_a_while() {
+    let mut desk = Desk::new(&sound(2, 1));
+    desk.warm(8);
+    let (bad, _) = desk.run(writing(1), 1, Outcome::Broken);
+    desk.pass(10_000);
+    let mut actions = desk.arrive(arrival(2));
+    actions.extend(desk.arrive(arrival(3)));
+    actions.extend(desk.pass(1_000));
+    let taken = |a: &Action| matches!(a, Action::Grant { target, .. } if *target == bad);
+    assert!(actions.iter().any(taken), "{actions:?}");
+}
+
+#[test]
+fn what_targets_prove_not_to_have_run_is_tried_elsewhere() {
+    let mut desk = Desk::new(&sound(2, 1));
+    let (target, actions) = desk.run(writing(1), 5, Outcome::NotRun);
+    assert_ne!(granted(&actions).unwrap(), target);
+}
+
+#[test]
+fn a_target_whose_address_another_one_has_gets_nothing_more() {
+    let mut desk = Desk::new(&sound(2, 1));
+    let (gone, actions) = desk.run(writing(1), 5, Outcome::Misplaced);
+    assert_ne!(granted(&actions).unwrap(), gone);
+    desk.handle(Event::Dispatch(ids::Ticket(1)));
+    desk.done(1, Outcome::Answered);
+    desk.handle(Event::Release(ids::Ticket(1)));
+    for ticket in 2..6 {
+        let (target, _) = desk.run(writing(ticket), 5, Outcome::Answered);
+        assert_ne!(target, gone);
+    }
+}
+
+#[test]
+fn only_what_was_sent_counts_against_the_tries_of_a_route() {
+    let once = cell::Arrival {
+        tries: 1,
+        ..arrival(1)
+    };
+    let mut desk = Desk::new(&sound(3, 1));
+    let (_, actions) = desk.run(once, 5, Outcome::ConnectFailed);
+    assert!(granted(&actions).is_some(), "nothing was sent before");
+    let mut desk = Desk::new(&sound(3, 1));
+    let (_, actions) = desk.run(once, 5, Outcome::Broken);
+    assert!(granted(&actions).is_none());
+}
+
+#[test]
+fn a_request_that_another_home_sent_takes_from_the_retry_budget() {
+    let mut rules = sound(4, 4);
+    rules.retry = bundle::Retry {
+        budget_pct: 1.0,
+        burst: 2.0,
+        tries: 5,
+    };
+    let mut desk = Desk::new(&rules);
+    let again = |ticket| cell::Arrival {
+        used: 1,
+        ..arrival(ticket)
+    };
+    assert!(granted(&desk.arrive(again(1))).is_some());
+    assert!(granted(&desk.arrive(again(2))).is_some());
+    let (_, refusal) = refused(&desk.arrive(again(3))).unwrap();
+    assert_eq!(refusal.cause, refusal::Cause::TargetShed);
+}
+
+#[test]
+fn of_equally_sound_targets_a_near_one_is_taken() {
+    let mut rules = sound(4, 4);
+    for (target, domain) in rules.targets.iter_mut().zip(["a", "b", "a", "b"]) {
+        target.domain = domain.to_owned();
+    }
+    rules.cells = Some(1);
+    let id = rules.cell_of(&rules.targets[0]);
+    let mut cell = cell::Cell::new(&id);
+    cell.handle(Millis::ZERO, Event::Rules(&rules));
+    let mut desk = Desk {
+        cell,
+        now: Millis(100_000),
+    };
+    for ticket in 0..4 {
+        let near = cell::Arrival {
+            origin: ids::Place::of("b"),
+            ..arrival(ticket)
+        };
+        let target = granted(&desk.arrive(near)).unwrap();
+        assert!(["t1", "t3"].contains(&target.as_str()), "{target}");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,5 +8,7 @@
 mod homes;
 mod path;
 mod quic;
+mod readers;
 mod refusal;
+mod registry;
 mod support;
--- /dev/null
+++ b/tests/testsuite/registry.rs
@@ -0,0 +1,202 @@
+//! What platforms and peers tell: order, outages, and targets that vanish.
+
+use peridotspread::coordination::registry::Registry;
+use peridotspread::protocol::source::{Change, Item, Reading, Told, Topic};
+use peridotspread::state::bundle;
+use peridotspread::state::clock::Millis;
+
+fn told(name: &str) -> Told {
+    Told {
+        service: "fees".to_owned(),
+        target: bundle::Target {
+            name: name.to_owned(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            domain: "lahore-1".to_owned(),
+            slots: 3,
+            connections: 3,
+            leaving: false,
+        },
+    }
+}
+
+fn change(key: &str, mark: u64, target: Option<&str>) -> Change {
+    Change {
+        topic: Topic::Targets,
+        key: key.to_owned(),
+        mark,
+        item: target.map(|t| Item::Target(told(t))),
+        grace: Millis::ZERO,
+    }
+}
+
+fn reading(changes: Vec<Change>, mark: u64) -> Reading {
+    Reading {
+        changes,
+        mark,
+        whole: false,
+    }
+}
+
+fn rules(version: u64, mark: u64) -> Reading {
+    let bundle = bundle::Bundle {
+        version,
+        services: vec![bundle::Service::without_targets("fees")],
+        ..bundle::Bundle::default()
+    };
+    let change = Change {
+        topic: Topic::Rules,
+        key: String::new(),
+        mark,
+        item: Some(Item::Rules(Box::new(bundle))),
+        grace: Millis::ZERO,
+    };
+    reading(vec![change], mark)
+}
+
+/// A registry with rules and the targets a and b.
+fn registry() -> Registry {
+    let mut registry = Registry::default();
+    registry.take(Millis(1), Topic::Rules, &rules(7, 1));
+    let both = vec![change("a", 2, Some("a")), change("b", 3, Some("b"))];
+    registry.take(Millis(1), Topic::Targets, &reading(both, 3));
+    registry
+}
+
+fn names(registry: &Registry) -> Vec<String> {
+    let bundle = registry.bundle().expect("rules and targets are known");
+    let targets = bundle.services[0].targets.iter();
+    targets.map(|t| t.name.clone()).collect()
+}
+
+#[test]
+fn nothing_is_in_force_until_rules_and_targets_are_known() {
+    let mut registry = Registry::default();
+    assert!(registry.bundle().is_none());
+    registry.take(Millis(1), Topic::Rules, &rules(7, 1));
+    assert!(registry.bundle().is_none());
+    registry.take(Millis(1), Topic::Targets, &reading(Vec::new(), 1));
+    assert_eq!(registry.bundle().unwrap().version, 7);
+}
+
+#[test]
+fn rules_never_fall_back() {
+    let mut registry = registry();
+    assert!(!registry.take(Millis(2), Topic::Rules, &rules(6, 9)));
+    assert_eq!(registry.bundle().unwrap().version, 7);
+    assert!(registry.take(Millis(3), Topic::Rules, &rules(8, 10)));
+    assert_eq!(registry.bundle().unwrap().version, 8);
+}
+
+#[test]
+fn a_target_that_vanishes_while_the_platform_answers_is_gone_at_once() {
+    let mut registry = registry();
+    let gone = reading(vec![change("a", 4, None)], 4);
+    assert!(registry.take(Millis(10), Topic::Targets, &gone));
+    assert_eq!(names(&registry), ["b"]);
+}
+
+#[test]
+fn a_target_that_vanished_in_an_outage_is_kept_until_it_could_have_come_back() {
+    let mut registry = registry();
+    registry.lose(Millis(1_000));
+    registry.regain(Millis(9_000));
+    let gone = reading(vec![change("a", 4, None), change("b", 5, None)], 5);
+    assert!(!registry.take(Millis(9_010), Topic::Targets, &gone));
+    assert_eq!(names(&registry), ["a", "b"]);
+    let back = reading(vec![change("a", 6, Some("a"))], 6);
+    registry.take(Millis(10_500), Topic::Targets, &back);
+    assert!(!registry.tick(Millis(11_000)));
+    assert!(registry.tick(registry.wake()));
+    assert_eq!(names(&registry), ["a"]);
+}
+
+#[test]
+fn the_grace_after_an_outage_ends_well_before_three_seconds() {
+    let mut registry = registry();
+    registry.lose(Millis(1_000));
+    registry.regain(Millis(9_000));
+    let gone = reading(vec![change("a", 4, None)], 4);
+    registry.take(Millis(9_010), Topic::Targets, &gone);
+    assert!(registry.wake() < Millis(12_000));
+}
+
+#[test]
+fn a_peer_that_the_platform_answers_settles_that_a_target_is_gone() {
+    let mut registry = registry();
+    registry.lose(Millis(1_000));
+    let gone = reading(vec![change("a", 4, None)], 4);
+    assert!(registry.take_news(Millis(5_000), Topic::Targets, &gone));
+    assert_eq!(names(&registry), ["b"]);
+}
+
+#[test]
+fn a_peer_passes_its_grace_on() {
+    let mut first = registry();
+    first.lose(Millis(1_000));
+    first.regain(Millis(9_000));
+    let gone = reading(vec![change("a", 4, None)], 4);
+    first.take(Millis(9_010), Topic::Targets, &gone);
+    let news = first.news(Millis(9_500), Topic::Targets, 3);
+    let mut second = registry();
+    assert!(!second.take_news(Millis(100), Topic::Targets, &news));
+    assert_eq!(names(&second), ["a", "b"]);
+    assert!(second.tick(second.wake()));
+    assert_eq!(names(&second), ["b"]);
+}
+
+#[test]
+fn an_older_change_that_comes_late_changes_nothing() {
+    let mut registry = registry();
+    let gone = reading(vec![change("a", 5, None)], 5);
+    registry.take(Millis(10), Topic::Targets, &gone);
+    let late = reading(vec![change("a", 4, Some("a"))], 4);
+    assert!(!registry.take_news(Millis(20), Topic::Targets, &late));
+    assert_eq!(names(&registry), ["b"]);
+    assert_eq!(registry.mark(Topic::Targets), Some(5));
+}
+
+#[test]
+fn what_a_whole_reading_does_not_name_is_gone() {
+    let mut registry = registry();
+    let whole = Reading {
+        whole: true,
+        ..reading(vec![change("b", 3, Some("b"))], 8)
+    };
+    assert!(registry.take(Millis(10), Topic::Targets, &whole));
+    assert_eq!(names(&registry), ["b"]);
+}
+
+#[test]
+fn a_stale_whole_reading_drops_nothing_newer() {
+    let mut registry = registry();
+    let newer = reading(vec![change("c", 9, Some("c"))], 9);
+    registry.take(Millis(5), Topic::Targets, &newer);
+    let both = vec![change("a", 2, Some("a")), change("b", 3, Some("b"))];
+    let stale = Reading {
+        whole: true,
+        ..reading(both, 8)
+    };
+    registry.take(Millis(10), Topic::Targets, &stale);
+    assert_eq!(names(&registry), ["a", "b", "c"]);
+}
+
+#[test]
+fn an_entry_that_cannot_be_used_names_no_target_and_the_others_hold() {
+    let mut registry = registry();
+    let spoilt = reading(vec![change("a", 4, None)], 4);
+    registry.take(Millis(10), Topic::Targets, &spoilt);
+    assert_eq!(names(&registry), ["b"]);
+}
+
+#[test]
+fn a_peer_is_told_only_what_it_misses() {
+    let registry = registry();
+    assert_eq!(registry.news(Millis(5), Topic::Targets, 2).changes.len(), 1);
+    assert!(
+        registry
+            .news(Millis(5), Topic::Targets, 3)
+            .changes
+            .is_empty()
+    );
+    assert!(registry.news(Millis(5), Topic::Rules, 1).changes.is_empty());
+}
