--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -183,7 +183,7 @@
                 log::info!(
                     request = seen.name, id = id.to_string(), service = seen.service, home = seen.home,
                     tried = seen.tried, bundle = seen.version, outcome = refusal.outcome.as_str(),
-                    cause = refusal.cause.as_str(), retry_after_ms = refusal.retry_after.map(|r| r.0),
+                    cause = refusal.cause.as_str(), retry_after_ms = refusal.retry_after.unwrap_or_default().0,
                     took_ms = took.0;
                     "refused"
                 );
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -312,6 +312,7 @@
                 }
             };
             waits = matches!(verdict, Verdict::Abandon);
+            self.log(ask, &verdict);
             if self.pass_on(verdict, &mut send).await? {
                 return Ok(());
             }
@@ -329,6 +330,22 @@
         self.handle.tell(Message::Done { ticket, outcome });
     }
 
+    /// Logs a refusal with the state of the cell that led to it; grants show in how their tries end.
+    fn log(&self, ask: &peer::Ask, verdict: &Verdict) {
+        let Verdict::Refuse(refusal) = verdict else {
+            return;
+        };
+        let Some(summary) = self.handle.summary() else {
+            return;
+        };
+        log::info!(
+            request = ask.name, id = ask.request.to_string(), cell = ask.cell.to_string(), tier = ask.tier,
+            cause = refusal.cause.as_str(), left_ms = ask.left.0, used = ask.used, slots = summary.slots,
+            busy = summary.busy, queued = summary.queued, wait_ms = summary.wait.0;
+            "refused by the cell"
+        );
+    }
+
     /// Passes a verdict to the entry; returns whether it was the last.
     async fn pass_on(&mut self, verdict: Verdict, send: &mut Writer) -> Result<bool, frame::Error> {
         let (message, last) = match verdict {
