coordination: breadth while many requests fail, work for targets that join; news gathered for 100 ms

Joined targets that get nothing while others do are a waste of capacity; each gets its first request at once.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -29,6 +29,7 @@
         queue,
         cells: None,
         soundness: false,
+        breadth_pct: 0.0,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry::default(),
         targets: targets.collect(),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -328,6 +328,7 @@
             queue: QUEUE,
             cells: None,
             soundness: false,
+            breadth_pct: 0.0,
             ejection: service.ejection.clone(),
             retry: bundle::Retry::default(),
             targets: list.collect(),
--- a/crates/lab/src/replay/scene.rs
+++ b/crates/lab/src/replay/scene.rs
@@ -280,6 +280,7 @@
         queue: QUEUE,
         cells: None,
         soundness: false,
+        breadth_pct: 0.0,
         ejection: fleet.ejection.clone(),
         retry: fleet.retry.clone(),
         targets: targets.collect(),
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cmp;
 
+use crate::coordination::breadth;
 use crate::coordination::cell;
 use crate::coordination::evidence;
 use crate::protocol::refusal;
@@ -102,6 +103,9 @@
 
     /// Chooses the target for a request, if one is free for it.
     fn pick(&self, now: clock::Millis, work: &queue::Waiting) -> Option<(String, Rank)> {
+        if let Some(name) = self.left_out(now, work) {
+            return Some((name, Rank::Normal));
+        }
         let fits = self.targets.iter().filter_map(|(name, target)| {
             if work.excluded.contains(name) {
                 return None;
@@ -112,6 +116,37 @@
         best.map(|(fit, name)| (name.clone(), fit.rank))
     }
 
+    /// Returns a free target that joined and has had no work yet; else the soundest one without work of late, where too few
+    /// others get some while many requests fail.
+    fn left_out(&self, now: clock::Millis, work: &queue::Waiting) -> Option<String> {
+        if !self.rules.soundness {
+            return None;
+        }
+        let mut newcomers = self
+            .targets
+            .iter()
+            .filter(|(name, t)| t.newcomer && t.is_free(now) && !work.excluded.contains(name));
+        if let Some((name, _)) = newcomers.next() {
+            return Some(name.clone());
+        }
+        if !self.breadth.is_owed() {
+            return None;
+        }
+        let is_used = |t: &target::Target| now - t.used <= breadth::SPAN;
+        let working = || self.targets.values().filter(|t| t.takes_work());
+        let used = working().filter(|t| is_used(t)).count();
+        if used as f64 >= self.rules.breadth * working().count() as f64 {
+            return None;
+        }
+        let free = self
+            .targets
+            .iter()
+            .filter(|(name, t)| !is_used(t) && t.is_free(now) && !work.excluded.contains(name));
+        let doubt = |t: &target::Target| t.doubt.value(now);
+        let soundest = free.min_by(|a, b| doubt(a.1).total_cmp(&doubt(b.1)));
+        soundest.map(|(name, _)| name.clone())
+    }
+
     fn fit(
         &self,
         now: clock::Millis,
@@ -220,6 +255,8 @@
         };
         self.count += 1;
         target.granted = self.count;
+        target.used = now;
+        target.newcomer = false;
         target.busy += 1;
         target.suspects += usize::from(suspect);
         if trial {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -47,6 +47,13 @@
             && let Some(target) = self.targets.get_mut(&run.target)
         {
             target.doubt.take(now, outcome);
+            let failed = matches!(
+                outcome,
+                cell::Outcome::Failed | cell::Outcome::Broken | cell::Outcome::TimedOut
+            );
+            if failed || outcome == cell::Outcome::Answered {
+                self.breadth.count(now, failed);
+            }
         }
         match outcome {
             cell::Outcome::Answered => self.answered(now, ticket, actions),
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::coordination::breadth;
 use crate::coordination::evidence;
 use crate::coordination::quarantine;
 use crate::coordination::retry;
@@ -79,6 +80,8 @@
     queue: usize,
     /// Whether targets are ranked by doubt.
     soundness: bool,
+    /// The share of targets, from 0 to 1, that keep getting work while many requests fail.
+    breadth: f64,
     ejection: bundle::Ejection,
     /// The ejections that the service's floor allows.
     spare: usize,
@@ -102,6 +105,7 @@
     /// When slots of abandoned requests are free again.
     lingering: BTreeSet<(clock::Millis, u64, String)>,
     budget: retry::Budget,
+    breadth: breadth::Breadth,
     quarantine: quarantine::Quarantine,
     strikes: quarantine::Strikes,
     /// The running mean of the time that a slot is held, in milliseconds.
@@ -128,6 +132,7 @@
             stuck: BTreeSet::new(),
             lingering: BTreeSet::new(),
             budget: retry::Budget::default(),
+            breadth: breadth::Breadth::default(),
             quarantine: quarantine::Quarantine::default(),
             strikes: quarantine::Strikes::default(),
             hold: None,
--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -32,6 +32,7 @@
         self.rules = Rules {
             queue: service.queue,
             soundness: service.soundness,
+            breadth: service.breadth_pct / 100.0,
             ejection: service.ejection.clone(),
             spare: healthy.saturating_sub(service.floor),
         };
@@ -51,12 +52,15 @@
                 target.ejection.clear();
             }
         }
+        let begins = self.targets.is_empty();
         for (name, rule) in own {
+            let joins = !begins && !self.targets.contains_key(name);
             let entry = self.targets.entry(name.to_owned());
             let target = entry.or_insert_with(|| target::Target::new(now));
             if target.leaving && !rule.leaving {
                 target.ramp = trial::Ramp::new(now);
             }
+            target.newcomer |= joins;
             target.total = rule.slots;
             target.place = ids::Place::of(&rule.domain);
             target.leaving = rule.leaving;
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -28,6 +28,10 @@
     pub(super) leaving: bool,
     /// The number of the last grant.
     pub(super) granted: u64,
+    /// When the last grant was.
+    pub(super) used: clock::Millis,
+    /// Whether it joined the others and has had no work yet.
+    pub(super) newcomer: bool,
     /// The requests in flight that are slow already.
     pub(super) overdue: usize,
     /// The requests in flight that were part of a crash of another target.
@@ -76,6 +80,8 @@
             busy: 0,
             leaving: false,
             granted: 0,
+            used: clock::Millis::ZERO,
+            newcomer: false,
             overdue: 0,
             suspects: 0,
             evidence: evidence::Evidence::default(),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! Actors in [`crate::daemon`] carry the events and actions, and the replay of recorded traces drives the same code.
 
 pub mod adoption;
+pub mod breadth;
 pub mod cell;
 pub mod claims;
 pub mod ejection;
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -26,6 +26,9 @@
 /// How long ago the platform may have answered a peer whose news is fresh: a wait and the longest call.
 const FRESH_SPAN: clock::Millis = clock::Millis(1_800);
 
+/// The pause after news, in which further changes gather: a small part of the time within which they must be in force,
+/// since changes come in series and each one asked for alone costs a call.
+const GATHER_SPAN: clock::Millis = clock::Millis(100);
 /// How long changes are gathered before a bundle is published: a small part of the time within which they must be in
 /// force, since each bundle costs every part of the daemon time.
 const PUBLISH_SPAN: clock::Millis = clock::Millis(60);
@@ -87,6 +90,17 @@
     Peer(String, Option<(Option<clock::Millis>, News)>),
 }
 
+impl Heard {
+    /// Returns whether something changed.
+    fn is_news(&self) -> bool {
+        match self {
+            Heard::Platform(_, Ok(reading)) => !reading.changes.is_empty(),
+            Heard::Peer(_, Some((_, news))) => !news.is_empty(),
+            Heard::Platform(_, Err(_)) | Heard::Peer(_, None) => false,
+        }
+    }
+}
+
 /// What the actor is told.
 enum Message {
     /// Asks where to hear news of a topic next.
@@ -223,9 +237,13 @@
                 continue;
             }
         };
+        let news = heard.is_news();
         if actor.send_message(Message::Heard(Box::new(heard))).is_err() {
             return;
         }
+        if news {
+            time::sleep(GATHER_SPAN.span()).await;
+        }
     }
 }
 
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -191,6 +191,7 @@
             "queue",
             "cells",
             "soundness",
+            "breadth_pct",
             "ejection",
             "retry",
             "targets",
@@ -200,6 +201,9 @@
         within(service, "queue", 0, QUEUE);
         within(service, "cells", 1, CELLS);
         service.optional("soundness").and_then(|s| s.boolean());
+        if let Some(breadth) = service.optional("breadth_pct") {
+            breadth.number(0.0..=100.0);
+        }
         if let Some(table) = service.optional("ejection").and_then(|e| e.table()) {
             check_ejection(table);
         }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -99,6 +99,9 @@
     /// Whether targets are ranked by how their last requests went, for targets that fail briefly and often.
     #[serde(default)]
     pub soundness: bool,
+    /// The share of the targets, in percent, that keep getting work while many requests fail, where `soundness` ranks them.
+    #[serde(default)]
+    pub breadth_pct: f64,
     /// How targets are judged.
     #[serde(default)]
     pub ejection: Ejection,
@@ -295,6 +298,7 @@
             queue: 0,
             cells: None,
             soundness: false,
+            breadth_pct: 0.0,
             ejection: Ejection::default(),
             retry: Retry::default(),
             targets: Vec::new(),
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -33,6 +33,7 @@
         queue: 4,
         cells: None,
         soundness: false,
+        breadth_pct: 0.0,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry {
             budget_pct: 100.0,
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -173,6 +173,7 @@
         queue: 100,
         cells: None,
         soundness: false,
+        breadth_pct: 0.0,
         ejection: bundle::Ejection {
             avoid: scene.avoid,
             eject: scene.eject,
--- a/tests/testsuite/cell/soundness.rs
+++ b/tests/testsuite/cell/soundness.rs
@@ -195,3 +195,37 @@
         assert!(["t1", "t3"].contains(&target.as_str()), "{target}");
     }
 }
+
+#[test]
+fn while_many_requests_fail_the_floor_of_targets_keeps_getting_work() {
+    let mut rules = sound(10, 3);
+    rules.breadth_pct = 70.0;
+    let mut desk = Desk::new(&rules);
+    let mut used = std::collections::BTreeSet::new();
+    // One request in eight fails for a reason of its own, at a load of which three targets could carry all.
+    for ticket in 0..200 {
+        let outcome = if ticket % 8 == 0 {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        };
+        let (target, _) = desk.run(writing(ticket), 20, outcome);
+        if outcome == Outcome::Failed {
+            desk.handle(Event::Release(ids::Ticket(ticket)));
+        }
+        if ticket >= 100 {
+            used.insert(target);
+        }
+    }
+    assert!(used.len() >= 7, "{used:?}");
+}
+
+#[test]
+fn a_target_that_joins_gets_work_though_the_others_were_proved_sound() {
+    let mut desk = Desk::new(&sound(3, 3));
+    desk.warm(20);
+    let rules = sound(4, 3);
+    desk.handle(Event::Rules(&rules));
+    let (target, _) = desk.run(arrival(1), 20, Outcome::Answered);
+    assert_eq!(target, "t3");
+}
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -33,6 +33,7 @@
         queue: 100,
         cells: None,
         soundness: false,
+        breadth_pct: 0.0,
         ejection: bundle::Ejection::default(),
         retry: bundle::Retry::default(),
         targets: domains.iter().map(|d| target(d, d)).collect(),
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -63,6 +63,7 @@
                 queue: 100,
                 cells: None,
                 soundness: false,
+                breadth_pct: 0.0,
                 ejection: bundle::Ejection::default(),
                 retry: bundle::Retry::default(),
                 targets,
