--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,8 +1,8 @@
 //! The daemon: actors that carry the state machines of [`crate::coordination`] over [`crate::transport`].
 //!
-//! [`run`] starts them in order: time line, peers, membership, follower of the bundle, cells, entry, admin. An
-//! [`entry`] takes a caller's request and picks a cell and its [`home`]; the home asks its [`cell`] actor for a slot,
-//! sends the request to the target and streams the answer back.
+//! [`run`] starts them in order: time line, peers, membership, what brings bundles (follower or registry), cells, entry,
+//! admin. An [`entry`] takes a caller's request and picks a cell and its [`home`]; the home asks its [`cell`] actor for a
+//! slot; the entry sends the request to the target ([`exchange`]) and streams the answer back ([`passing`]).
 
 pub mod admin;
 pub mod cell;
