coordination: the limit on doubt is found once a request; targets are grouped by service once a bundle

The limit was found anew for each target of a cell, which made each grant quadratic in the targets; a bundle looked at all targets for each service, and a whole reading at all changes for each target. Requests that were not sent go back by one function, and what may be repeated is told by one. Behaviour stays.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -106,8 +106,9 @@
         if let Some(name) = self.left_out(now, work) {
             return Some((name, Rank::Normal));
         }
+        let limit = self.doubt_limit(now, work);
         let fits = self.targets.iter().filter_map(|(name, target)| {
-            if work.excluded.contains(name) {
+            if work.excluded.contains(name) || !self.is_sound_enough(now, target, limit) {
                 return None;
             }
             Some((self.fit(now, work, name, target)?, name))
@@ -122,11 +123,11 @@
         if !self.rules.soundness {
             return None;
         }
-        let mut newcomers = self
-            .targets
-            .iter()
-            .filter(|(name, t)| t.newcomer && t.is_free(now) && !work.excluded.contains(name));
-        if let Some((name, _)) = newcomers.next() {
+        let free = || {
+            let targets = self.targets.iter();
+            targets.filter(|(name, t)| t.is_free(now) && !work.excluded.contains(name))
+        };
+        if let Some((name, _)) = free().find(|(_, t)| t.newcomer) {
             return Some(name.clone());
         }
         if !self.breadth.is_owed() {
@@ -138,12 +139,9 @@
         if used as f64 >= self.rules.breadth * working().count() as f64 {
             return None;
         }
-        let free = self
-            .targets
-            .iter()
-            .filter(|(name, t)| !is_used(t) && t.is_free(now) && !work.excluded.contains(name));
         let doubt = |t: &target::Target| t.doubt.value(now);
-        let soundest = free.min_by(|a, b| doubt(a.1).total_cmp(&doubt(b.1)));
+        let idle = free().filter(|(_, t)| !is_used(t));
+        let soundest = idle.min_by(|a, b| doubt(a.1).total_cmp(&doubt(b.1)));
         soundest.map(|(name, _)| name.clone())
     }
 
@@ -156,9 +154,6 @@
     ) -> Option<Fit> {
         let print = work.arrival.fingerprint;
         let suspect = self.strikes.suspects(now, print, name);
-        if !self.is_sound_enough(now, work, target) {
-            return None;
-        }
         let rank = match target.awaits_trial(now) {
             true if work.fits_trial() && !suspect => Rank::Trial,
             _ if !target.is_free(now) => return None,
@@ -186,34 +181,26 @@
         })
     }
 
-    /// Returns whether a target is sound enough for a request.
-    ///
-    /// Work that has one try only is held to more than work that may be repeated. A target that fails at once has its slot
-    /// free at once: without a limit it would draw all that waits under load. So the limit rises only as the request's
-    /// time to wait runs out, and a target in doubt takes one request at a time.
-    fn is_sound_enough(
-        &self,
-        now: clock::Millis,
-        work: &queue::Waiting,
-        target: &target::Target,
-    ) -> bool {
+    /// Returns whether a target's doubt is within `limit`; one that is in doubt takes one request at a time.
+    fn is_sound_enough(&self, now: clock::Millis, target: &target::Target, limit: f64) -> bool {
         if !self.rules.soundness {
             return true;
         }
         let doubt = target.doubt.value(now);
-        if doubt > SINGLE_DOUBT && target.busy > 0 {
-            return false;
-        }
-        let most = self.most_doubt(now, work);
-        // Where no target is sound enough, there is nothing to wait for.
-        let mut others = self.targets.values().filter(|t| t.takes_work());
-        doubt <= most || !others.any(|t| t.doubt.value(now) <= most)
+        doubt <= limit && (doubt <= SINGLE_DOUBT || target.busy == 0)
     }
 
-    /// Returns the highest doubt about a target that a request is sent to.
-    fn most_doubt(&self, now: clock::Millis, work: &queue::Waiting) -> f64 {
-        let repeatable = work.arrival.idempotent && work.arrival.replayable;
-        let least = match repeatable {
+    /// Returns the highest doubt about a target that a request is sent to; without end where no target is sounder, since
+    /// there is nothing to wait for then.
+    ///
+    /// Work that has one try only is held to more than work that may be repeated. A target that fails at once has its slot
+    /// free at once: without a limit it would draw all that waits under load. So the limit rises only as the request's
+    /// time to wait runs out.
+    fn doubt_limit(&self, now: clock::Millis, work: &queue::Waiting) -> f64 {
+        if !self.rules.soundness {
+            return f64::INFINITY;
+        }
+        let least = match work.arrival.is_repeatable() {
             true => MOST_DOUBT,
             false => MOST_DOUBT_ONCE,
         };
@@ -221,7 +208,12 @@
         let patience = (work.arrival.objective - run) - work.since;
         let patience = patience.max(LEAST_PATIENCE);
         let waited = (now - work.since).0 as f64 / patience.0 as f64;
-        least + (1.0 - least) * waited.min(1.0)
+        let limit = least + (1.0 - least) * waited.min(1.0);
+        let mut working = self.targets.values().filter(|t| t.takes_work());
+        match working.any(|t| t.doubt.value(now) <= limit) {
+            true => limit,
+            false => f64::INFINITY,
+        }
     }
 
     /// Returns when waiting requests may go to targets that are avoided.
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -33,6 +33,13 @@
     pub origin: ids::Place,
 }
 
+impl Arrival {
+    /// Returns whether the request may be sent again after a try that may have run, or whose body was sent.
+    pub fn is_repeatable(&self) -> bool {
+        self.idempotent && self.replayable
+    }
+}
+
 /// What happens to the cell.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -230,14 +230,9 @@
         ticket: ids::Ticket,
         actions: &mut Vec<cell::Action>,
     ) {
-        let Some(run) = self.free(ticket) else {
-            return;
-        };
-        let mut work = run.work;
-        work.excluded.push(run.target);
-        work.sent -= 1;
-        let again = self.may_retry(now, &work) && self.holds_more();
-        self.put_back(now, work, again, actions);
+        if let Some(run) = self.free(ticket) {
+            self.retry_unsent(now, run, actions);
+        }
     }
 
     fn unconnected(
@@ -254,10 +249,14 @@
         }
         let class = evidence::Class::Failed;
         self.judge(now, &run.target, class, run.added, actions);
+        self.retry_unsent(now, run, actions);
+    }
+
+    /// Tries a request elsewhere of which nothing was sent: that is no second run, and no load on any target.
+    fn retry_unsent(&mut self, now: clock::Millis, run: Running, actions: &mut Vec<cell::Action>) {
         let mut work = run.work;
         work.excluded.push(run.target);
         work.sent -= 1;
-        // Nothing was sent: another try is no second run, and no load on any target.
         let again = self.may_retry(now, &work) && self.holds_more();
         self.put_back(now, work, again, actions);
     }
@@ -360,7 +359,7 @@
 
     /// Returns whether a request that may have run, or whose body was sent, may be tried again.
     fn may_rerun(&self, now: clock::Millis, work: &queue::Waiting) -> bool {
-        work.arrival.idempotent && work.arrival.replayable && self.may_retry(now, work)
+        work.arrival.is_repeatable() && self.may_retry(now, work)
     }
 
     /// Returns whether the queue has room for a retry.
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -43,7 +43,7 @@
 
     /// Returns whether the request may serve as a trial: a failure of it is retried, and it did not crash a target.
     pub(super) fn fits_trial(&self) -> bool {
-        self.arrival.idempotent && self.arrival.replayable && self.tries == 0
+        self.arrival.is_repeatable() && self.tries == 0
     }
 }
 
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -135,7 +135,7 @@
         run.class = class;
         run.added = added;
         let arrival = run.work.arrival;
-        if class == evidence::Class::Stalled && arrival.idempotent && arrival.replayable {
+        if class == evidence::Class::Stalled && arrival.is_repeatable() {
             self.stuck.insert(ticket);
         }
         let newly = !std::mem::replace(&mut run.overdue, true);
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -5,7 +5,7 @@
 //! to a lower version. A target that vanished while the platform was away is kept until the platform has been back for
 //! long enough to hear of it again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync;
 
 use crate::protocol::source::{Change, Item, Reading, Told, Topic};
@@ -104,7 +104,7 @@
     ) -> bool {
         let mut changed = false;
         if reading.whole && topic == Topic::Targets {
-            changed |= self.drop_unnamed(now, reading, settled);
+            changed |= self.drop_unnamed(now, reading);
         }
         for change in reading.changes.iter().filter(|c| c.topic == topic) {
             changed |= match topic {
@@ -147,10 +147,13 @@
     pub fn bundle(&self) -> Option<sync::Arc<bundle::Bundle>> {
         self.mark(Topic::Targets)?;
         let mut bundle = self.rules.clone()?;
+        let mut told = BTreeMap::<&str, Vec<_>>::new();
+        for one in self.targets.values().filter_map(|s| s.told.as_ref()) {
+            let of_service = told.entry(&one.service).or_default();
+            of_service.push(one.target.clone());
+        }
         for service in &mut bundle.services {
-            let told = self.targets.values().filter_map(|s| s.told.as_ref());
-            let own = told.filter(|t| t.service == service.name);
-            service.targets = own.map(|t| t.target.clone()).collect();
+            service.targets = told.remove(service.name.as_str()).unwrap_or_default();
             // Avoiding protects callers of a platform's targets; none is taken out of service as a whole.
             service.floor = service.targets.len();
             let cells = cells_for(&service.targets);
@@ -227,7 +230,10 @@
             Some(Item::Rules(_)) | None => None,
         };
         if told.is_none() {
-            let grace = self.grace(now, change, settled);
+            let grace = match settled {
+                true => change.grace,
+                false => self.grace(now),
+            };
             return self.vanish(now, &change.key, change.mark, grace);
         }
         let changed = held.and_then(|s| s.told.as_ref()) != told.as_ref();
@@ -241,13 +247,10 @@
         changed
     }
 
-    /// Returns how long a target that vanished is kept: as long as the peer that tells of it keeps it, or until the
-    /// platform has been back for long enough.
-    fn grace(&self, now: clock::Millis, change: &Change, settled: bool) -> clock::Millis {
-        match settled {
-            true => change.grace,
-            false => self.settling - now,
-        }
+    /// Returns how long a target is kept that the platform tells of as vanished: until the platform has been back for long
+    /// enough.
+    fn grace(&self, now: clock::Millis) -> clock::Millis {
+        self.settling - now
     }
 
     /// Takes in that nothing stands under a key; returns whether that changes the targets at once.
@@ -269,19 +272,17 @@
         slot.told.take().is_some()
     }
 
-    /// Takes targets as vanished that a whole reading does not name.
-    fn drop_unnamed(&mut self, now: clock::Millis, reading: &Reading, settled: bool) -> bool {
-        let named = |key: &String| reading.changes.iter().any(|c| c.key == *key);
+    /// Takes targets as vanished that a whole reading of the platform does not name.
+    fn drop_unnamed(&mut self, now: clock::Millis, reading: &Reading) -> bool {
+        let keys: BTreeSet<_> = reading.changes.iter().map(|c| &c.key).collect();
+        let named = |key: &String| keys.contains(key);
         let slots = self.targets.iter();
         let missing = slots.filter(|(key, s)| {
             s.told.is_some() && s.doomed.is_none() && s.mark <= reading.mark && !named(key)
         });
         let missing: Vec<_> = missing.map(|(key, _)| key.clone()).collect();
         let mut changed = false;
-        let grace = match settled {
-            true => clock::Millis::ZERO,
-            false => self.settling - now,
-        };
+        let grace = self.grace(now);
         for key in missing {
             changed |= self.vanish(now, &key, reading.mark, grace);
         }
