--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -14,6 +14,7 @@
 use crate::coordination::claims;
 use crate::coordination::homes;
 use crate::coordination::member;
+use crate::daemon::stop;
 use crate::protocol::platform;
 use crate::protocol::problem;
 use crate::state::clock;
@@ -117,16 +118,7 @@
 /// The way to the running actor, which stops when the last handle is dropped.
 #[derive(Clone)]
 pub struct Handle {
-    actor: sync::Arc<Stop>,
-}
-
-/// Stops the actor when dropped.
-struct Stop(ActorRef<Message>);
-
-impl Drop for Stop {
-    fn drop(&mut self) {
-        self.0.stop(None);
-    }
+    actor: sync::Arc<stop::Stop<Message>>,
 }
 
 /// What the actor is told.
@@ -153,7 +145,7 @@
         members: options.members.clone(),
     };
     let (actor, _) = Actor::spawn(None, Carrier, options).await?;
-    let stop = sync::Arc::new(Stop(actor.clone()));
+    let stop = sync::Arc::new(stop::Stop(actor.clone()));
     tokio::spawn(sweep.run(sync::Arc::downgrade(&stop)));
     tokio::spawn(pass_on_time(actor));
     Ok(Handle { actor: stop })
@@ -452,7 +444,7 @@
 }
 
 impl Sweep {
-    async fn run(self, running: sync::Weak<Stop>) {
+    async fn run(self, running: sync::Weak<stop::Stop<Message>>) {
         let mut after = String::new();
         while running.strong_count() > 0 {
             tokio::time::sleep(SWEEP_SPAN.span()).await;
--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -8,6 +8,7 @@
 
 use crate::coordination::adoption::{self, Action, Event};
 use crate::coordination::member;
+use crate::daemon::stop;
 use crate::protocol::peer;
 use crate::protocol::platform;
 use crate::protocol::rollout;
@@ -42,19 +43,10 @@
 /// A running follower; it stops when the last handle is dropped.
 #[derive(Clone)]
 pub struct Handle {
-    actor: sync::Arc<Stop>,
+    actor: sync::Arc<stop::Stop<Message>>,
     bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
 }
 
-/// Stops the actor when dropped.
-struct Stop(ActorRef<Message>);
-
-impl Drop for Stop {
-    fn drop(&mut self) {
-        self.0.stop(None);
-    }
-}
-
 /// What the actor is told.
 enum Message {
     Happened(Event),
@@ -77,7 +69,7 @@
     tokio::spawn(pass_on_members(members, actor.clone()));
     tokio::spawn(pass_on_time(actor.clone()));
     Ok(Handle {
-        actor: sync::Arc::new(Stop(actor)),
+        actor: sync::Arc::new(stop::Stop(actor)),
         bundle,
     })
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,5 +22,6 @@
 pub mod passing;
 pub mod registry;
 pub mod spread;
+mod stop;
 
 pub use node::{Backing, Error, Parts, run, run_with, stop_signal};
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -12,6 +12,7 @@
 
 use crate::coordination;
 use crate::coordination::{member, readers};
+use crate::daemon::stop;
 use crate::protocol::peer;
 use crate::protocol::source::{self, Reading, Topic};
 use crate::state::{bundle, clock, timeline};
@@ -46,21 +47,12 @@
 /// A running registry; it stops when the last handle is dropped.
 #[derive(Clone)]
 pub struct Handle {
-    actor: sync::Arc<Stop>,
+    actor: sync::Arc<stop::Stop<Message>>,
     bundle: tasks::watch::Receiver<sync::Arc<bundle::Bundle>>,
     /// Changes with each news, and when the platform is lost.
     news: tasks::watch::Receiver<u64>,
 }
 
-/// Stops the actor when dropped.
-struct Stop(ActorRef<Message>);
-
-impl Drop for Stop {
-    fn drop(&mut self) {
-        self.0.stop(None);
-    }
-}
-
 /// News from one daemon to another.
 #[derive(Default, serde::Serialize, serde::Deserialize)]
 struct News {
@@ -144,7 +136,7 @@
         tokio::spawn(hear(topic, source.clone(), notes.clone(), actor.clone()));
     }
     Ok(Handle {
-        actor: sync::Arc::new(Stop(actor)),
+        actor: sync::Arc::new(stop::Stop(actor)),
         bundle,
         news: fresh,
     })
--- a/src/transport/channel.rs
+++ b/src/transport/channel.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use serde::{Serialize, de};
 
 use crate::protocol::platform;
 use crate::state::clock;
@@ -43,6 +44,34 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// Passes on an answer of success; a 4xx or 503 says that the call was not acted on, any other leaves it open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for every other answer.
+    pub fn accept(self) -> Result<Answer, platform::Error> {
+        if self.status.is_success() {
+            return Ok(self);
+        }
+        let reason = format!("status {}", self.status.as_u16());
+        let refused = self.status == http::StatusCode::SERVICE_UNAVAILABLE;
+        if refused || self.status.is_client_error() {
+            return unavailable(&reason);
+        }
+        lost(&reason)
+    }
+
+    /// Decodes the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is something else; the call may have been acted on.
+    pub fn decode<M: de::DeserializeOwned>(&self) -> Result<M, platform::Error> {
+        serde_json::from_slice(&self.body).or_else(|e| lost(&e.to_string()))
+    }
+}
+
 impl Channel {
     /// Creates a channel; nothing is connected before the first call.
     pub fn new(address: net::SocketAddr) -> Channel {
@@ -95,6 +124,22 @@
         Ok(Answer { status, body })
     }
 
+    /// Posts a message as JSON, as [`Channel::call`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Channel::call`] does.
+    pub async fn post<M: Serialize + Sync>(
+        &self,
+        path: &str,
+        message: &M,
+        patience: clock::Millis,
+    ) -> Result<Answer, platform::Error> {
+        let body = serde_json::to_vec(message).or_else(|e| unavailable(&e.to_string()))?;
+        self.call(http::Method::POST, path, Bytes::from(body), patience)
+            .await
+    }
+
     fn request(
         &self,
         method: http::Method,
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use serde::Serialize;
-use serde::de;
 
 use crate::protocol::platform;
 use crate::state::clock;
@@ -63,8 +62,7 @@
         path: &str,
         message: &M,
     ) -> Result<Answer, platform::Error> {
-        let body = serde_json::to_vec(message).or_else(|e| unavailable(&e.to_string()))?;
-        self.call(http::Method::POST, path, Bytes::from(body)).await
+        self.channel.post(path, message, self.timeout).await
     }
 }
 
@@ -72,14 +70,19 @@
     fn hosts(&self) -> platform::Call<'_, Vec<platform::Host>> {
         Box::pin(async move {
             let answer = self.call(http::Method::GET, "/hosts", Bytes::new()).await?;
-            decode(accept(answer)?)
+            answer.accept()?.decode()
         })
     }
 }
 
 impl platform::Platform for HttpPlatform {
     fn read<'a>(&'a self, key: &'a str) -> platform::Call<'a, Option<platform::Row>> {
-        Box::pin(async move { decode(accept(self.post("/table/read", &Read { key }).await?)?) })
+        Box::pin(async move {
+            self.post("/table/read", &Read { key })
+                .await?
+                .accept()?
+                .decode()
+        })
     }
 
     fn scan<'a>(
@@ -94,7 +97,7 @@
                 after,
                 limit,
             };
-            decode(accept(self.post("/table/scan", &scan).await?)?)
+            self.post("/table/scan", &scan).await?.accept()?.decode()
         })
     }
 
@@ -108,7 +111,7 @@
                 }
                 .fail();
             }
-            decode(accept(answer)?)
+            answer.accept()?.decode()
         })
     }
 
@@ -119,7 +122,7 @@
             if answer.status == http::StatusCode::NOT_FOUND {
                 return Ok(None);
             }
-            Ok(Some(accept(answer)?.body.to_vec()))
+            Ok(Some(answer.accept()?.body.to_vec()))
         })
     }
 
@@ -127,32 +130,10 @@
         Box::pin(async move {
             let path = format!("/objects/{digest}");
             let content = Bytes::copy_from_slice(content);
-            accept(self.call(http::Method::PUT, &path, content).await?)?;
+            self.call(http::Method::PUT, &path, content)
+                .await?
+                .accept()?;
             Ok(())
         })
     }
 }
-
-/// Passes on an answer of success; a 4xx or 503 says that the call was not acted on, any other leaves it open.
-fn accept(answer: Answer) -> Result<Answer, platform::Error> {
-    if answer.status.is_success() {
-        return Ok(answer);
-    }
-    let reason = format!("status {}", answer.status.as_u16());
-    if answer.status.is_client_error() || answer.status == http::StatusCode::SERVICE_UNAVAILABLE {
-        return unavailable(&reason);
-    }
-    lost(&reason)
-}
-
-fn decode<M: de::DeserializeOwned>(answer: Answer) -> Result<M, platform::Error> {
-    serde_json::from_slice(&answer.body).or_else(|e| lost(&e.to_string()))
-}
-
-fn lost<T>(reason: &str) -> Result<T, platform::Error> {
-    platform::LostSnafu { reason }.fail()
-}
-
-fn unavailable<T>(reason: &str) -> Result<T, platform::Error> {
-    platform::UnavailableSnafu { reason }.fail()
-}
