daemon: a target's refusal is not passed on as "not run" after a try that may have run

Cause: where the home is lost after an idempotent request failed at one target and was shed by another, the entry passed the second target's 503 on, which says more than is proven. The new test was seen to fail. The platform's dialect was not concerned: it passes no such answer on.

--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -434,6 +434,11 @@
 /// Keeps what an answer that is no success is good for, should no other try follow.
 fn keep(tools: &Tools, reading: Reading, answer: Box<Answer>, outgoing: &mut Outgoing) -> Last {
     match reading {
+        // The target's word holds for its own try, and says nothing of those before.
+        Reading::Shed if outgoing.lost.is_some() => {
+            let refusal = Refusal::not_run(Cause::TargetShed, Some(SHED_RETRY));
+            Last::Refusal(refusal.despite(outgoing.lost))
+        }
         Reading::Answered | Reading::Shed => Last::Answer(answer),
         Reading::Failed => {
             outgoing.lost = Some(Cause::TargetBroke);
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -1,5 +1,6 @@
 //! The whole path from caller to target and back, over real connections within one process.
 
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use peridotspread::transport::body;
 use tokio::sync::watch;
 
-use crate::support::path::{path, path_with, pieces, request};
+use crate::support::path::{path, path_with, path_with_lost_home, pieces, request};
 
 const MIB: usize = 1024 * 1024;
 
@@ -232,3 +233,27 @@
         .unwrap()
         .unwrap();
 }
+
+/// Fails the first request with 500, and sheds the next.
+fn fail_then_shed(_request: Request<Incoming>) -> Answering {
+    static SEEN: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+    async {
+        let mut response = Response::new(empty());
+        *response.status_mut() = match SEEN.fetch_add(1, atomic::Ordering::Relaxed) {
+            0 => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let after = HeaderValue::from_static("1");
+        response.headers_mut().insert("retry-after", after);
+        response
+    }
+    .boxed()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shed_try_after_a_failed_one_proves_nothing_though_its_home_is_lost() {
+    let path = path_with_lost_home("path-shed", fail_then_shed, 2).await;
+    let sent = request("GET", "/").body(empty()).unwrap();
+    let response = path.send(sent).await.unwrap();
+    assert_eq!(response.headers()["peridotspread-outcome"], "unknown");
+}
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt;
 use peridotspread::coordination::member;
 use peridotspread::daemon::{cell, claims, entry, exchange, home, metrics, spread};
-use peridotspread::protocol::{dialect, peer};
+use peridotspread::protocol::{dialect, frame, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
 use peridotspread::transport::{body, http as server, pool};
 use tokio::net::{TcpListener, TcpStream};
@@ -40,6 +40,15 @@
 
 /// Starts a path under limits of the test's own.
 pub(crate) async fn path_with(test: &str, answer: Answer, limits: settings::Limits) -> Path {
+    start(test, answer, limits, None).await
+}
+
+/// Starts a path whose home grants the target `grants` times for each request, and is lost then.
+pub(crate) async fn path_with_lost_home(test: &str, answer: Answer, grants: u32) -> Path {
+    start(test, answer, settings::Limits::default(), Some(grants)).await
+}
+
+async fn start(test: &str, answer: Answer, limits: settings::Limits, grants: Option<u32>) -> Path {
     let target = target(answer).await;
     let mut own = fleet::files(test).settings("d1");
     own.limits = limits.clone();
@@ -69,7 +78,7 @@
         recorder,
         bundle: bundle_seen,
         view: view_seen,
-        links: sync::Arc::new(OwnHome(home)),
+        links: sync::Arc::new(OwnHome { home, grants }),
         claims: sync::Arc::new(claims::Unkeyed),
         spreader,
         metrics: sync::Arc::new(metrics::Metrics::new().unwrap()),
@@ -146,7 +155,24 @@
     }
 }
 
-struct OwnHome(sync::Arc<home::Home>);
+struct OwnHome {
+    home: sync::Arc<home::Home>,
+    /// The grants of each request after which the home is lost; absent where it is not.
+    grants: Option<u32>,
+}
+
+/// Grants the target after the request's head and after each outcome but the last, and hangs up then.
+async fn grant_and_leave(mut recv: home::Reader, mut send: home::Writer, grants: u32) {
+    for _ in 0..grants {
+        frame::receive::<peer::ToHome>(&mut recv).await.unwrap();
+        let grant = peer::FromHome::Granted {
+            target: "web-1".to_owned(),
+            summary: None,
+        };
+        frame::send(&mut send, &grant).await.unwrap();
+    }
+    frame::receive::<peer::ToHome>(&mut recv).await.unwrap();
+}
 
 impl entry::Links for OwnHome {
     fn open<'a>(
@@ -154,11 +180,17 @@
         _name: &'a str,
         _address: net::SocketAddr,
     ) -> future::BoxFuture<'a, Option<(home::Reader, home::Writer)>> {
-        let home = self.0.clone();
+        let (home, grants) = (self.home.clone(), self.grants);
         Box::pin(async move {
             let (near, far) = tokio::io::duplex(16 * 1024);
             let (recv, send) = tokio::io::split(far);
-            tokio::spawn(async move { home.serve(Box::new(recv), Box::new(send)).await });
+            tokio::spawn(async move {
+                match grants {
+                    Some(grants) => grant_and_leave(Box::new(recv), Box::new(send), grants).await,
+                    // A request whose stream breaks shows in its answer.
+                    None => drop(home.serve(Box::new(recv), Box::new(send)).await),
+                }
+            });
             let (recv, send) = tokio::io::split(near);
             Some((
                 Box::new(recv) as home::Reader,
