coordination: a long run is not taken for a stall, nor started anew without time for another

Cause: the stall limit came from the median alone. Where a service has requests of 4 ms beside ones of 300 ms, ordinary runs stalled from 74 ms on and were taken elsewhere; the work belongs to the request, so it took as long again. Now the limit follows the 95th percentile of run times too, runs given up count towards it, and nothing is started anew that could not end in time. Ruled out: that the first targets were slow.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -204,7 +204,7 @@
             true => MOST_DOUBT,
             false => MOST_DOUBT_ONCE,
         };
-        let run = clock::Millis(self.hold.unwrap_or_default() as u64);
+        let run = self.run_span();
         let patience = (work.arrival.objective - run) - work.since;
         let patience = patience.max(LEAST_PATIENCE);
         let waited = (now - work.since).0 as f64 / patience.0 as f64;
@@ -283,7 +283,8 @@
         });
     }
 
-    /// Takes idempotent requests from targets where they stall to others that are in favour and free.
+    /// Takes idempotent requests from targets where they stall to others that are in favour and free, while there is time
+    /// for another run.
     fn rescue(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
         let stuck: Vec<_> = self.stuck.iter().copied().collect();
         for ticket in stuck {
@@ -300,11 +301,19 @@
         let Some(run) = self.running.get(&ticket) else {
             return;
         };
+        let Phase::Sent(sent) = run.phase else {
+            return;
+        };
+        let name = run.target.clone();
         let mut work = run.work.clone();
-        work.excluded.push(run.target.clone());
+        work.excluded.push(name.clone());
         work.lost = Some(refusal::Cause::TargetTimeout);
-        if self.may_retry(now, &work) && self.budget.funded() && self.has_room(now, &work) {
+        let runs = now + self.run_span() < work.arrival.deadline;
+        if runs && self.may_retry(now, &work) && self.budget.funded() && self.has_room(now, &work) {
             self.abandon(now, ticket);
+            if let Some(target) = self.targets.get_mut(&name) {
+                target.evidence.outlast(now - sent);
+            }
             actions.push(cell::Action::Abandon { ticket });
             self.regrant(now, work, actions);
         }
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -278,7 +278,7 @@
             return refuse(refusal::Cause::NoTarget, Some(clock::Millis(1_000)));
         }
         let wait = self.wait(now, arrival.tier);
-        let run = clock::Millis(self.hold.unwrap_or_default() as u64);
+        let run = self.run_span();
         if wait > clock::Millis::ZERO && now + wait + run >= arrival.deadline {
             return refuse(refusal::Cause::DeadlineTooShort, Some(retry_after(wait)));
         }
@@ -289,10 +289,15 @@
         Ok(())
     }
 
+    /// Returns the time that a slot is held on the mean; zero before the first answer.
+    fn run_span(&self) -> clock::Millis {
+        clock::Millis(self.hold.unwrap_or_default() as u64)
+    }
+
     /// Returns when a slot comes too late for a request that comes to wait now: when no time is left for an ordinary run,
     /// or for half of what is left now where that is shorter.
     fn expiry(&self, now: clock::Millis, deadline: clock::Millis) -> clock::Millis {
-        let run = clock::Millis(self.hold.unwrap_or_default() as u64);
+        let run = self.run_span();
         deadline - run.min(clock::Millis((deadline - now).0 / 2))
     }
 
--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -10,8 +10,14 @@
 const SLOW_FACTOR: f64 = 2.5;
 /// A request is never slow within this time above the median.
 const SLOW_MARGIN_MS: f64 = 10.0;
-/// A request stalls from this multiple of the slow limit on.
+/// A request stalls from this multiple of the slow limit by the median on.
 const STALL_FACTOR: f64 = 4.0;
+/// A request stalls from this multiple of the tail on, where runs differ so widely that this is longer.
+const STALL_TAIL_FACTOR: f64 = 2.0;
+/// The share of good answers that come within the tail.
+const TAIL_SHARE: f64 = 0.95;
+/// The most by which one answer moves the tail, as a share of it.
+const TAIL_STEP: f64 = 0.2;
 /// The median that is supposed while nothing was measured.
 const COLD_MEDIAN_MS: f64 = 400.0;
 /// The requests that the recent rates look back on.
@@ -52,12 +58,16 @@
 }
 
 impl Limits {
-    /// Derives the limits from the median time of good answers, in milliseconds.
-    pub fn new(median: f64) -> Limits {
+    /// Derives the limits from the median and the tail of the times of good answers, in milliseconds.
+    ///
+    /// Load pattern: short and long requests of one service, whose median is that of the short ones. By it alone each
+    /// long one would be taken for a stall.
+    pub fn new(median: f64, tail: f64) -> Limits {
         let slow = (median * SLOW_FACTOR).max(median + SLOW_MARGIN_MS);
+        let stalled = (slow * STALL_FACTOR).max(tail * STALL_TAIL_FACTOR);
         Limits {
             slow: clock::Millis(slow.ceil() as u64),
-            stalled: clock::Millis((slow * STALL_FACTOR).ceil() as u64),
+            stalled: clock::Millis(stalled.ceil() as u64),
         }
     }
 
@@ -149,6 +159,8 @@
     settled: Rates,
     count: f64,
     median: Option<f64>,
+    /// The time within which nearly all good answers come, in milliseconds.
+    tail: Option<f64>,
     timed: f64,
     last: clock::Millis,
 }
@@ -160,6 +172,7 @@
             settled: Rates::PRIOR,
             count: 0.0,
             median: None,
+            tail: None,
             timed: 0.0,
             last: clock::Millis::ZERO,
         }
@@ -191,6 +204,17 @@
             Some(m) if took > m => (m * (1.0 + step)).min(took),
             Some(m) => (m * (1.0 - step)).max(took),
         });
+        self.tail = Some(match self.tail {
+            None => took,
+            Some(t) if took > t => (t * (1.0 + TAIL_STEP * TAIL_SHARE)).min(took),
+            Some(t) => (t * (1.0 - TAIL_STEP * (1.0 - TAIL_SHARE))).max(took),
+        });
+    }
+
+    /// Takes in that a request was given up at this age: its run may have been a long one, whose end nobody saw.
+    pub fn outlast(&mut self, age: clock::Millis) {
+        let age = age.0 as f64;
+        self.tail = Some(self.tail.map_or(age, |t| t.max(age)));
     }
 
     /// Returns the number of recent requests, discounted by their age.
@@ -270,13 +294,17 @@
 ) -> Reference {
     let recent = pool(now, others.clone(), peers.clone(), |e| e.recent);
     let settled = pool(now, others.clone(), peers.clone(), |e| e.settled);
+    let tails = others
+        .clone()
+        .filter_map(|e| Some((e.tail?, e.weight(now))));
+    let tail = middle(tails).unwrap_or_default();
     let median = median(now, others, peers).or(own).unwrap_or(COLD_MEDIAN_MS);
     Reference {
         rates: recent
             .zip(settled, f64::max)
             .zip(Rates::PRIOR, f64::max)
             .bounded(),
-        limits: Limits::new(median),
+        limits: Limits::new(median, tail),
     }
 }
 
@@ -287,17 +315,20 @@
     peers: impl Iterator<Item = &'a Peer>,
 ) -> Option<f64> {
     let told = peers.filter(|p| p.median > 0.0);
-    let mut all: Vec<_> = targets
-        .filter_map(|e| Some((e.median?, e.weight(now))))
-        .chain(told.map(|p| (p.median, p.weight(now))))
-        .collect();
+    let own = targets.filter_map(|e| Some((e.median?, e.weight(now))));
+    middle(own.chain(told.map(|p| (p.median, p.weight(now)))))
+}
+
+/// Returns the weighted median of values with their weights; absent where there are none.
+fn middle(values: impl Iterator<Item = (f64, f64)>) -> Option<f64> {
+    let mut all: Vec<_> = values.collect();
     all.sort_by(|a, b| a.0.total_cmp(&b.0));
     let half = all.iter().map(|(_, w)| w).sum::<f64>() / 2.0;
     let mut below = 0.0;
-    for (median, weight) in &all {
+    for (value, weight) in &all {
         below += weight;
         if below >= half {
-            return Some(*median);
+            return Some(*value);
         }
     }
     None
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -124,6 +124,27 @@
         (target, actions)
     }
 
+    /// Runs one request that takes `span` at any target, wherever it is taken meanwhile.
+    fn finish(&mut self, arrival: cell::Arrival, span: u64) {
+        let mut actions = self.arrive(arrival);
+        let mut ends = self.now;
+        loop {
+            if granted(&actions).is_some() {
+                self.handle(Event::Dispatch(arrival.ticket));
+                ends = self.now + Millis(span);
+            }
+            let next = self.cell.wake().min(ends);
+            if next >= ends {
+                break;
+            }
+            self.now = next;
+            actions = self.handle(Event::Tick);
+        }
+        self.now = ends;
+        self.done(arrival.ticket.0, Outcome::Answered);
+        self.handle(Event::Release(arrival.ticket));
+    }
+
     /// Gives the cell ordinary evidence of `count` good answers of 20 ms.
     fn warm(&mut self, count: u64) {
         for i in 0..count {
--- a/tests/testsuite/cell/retry.rs
+++ b/tests/testsuite/cell/retry.rs
@@ -102,6 +102,36 @@
     assert_eq!(at(&abandon).unwrap() + 1, at(&grant).unwrap());
 }
 
+#[test]
+fn a_long_request_is_left_to_run_where_runs_differ_widely() {
+    let mut desk = Desk::new(&service(3, 1, 1));
+    // Most runs are short, so the median alone would take each long one for a stall.
+    for ticket in 0..180 {
+        let span = if ticket % 3 == 0 { 300 } else { 4 };
+        desk.finish(arrival(1_000_000 + ticket), span);
+    }
+    granted(&desk.arrive(arrival(1))).unwrap();
+    desk.handle(Event::Dispatch(ids::Ticket(1)));
+    let actions = desk.pass(450);
+    let left = |a: &Action| matches!(a, Action::Abandon { .. });
+    assert!(!actions.iter().any(left), "{actions:?}");
+}
+
+#[test]
+fn a_request_is_not_started_anew_without_time_for_another_run() {
+    let mut desk = Desk::new(&service(3, 1, 1));
+    desk.warm(60);
+    let hurried = cell::Arrival {
+        deadline: desk.now + Millis(215),
+        ..arrival(1)
+    };
+    granted(&desk.arrive(hurried)).unwrap();
+    desk.handle(Event::Dispatch(hurried.ticket));
+    let actions = desk.pass(214);
+    let left = |a: &Action| matches!(a, Action::Abandon { .. });
+    assert!(!actions.iter().any(left), "{actions:?}");
+}
+
 #[test]
 fn a_request_that_crashes_two_targets_is_quarantined() {
     let mut desk = Desk::new(&service(4, 1, 0));
