coordination: soundness is a hidden Markov model with three bad modes

Cause: the prior and the fading were guesses. A single bad state also held one 500, as sound targets give now and then, as strong as a broken connection.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -16,7 +16,7 @@
 /// The waiting requests that are looked at in one search for one that a free target may take.
 const SEARCH_DEPTH: usize = 16;
 
-/// The longest time that a request waits for a target in favour while one that is avoided is free.
+/// The longest time that a request waits for a target in favour, or a sound one, while another is free.
 const MOST_PATIENCE: clock::Millis = clock::Millis(1_000);
 
 /// The doubt above which a target takes one request at a time.
@@ -206,7 +206,7 @@
         };
         let run = self.run_span();
         let patience = (work.arrival.objective - run) - work.since;
-        let patience = patience.max(LEAST_PATIENCE);
+        let patience = patience.clamp(LEAST_PATIENCE, MOST_PATIENCE);
         let waited = (now - work.since).0 as f64 / patience.0 as f64;
         let limit = least + (1.0 - least) * waited.min(1.0);
         let mut working = self.targets.values().filter(|t| t.takes_work());
--- a/src/coordination/soundness.rs
+++ b/src/coordination/soundness.rs
@@ -1,7 +1,7 @@
 //! Soundness: how likely a target is to fail the next request, by what its last ones told.
 //!
-//! Targets turn bad and come back by themselves, each for some seconds. A [`Doubt`] is the probability that its target is
-//! bad now: Bayes' rule takes in each outcome, and what nobody confirms fades back to the prior. So a target that another
+//! Targets turn bad and come back by themselves, each for some seconds. A [`Doubt`] is a hidden Markov model of one
+//! target: Bayes' rule takes in each outcome, and what nobody confirms relaxes to the prior. So a target that another
 //! request has just proved sound is preferred to one that nobody used for a while, and one failure is enough to pass a
 //! target over, whatever the rest of the service does. Load pattern: a share of the targets failing most requests at any
 //! time, too briefly for [`crate::coordination::judge`], which compares a target with the others.
@@ -9,70 +9,66 @@
 use crate::protocol::peer::Outcome;
 use crate::state::clock;
 
-/// The probability that a target is bad of which nothing is known of late.
-const PRIOR: f64 = 0.15;
-/// The time in which what is known of a target loses most of its weight: about as long as a target stays bad.
-const FADING_MS: f64 = 2_500.0;
-/// The same for a target that failed several times in a row.
-const LONG_FADING_MS: f64 = 5_000.0;
+/// The ways in which a target is bad: each fails its requests in its own manner.
+const MODES: usize = 3;
 
-/// The likelihoods of one outcome, at a target that is bad and at one that is sound.
+/// How the tries at a target end, by its state: the likelihood of each sign where it is sound, and in each bad mode.
 struct Likelihood {
-    bad: f64,
     sound: f64,
+    bad: [f64; MODES],
 }
 
+/// The probabilities that a target of which nothing is known breaks connections, answers with failures, or is silent.
+///
+/// From the tries of whole days on deployments whose targets fail by turns (`docs/design/soundness.md`).
+const PRIOR: [f64; MODES] = [0.28, 0.02, 0.01];
+/// The time in which what is known of a target loses most of its weight; from the same tries.
+const RELAXATION_MS: f64 = 9_500.0;
+
 /// An answer: a bad target still serves some requests.
 const ANSWERED: Likelihood = Likelihood {
-    bad: 0.25,
     sound: 0.985,
+    bad: [0.25, 0.55, 0.2],
 };
 /// An answer that is a failure, as sound targets give now and then.
 const FAILED: Likelihood = Likelihood {
-    bad: 0.4,
-    sound: 0.015,
+    sound: 0.012,
+    bad: [0.012, 0.43, 0.01],
 };
 /// A connection that broke, which sound targets hardly ever do.
 const BROKEN: Likelihood = Likelihood {
-    bad: 0.7,
-    sound: 0.003,
+    sound: 0.002,
+    bad: [0.73, 0.01, 0.1],
 };
 /// No connection, or no answer: the way there may be at fault.
 const SILENT: Likelihood = Likelihood {
-    bad: 0.6,
-    sound: 0.01,
+    sound: 0.002,
+    bad: [0.01, 0.01, 0.7],
 };
 
 /// The doubts up to which targets count as equally sound, least first.
-const LEVELS: [f64; 5] = [0.05, 0.15, 0.3, 0.5, 0.8];
+const LEVELS: [f64; 5] = [0.06, 0.15, 0.35, 0.5, 0.8];
 
 /// The probability that one target is bad.
 #[derive(Clone, Copy, Debug)]
 pub struct Doubt {
-    value: f64,
+    /// The probability of each bad mode at the time `at`.
+    modes: [f64; MODES],
     at: clock::Millis,
-    /// The failures since the last answer.
-    failures: u32,
 }
 
 impl Doubt {
     /// Returns the doubt about a target of which nothing is known.
     pub fn new(now: clock::Millis) -> Doubt {
         Doubt {
-            value: PRIOR,
+            modes: PRIOR,
             at: now,
-            failures: 0,
         }
     }
 
     /// Returns the probability that the target is bad.
     pub fn value(&self, now: clock::Millis) -> f64 {
-        let fading = match self.failures {
-            0 | 1 => FADING_MS,
-            _ => LONG_FADING_MS,
-        };
-        let weight = (-((now - self.at).0 as f64) / fading).exp();
-        PRIOR + (self.value - PRIOR) * weight
+        self.relaxed(now).iter().sum()
     }
 
     /// Returns the class of equally sound targets that the target is in; 0 is the best.
@@ -88,19 +84,31 @@
             Outcome::Failed => FAILED,
             Outcome::Broken => BROKEN,
             Outcome::ConnectFailed | Outcome::TimedOut => SILENT,
-            Outcome::Shed
+            Outcome::Expired
+            | Outcome::Shed
             | Outcome::NotRun
             | Outcome::Misplaced
             | Outcome::Unlisted
             | Outcome::Withdrawn => return,
         };
-        let value = self.value(now);
-        let bad = value * likelihood.bad;
-        self.value = bad / (bad + (1.0 - value) * likelihood.sound);
+        let before = self.relaxed(now);
+        let sound = (1.0 - before.iter().sum::<f64>()) * likelihood.sound;
+        let mut modes = [0.0; MODES];
+        for (mode, (prior, likely)) in modes.iter_mut().zip(before.iter().zip(likelihood.bad)) {
+            *mode = prior * likely;
+        }
+        let total = sound + modes.iter().sum::<f64>();
+        self.modes = modes.map(|m| m / total);
         self.at = now;
-        self.failures = match outcome {
-            Outcome::Answered => 0,
-            _ => self.failures + 1,
-        };
+    }
+
+    /// Returns the probability of each bad mode at time `now`.
+    fn relaxed(&self, now: clock::Millis) -> [f64; MODES] {
+        let weight = (-((now - self.at).0 as f64) / RELAXATION_MS).exp();
+        let mut modes = PRIOR;
+        for (mode, known) in modes.iter_mut().zip(self.modes) {
+            *mode += (known - *mode) * weight;
+        }
+        modes
     }
 }
