protocol: a run that its target ends at the deadline is no failure of the target; breadth counts unserved requests

Breadth now counts what the floor is about, requests that end unserved, and not tries that another one made good.

--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -169,7 +169,7 @@
             cell::Outcome::Failed | cell::Outcome::Broken => {
                 self.sends[send].lost = Some(refusal::Cause::TargetBroke);
             }
-            cell::Outcome::TimedOut => {
+            cell::Outcome::TimedOut | cell::Outcome::Expired => {
                 self.sends[send].lost = Some(refusal::Cause::TargetTimeout);
             }
             cell::Outcome::Answered
@@ -339,7 +339,9 @@
             | cell::Outcome::Unlisted
             | cell::Outcome::Withdrawn,
         ) => refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(fleet::RETRY_SOON)),
-        Some(cell::Outcome::TimedOut) => refusal::Refusal::unknown(refusal::Cause::TargetTimeout),
+        Some(cell::Outcome::TimedOut | cell::Outcome::Expired) => {
+            refusal::Refusal::unknown(refusal::Cause::TargetTimeout)
+        }
         Some(cell::Outcome::Broken) | None => {
             refusal::Refusal::unknown(refusal::Cause::TargetBroke)
         }
--- a/src/coordination/breadth.rs
+++ b/src/coordination/breadth.rs
@@ -19,7 +19,7 @@
 /// The ended requests that a share is taken of at least.
 const LEAST_ENDED: usize = 5;
 
-/// The requests of a cell that ended of late.
+/// The requests of a cell that ended of late: those whose last try failed count, and those that were refused.
 #[derive(Debug, Default)]
 pub struct Breadth {
     ended: VecDeque<(clock::Millis, bool)>,
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -88,6 +88,17 @@
     Tick,
 }
 
+impl Action {
+    /// Returns whether the action ends a request without service, and no other home is to serve it.
+    pub(super) fn is_unserved(&self) -> bool {
+        match self {
+            Action::GiveUp { .. } => true,
+            Action::Refuse { refusal, .. } => refusal.cause != refusal::Cause::Draining,
+            _ => false,
+        }
+    }
+}
+
 /// What the home has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -47,17 +47,14 @@
             && let Some(target) = self.targets.get_mut(&run.target)
         {
             target.doubt.take(now, outcome);
-            let failed = matches!(
-                outcome,
-                cell::Outcome::Failed | cell::Outcome::Broken | cell::Outcome::TimedOut
-            );
-            if failed || outcome == cell::Outcome::Answered {
-                self.breadth.count(now, failed);
-            }
+        }
+        if outcome == cell::Outcome::Answered {
+            self.breadth.count(now, false);
         }
         match outcome {
             cell::Outcome::Answered => self.answered(now, ticket, actions),
             cell::Outcome::Failed => self.failed(now, ticket, actions),
+            cell::Outcome::Expired => self.expired(ticket, actions),
             cell::Outcome::Shed => self.shed(now, ticket, false, actions),
             cell::Outcome::NotRun => self.shed(now, ticket, true, actions),
             cell::Outcome::Misplaced => self.misplaced(now, ticket, actions),
@@ -185,6 +182,16 @@
         }
     }
 
+    /// Ends a request whose target gave it up at the deadline. That the work was long is no evidence, and no try is left.
+    fn expired(&mut self, ticket: ids::Ticket, actions: &mut Vec<cell::Action>) {
+        let Some(run) = self.end_watch(ticket) else {
+            return;
+        };
+        run.phase = Phase::Answering;
+        self.end_trial(ticket);
+        actions.push(cell::Action::GiveUp { ticket });
+    }
+
     /// Takes a request back that its target refused undone; where that is `proven`, any request may be tried again.
     fn shed(
         &mut self,
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -172,6 +172,9 @@
         self.elapse(now, &mut actions);
         self.dispatch(now, &mut actions);
         self.bound(now, newest, &mut actions);
+        for _ in actions.iter().filter(|a| a.is_unserved()) {
+            self.breadth.count(now, true);
+        }
         actions
     }
 
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -444,6 +444,10 @@
             outgoing.lost = Some(Cause::TargetBroke);
             Last::Answer(answer)
         }
+        Reading::Expired => {
+            outgoing.lost = Some(Cause::TargetTimeout);
+            Last::Answer(answer)
+        }
         Reading::NotRun | Reading::Misplaced => {
             tokio::spawn(discard(*answer, tools.pool.clone()));
             Last::Refusal(Refusal::not_run(Cause::TargetShed, Some(SHED_RETRY)))
@@ -460,6 +464,7 @@
     match reading {
         Reading::Answered => Outcome::Answered,
         Reading::Failed => Outcome::Failed,
+        Reading::Expired => Outcome::Expired,
         Reading::Shed => Outcome::Shed,
         Reading::NotRun => Outcome::NotRun,
         Reading::Misplaced => Outcome::Misplaced,
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -35,6 +35,18 @@
     pub left: clock::Millis,
 }
 
+impl Try<'_> {
+    /// Reads a status as the target's failure; absent where it is none.
+    ///
+    /// A time-out once the deadline has passed says that the work was long, and nothing of the target.
+    pub fn failure(&self, status: StatusCode) -> Option<Reading> {
+        if status == StatusCode::GATEWAY_TIMEOUT && self.left == clock::Millis::ZERO {
+            return Some(Reading::Expired);
+        }
+        status.is_server_error().then_some(Reading::Failed)
+    }
+}
+
 /// What the head of a target's answer tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
@@ -42,6 +54,8 @@
     Answered,
     /// The answer to the request, and a failure of the target.
     Failed,
+    /// The target ended the run because the deadline had passed; its answer is fit for the caller.
+    Expired,
     /// The target refused the request undone; its answer is fit for the caller.
     Shed,
     /// The target states that the request did not run; its answer is not fit for the caller.
@@ -95,15 +109,12 @@
         problem::name_request(map, attempt.request.id);
     }
 
-    fn read(&self, answer: &Parts, _attempt: &Try<'_>) -> Reading {
+    fn read(&self, answer: &Parts, attempt: &Try<'_>) -> Reading {
         let sheds = answer.status == StatusCode::SERVICE_UNAVAILABLE;
         if sheds && answer.headers.contains_key(header::RETRY_AFTER) {
             return Reading::Shed;
         }
-        if answer.status.is_server_error() {
-            return Reading::Failed;
-        }
-        Reading::Answered
+        attempt.failure(answer.status).unwrap_or(Reading::Answered)
     }
 
     fn complete(&self, map: &mut HeaderMap, request: &Named<'_>, target: &str) {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -65,6 +65,8 @@
     Broken,
     /// No answer came before the deadline.
     TimedOut,
+    /// The target ended the run because the deadline had passed.
+    Expired,
     /// The entry knows no such target, or knows that it leaves; nothing was sent.
     Unlisted,
     /// The entry gave the slot back unused.
--- a/tests/testsuite/cell/soundness.rs
+++ b/tests/testsuite/cell/soundness.rs
@@ -118,6 +118,18 @@
     assert!(actions.iter().any(taken), "{actions:?}");
 }
 
+#[test]
+fn work_that_runs_out_of_time_says_nothing_of_its_target() {
+    let mut desk = Desk::new(&sound(2, 1));
+    desk.warm(8);
+    let (long, actions) = desk.run(writing(1), 1, Outcome::Expired);
+    assert!(gave_up(&actions));
+    desk.handle(Event::Release(ids::Ticket(1)));
+    let used = |target: &str| target == long;
+    let next = (2..12).map(|ticket| desk.run(writing(ticket), 20, Outcome::Answered).0);
+    assert!(next.collect::<Vec<_>>().iter().any(|t| used(t)));
+}
+
 #[test]
 fn what_targets_prove_not_to_have_run_is_tried_elsewhere() {
     let mut desk = Desk::new(&sound(2, 1));
