coordination: breadth by what the next requests may show; a cell is told by its soundest free target

Now the share that the next two seconds may reach decides, by the number of requests; and a target that failed within them is no capacity left idle. Cells with targets ranked by soundness told their share of bad requests, which a few failures at any target moved by more than the advantage of the own failure domain, so that requests left it; they tell the doubt about the target that comes next.

--- a/src/coordination/breadth.rs
+++ b/src/coordination/breadth.rs
@@ -8,14 +8,18 @@
 
 use crate::state::clock;
 
-/// The span in which each of the targets that the floor asks for gets work; less than the two seconds after which an idle
+/// The span in which each of the targets that the floor asks for gets work; less than [`FLOOR_SPAN`], after which an idle
 /// one counts as left out.
 pub const SPAN: clock::Millis = clock::Millis(1_400);
-/// The span over which failures are counted: longer than the two seconds in which they count, so that targets have had
-/// work already when failures come together.
-const COUNTED_SPAN: clock::Millis = clock::Millis(6_000);
-/// The share of failed requests from which on breadth is kept: half of the tenth from which on it is owed.
-const FAILED_SHARE: f64 = 0.05;
+/// The span over which the floor looks at requests and targets, and after which a target that failed counts as sound
+/// again; the platform's figure.
+pub const FLOOR_SPAN: clock::Millis = clock::Millis(2_000);
+/// The longer span over which failures are counted: so that targets have had work already when failures come together.
+const LONG_SPAN: clock::Millis = clock::Millis(6_000);
+/// The share of unserved requests that breadth is to be kept before: a little less than the tenth from which on it is owed.
+const UNSERVED_SHARE: f64 = 0.09;
+/// The standard deviations by which the share of the next requests may lie above that of the last ones.
+const DEVIATIONS: f64 = 1.5;
 /// The ended requests that a share is taken of at least.
 const LEAST_ENDED: usize = 5;
 
@@ -23,26 +27,40 @@
 #[derive(Debug, Default)]
 pub struct Breadth {
     ended: VecDeque<(clock::Millis, bool)>,
-    failed: usize,
 }
 
 impl Breadth {
     /// Counts a request that ended.
     pub fn count(&mut self, now: clock::Millis, failed: bool) {
         self.ended.push_back((now, failed));
-        self.failed += usize::from(failed);
-        while let Some((at, failed)) = self.ended.front().copied() {
-            if now - at <= COUNTED_SPAN {
-                return;
-            }
-            self.failed -= usize::from(failed);
+        while let Some((at, _)) = self.ended.front()
+            && now - *at > LONG_SPAN
+        {
             self.ended.pop_front();
         }
     }
 
-    /// Returns whether so many requests fail that breadth is to be kept.
-    pub fn is_owed(&self) -> bool {
-        let ended = self.ended.len();
-        ended >= LEAST_ENDED && self.failed as f64 >= FAILED_SHARE * ended as f64
+    /// Returns whether so many requests fail that breadth is to be kept: where those of the floor's span may well pass its
+    /// share, few of them sooner than many.
+    pub fn is_owed(&self, now: clock::Millis) -> bool {
+        let spans = [FLOOR_SPAN, LONG_SPAN];
+        spans.into_iter().any(|span| self.may_pass(now, span))
+    }
+
+    fn may_pass(&self, now: clock::Millis, span: clock::Millis) -> bool {
+        let of_late = self.ended.iter().rev();
+        let of_late = of_late.take_while(|(at, _)| now - *at <= span);
+        let (mut ended, mut failed) = (0, 0);
+        for (_, unserved) in of_late {
+            ended += 1;
+            failed += usize::from(*unserved);
+        }
+        if ended < LEAST_ENDED {
+            return false;
+        }
+        let share = failed as f64 / ended as f64;
+        let expected = ended as f64 * FLOOR_SPAN.0 as f64 / span.0 as f64;
+        let deviation = (share * (1.0 - share) / expected).sqrt();
+        share + DEVIATIONS * deviation > UNSERVED_SHARE
     }
 }
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -130,13 +130,17 @@
         if let Some((name, _)) = free().find(|(_, t)| t.newcomer) {
             return Some(name.clone());
         }
-        if !self.breadth.is_owed() {
+        if !self.breadth.is_owed(now) {
             return None;
         }
         let is_used = |t: &target::Target| now - t.used <= breadth::SPAN;
-        let working = || self.targets.values().filter(|t| t.takes_work());
-        let used = working().filter(|t| is_used(t)).count();
-        if used as f64 >= self.rules.breadth * working().count() as f64 {
+        // Those that failed a moment ago had work, and are no capacity that is left idle.
+        let counted = || {
+            let working = self.targets.values().filter(|t| t.takes_work());
+            working.filter(|t| t.failed.is_none_or(|at| now - at > breadth::FLOOR_SPAN))
+        };
+        let used = counted().filter(|t| is_used(t)).count();
+        if used as f64 >= self.rules.breadth * counted().count() as f64 {
             return None;
         }
         let doubt = |t: &target::Target| t.doubt.value(now);
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -46,7 +46,7 @@
         if let Some(run) = known
             && let Some(target) = self.targets.get_mut(&run.target)
         {
-            target.doubt.take(now, outcome);
+            target.took(now, outcome);
         }
         if outcome == cell::Outcome::Answered {
             self.breadth.count(now, false);
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -93,7 +93,7 @@
     id: ids::CellId,
     rules: Rules,
     targets: BTreeMap<String, target::Target>,
-    peers: BTreeMap<String, evidence::Peer>,
+    peers: BTreeMap<ids::CellId, evidence::Peer>,
     queue: queue::Queue,
     running: BTreeMap<ids::Ticket, Running>,
     /// When requests in flight fall into the next worse class.
@@ -191,7 +191,11 @@
         let bad: f64 = counted()
             .map(|t| t.evidence.weight(now) * t.evidence.recent().bad())
             .sum();
-        let bad = if seen > 0.0 { (bad / seen) as f32 } else { 0.0 };
+        let bad = match self.rules.soundness {
+            true => self.least_doubt(now) as f32,
+            false if seen > 0.0 => (bad / seen) as f32,
+            false => 0.0,
+        };
         let median = evidence::median(now, counted().map(|t| &t.evidence), std::iter::empty());
         peer::Summary {
             cell: self.id.clone(),
@@ -206,6 +210,19 @@
         }
     }
 
+    /// Returns the doubt about the soundest target that is free, or of all where none is; 0 where it was proved sound.
+    fn least_doubt(&self, now: clock::Millis) -> f64 {
+        let working = || self.targets.values().filter(|t| t.takes_work());
+        let order = |a: &&target::Target, b: &&target::Target| {
+            let value = |t: &target::Target| t.doubt.value(now);
+            value(a).total_cmp(&value(b))
+        };
+        let free = working().filter(|t| t.is_free(now)).min_by(order);
+        let soundest = free.or_else(|| working().min_by(order));
+        let doubted = soundest.filter(|t| t.doubt.level(now) > 0);
+        doubted.map_or(0.0, |t| t.doubt.value(now))
+    }
+
     /// Tells how the targets are judged; the caller names the home.
     pub fn targets(&self) -> Vec<peer::TargetReport> {
         let report = |(name, t): (&String, &target::Target)| peer::TargetReport {
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -5,6 +5,7 @@
 use crate::coordination::judge;
 use crate::coordination::soundness;
 use crate::coordination::trial;
+use crate::protocol::peer;
 use crate::state::clock;
 use crate::state::ids;
 
@@ -30,6 +31,8 @@
     pub(super) granted: u64,
     /// When the last grant was.
     pub(super) used: clock::Millis,
+    /// When its last failure was.
+    pub(super) failed: Option<clock::Millis>,
     /// Whether it joined the others and has had no work yet.
     pub(super) newcomer: bool,
     /// The requests in flight that are slow already.
@@ -81,6 +84,7 @@
             leaving: false,
             granted: 0,
             used: clock::Millis::ZERO,
+            failed: None,
             newcomer: false,
             overdue: 0,
             suspects: 0,
@@ -179,6 +183,14 @@
         self.pauses = (self.pauses + 1).min(SHEDDING_DOUBLINGS);
     }
 
+    /// Takes in how a try ended.
+    pub(super) fn took(&mut self, now: clock::Millis, outcome: peer::Outcome) {
+        self.doubt.take(now, outcome);
+        if outcome.is_failure() {
+            self.failed = Some(now);
+        }
+    }
+
     /// Counts a good answer towards its slow start.
     pub(super) fn answered(&mut self) {
         self.pauses = 0;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -73,6 +73,16 @@
     Withdrawn,
 }
 
+impl Outcome {
+    /// Returns whether the target, or the way there, failed the try.
+    pub fn is_failure(self) -> bool {
+        matches!(
+            self,
+            Outcome::Failed | Outcome::Broken | Outcome::ConnectFailed | Outcome::TimedOut
+        )
+    }
+}
+
 /// What one cell's home tells about its cell, along with each answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -88,7 +98,8 @@
     pub wait: clock::Millis,
     /// The median time of good answers; zero while there is no evidence.
     pub median: clock::Millis,
-    /// The share of failed or slow requests, from 0 to 1.
+    /// The share of failed or slow requests, from 0 to 1; where targets are ranked by soundness, the doubt about the one
+    /// that comes next.
     pub bad: f32,
     /// The number of recent requests behind `median` and `bad`.
     pub seen: u32,
--- a/tests/testsuite/cell/soundness.rs
+++ b/tests/testsuite/cell/soundness.rs
@@ -1,5 +1,7 @@
 //! Targets that fail briefly and often: soundness, proofs that nothing ran, and the limits on sends.
 
+use peridotspread::coordination::breadth::Breadth;
+
 use super::*;
 
 /// A service whose targets are ranked by soundness.
@@ -232,6 +234,51 @@
     assert!(used.len() >= 7, "{used:?}");
 }
 
+#[test]
+fn a_target_that_failed_is_no_capacity_that_has_work() {
+    let mut rules = sound(4, 1);
+    rules.breadth_pct = 70.0;
+    let mut desk = Desk::new(&rules);
+    desk.warm(4);
+    let busy = granted(&desk.arrive(writing(1))).unwrap();
+    desk.handle(Event::Dispatch(ids::Ticket(1)));
+    let failed = [2, 3].map(|ticket| desk.run(writing(ticket), 1, Outcome::Broken).0);
+    desk.done(1, Outcome::Answered);
+    desk.handle(Event::Release(ids::Ticket(1)));
+    let next = granted(&desk.arrive(writing(4))).unwrap();
+    assert!(next != busy && !failed.contains(&next), "{next}");
+}
+
+#[test]
+fn few_failures_among_many_requests_are_no_reason_to_spread_work() {
+    let played = |count: u64, failed: u64| {
+        let mut breadth = Breadth::default();
+        for i in 0..count {
+            let at = Millis(100_000 + i * 6_000 / count);
+            breadth.count(at, i * failed / count != (i + 1) * failed / count);
+        }
+        breadth.is_owed(Millis(106_000))
+    };
+    assert!(!played(300, 12), "4 of 100, in a span of 100 requests");
+    assert!(
+        played(300, 24),
+        "8 of 100 may well be more than 10 of 100 next"
+    );
+    assert!(played(24, 1), "4 of 100, in a span of 8 requests");
+    assert!(!played(24, 0));
+}
+
+#[test]
+fn a_cell_with_a_proved_target_free_looks_as_good_as_any() {
+    let mut desk = Desk::new(&sound(6, 1));
+    desk.warm(20);
+    for ticket in 1..4 {
+        desk.run(writing(ticket), 1, Outcome::Broken);
+        desk.warm(3);
+    }
+    assert_eq!(desk.cell.summary(desk.now).bad, 0.0);
+}
+
 #[test]
 fn a_target_that_joins_gets_work_though_the_others_were_proved_sound() {
     let mut desk = Desk::new(&sound(3, 3));
