--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -20,7 +20,8 @@
 const FIRST_PAUSE: clock::Millis = clock::Millis(100);
 /// The longest pause after the platform did not answer.
 const LONGEST_PAUSE: clock::Millis = clock::Millis(800);
-/// The time after the start in which a daemon knows too few others to leave the reading to one of them.
+/// The time after the start in which a daemon knows too few others to leave the reading to one of them. It reads once
+/// for itself then, so that it serves at once, and does not follow: each change of that time would cost a call of each.
 const SETTLING_SPAN: clock::Millis = clock::Millis(700);
 
 /// Returns the longest time in which a daemon that asks a peer can miss a change, where its own way to the platform is
@@ -46,6 +47,8 @@
     me: String,
     domain: String,
     start: clock::Millis,
+    /// Whether the platform has answered.
+    heard: bool,
     distrusted: BTreeMap<String, clock::Millis>,
     /// When the platform may be tried again.
     retry: clock::Millis,
@@ -60,6 +63,7 @@
             me: me.to_owned(),
             domain: domain.to_owned(),
             start: now,
+            heard: false,
             distrusted: BTreeMap::new(),
             retry: clock::Millis::ZERO,
             pause: FIRST_PAUSE,
@@ -77,6 +81,9 @@
         {
             return Plan::Peer(reader.to_owned());
         }
+        if !settled && self.heard {
+            return Plan::Wait(self.start + SETTLING_SPAN);
+        }
         if self.retry <= now {
             return Plan::Platform;
         }
@@ -91,6 +98,7 @@
 
     /// Notes whether the platform answered.
     pub fn note_platform(&mut self, now: clock::Millis, answered: bool) {
+        self.heard |= answered;
         if answered {
             self.retry = clock::Millis::ZERO;
             self.pause = FIRST_PAUSE;
--- a/src/daemon/feeds.rs
+++ b/src/daemon/feeds.rs
@@ -105,9 +105,11 @@
             Ok(hosts) => members.add_seeds(&hosts),
             Err(e) => log::warn!("the list of hosts can't be read: {e}"),
         }
-        let alone = members.view().borrow().members.len() <= 1;
-        let pause = if alone { ALONE_SPAN } else { HOSTS_SPAN };
-        time::sleep(pause.span()).await;
+        // Those that the list has named need a moment to answer.
+        time::sleep(ALONE_SPAN.span()).await;
+        if members.view().borrow().members.len() > 1 {
+            time::sleep(HOSTS_SPAN.span()).await;
+        }
     }
 }
 
--- a/tests/testsuite/readers.rs
+++ b/tests/testsuite/readers.rs
@@ -91,6 +91,17 @@
     assert!(plans.into_iter().all(|p| p == Plan::Platform));
 }
 
+#[test]
+fn a_daemon_that_has_read_once_follows_only_when_it_knows_the_others() {
+    let view = view(20);
+    for mut readers in (0..20).map(daemon) {
+        readers.note_platform(Millis(100), true);
+        let plan = readers.plan(Millis(120), &view);
+        assert!(matches!(plan, Plan::Wait(until) if until <= Millis(1_000)));
+        assert!(!matches!(readers.plan(SETTLED, &view), Plan::Wait(_)));
+    }
+}
+
 #[test]
 fn alone_and_without_the_platform_a_daemon_waits() {
     let view = view(1);
