coordination: cells of a failure domain's own where it has targets enough

Cause: large services were dealt to cells whatever the failure domains, so three of four requests crossed between them to ask for a slot, and a cell had few targets near each caller. With 24 slots or more in each domain they get cells of their own, and a cell holds 96 slots at most.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -28,6 +28,7 @@
         deadline_ms: Millis(10_000),
         queue,
         cells: None,
+        parts: 1,
         soundness: false,
         breadth_pct: 0.0,
         ejection: bundle::Ejection::default(),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -327,6 +327,7 @@
             deadline_ms: clock::Millis(5_000),
             queue: QUEUE,
             cells: None,
+            parts: 1,
             soundness: false,
             breadth_pct: 0.0,
             ejection: service.ejection.clone(),
--- a/crates/lab/src/replay/scene.rs
+++ b/crates/lab/src/replay/scene.rs
@@ -279,6 +279,7 @@
         deadline_ms: clock::Millis(10_000),
         queue: QUEUE,
         cells: None,
+        parts: 1,
         soundness: false,
         breadth_pct: 0.0,
         ejection: fleet.ejection.clone(),
--- a/src/coordination/cell/standing.rs
+++ b/src/coordination/cell/standing.rs
@@ -280,13 +280,13 @@
     /// Takes in what other cells of the service tell; the newest summary of each counts.
     pub(super) fn hear(&mut self, now: clock::Millis, summaries: &[peer::Summary]) {
         for summary in summaries {
-            if summary.cell.service != self.id.service || summary.cell.domain == self.id.domain {
+            if summary.cell.service != self.id.service || summary.cell == self.id {
                 continue;
             }
             let told = evidence::Peer::new(now, summary);
-            let known = self.peers.get(&summary.cell.domain);
+            let known = self.peers.get(&summary.cell);
             if known.is_none_or(|k| k.at() <= told.at()) {
-                self.peers.insert(summary.cell.domain.clone(), told);
+                self.peers.insert(summary.cell.clone(), told);
             }
         }
     }
--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -99,8 +99,8 @@
 
     /// Chooses a cell of `service` and a home for it, other than those in `tried`.
     ///
-    /// The cell of the entry's own failure domain comes first, unless the better of two others drawn at random is
-    /// better by a margin. Its home is the first in rank that the entry can reach, at last the entry itself.
+    /// The better of two cells of the entry's own failure domain comes first, unless the better of two others is better
+    /// by a margin; they are drawn at random. Its home is the first in rank that the entry can reach, at last the entry itself.
     /// Returns nothing once every cell has refused or was tried at every home.
     pub fn choose(
         &mut self,
@@ -111,19 +111,24 @@
     ) -> Option<Choice> {
         let cells = cells_with_targets(service);
         let offers = cells.iter().filter_map(|c| self.offer(now, c, view, tried));
-        let (mut own, mut others): (Vec<_>, Vec<_>) =
+        let (own, others): (Vec<_>, Vec<_>) =
             offers.partition(|o| o.choice.cell.domain == self.domain);
-        for _ in 0..2 {
-            if !others.is_empty() {
-                let at = self.random.index(others.len());
-                own.push(others.swap_remove(at));
-            }
-        }
-        let best = own.into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        let drawn = self.draw(own).into_iter();
+        let drawn = drawn.chain(self.draw(others));
+        let best = drawn.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
         self.judge.choose(now, &best.choice.home);
         Some(best.choice)
     }
 
+    /// Draws two offers, or takes what there is.
+    fn draw(&mut self, mut offers: Vec<Offer>) -> Vec<Offer> {
+        if offers.len() <= 2 {
+            return offers;
+        }
+        let draws = (0..2).map(|_| offers.swap_remove(self.random.index(offers.len())));
+        draws.collect()
+    }
+
     /// Takes in how a request at `home` went on.
     pub fn observe(&mut self, now: clock::Millis, home: &str, observation: Observation) {
         if home != self.me {
--- a/src/coordination/homes/rank.rs
+++ b/src/coordination/homes/rank.rs
@@ -14,7 +14,7 @@
         .iter()
         .filter(|(_, m)| m.liveness != member::Liveness::Leaving)
         .map(|(name, m)| {
-            let score = hash::hash(&[&cell.service, &cell.domain, name]);
+            let score = hash::hash(&[&cell.service, &cell.place(), name]);
             (
                 m.domain != cell.domain,
                 m.liveness,
@@ -33,7 +33,7 @@
     view: &'a member::View,
     count: usize,
 ) -> Vec<&'a str> {
-    let state = hash::begin(&[&cell.service, &cell.domain]);
+    let state = hash::begin(&[&cell.service, &cell.place()]);
     let near = view
         .members
         .iter()
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -21,11 +21,54 @@
 
 /// The slots of targets that one cell holds: many, so that a request finds a free and sound target among them, and few
 /// enough for the home's processor, at some requests a second for each slot.
-const SLOTS_PER_CELL: usize = 64;
+const SLOTS_PER_CELL: usize = 96;
 
-/// Returns the number of cells for targets; powers of two, so that it seldom changes as targets come and go.
-fn cells_for(targets: &[bundle::Target]) -> usize {
-    let slots: usize = targets.iter().map(|t| t.slots).sum();
+/// The slots that each failure domain must have for cells of its own: enough that a request finds a free and sound target
+/// among them while a third of all targets are bad.
+const SLOTS_PER_DOMAIN: usize = 24;
+
+/// How a service's targets are dealt to cells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Layout {
+    /// The cells of all failure domains together; absent where each domain has its own.
+    cells: Option<usize>,
+    /// The cells of each failure domain that has its own.
+    parts: usize,
+    /// All cells.
+    total: usize,
+}
+
+impl Layout {
+    /// Returns the layout for targets.
+    ///
+    /// Load pattern: many small requests with long answers between failure domains that are priced or slow. Where each
+    /// domain has enough targets, requests stay within it unless it is overfull.
+    fn new(targets: &[bundle::Target]) -> Layout {
+        let mut slots = BTreeMap::<&str, usize>::new();
+        for target in targets {
+            *slots.entry(&target.domain).or_default() += target.slots;
+        }
+        let least = slots.values().copied().min().unwrap_or_default();
+        if slots.len() > 1 && least >= SLOTS_PER_DOMAIN {
+            let most = slots.values().copied().max().unwrap_or_default();
+            let parts = cells_for(most);
+            return Layout {
+                cells: None,
+                parts,
+                total: parts * slots.len(),
+            };
+        }
+        let total = cells_for(slots.values().sum());
+        Layout {
+            cells: Some(total),
+            parts: 1,
+            total,
+        }
+    }
+}
+
+/// Returns the number of cells for slots; powers of two, so that it seldom changes as targets come and go.
+fn cells_for(slots: usize) -> usize {
     slots.div_ceil(SLOTS_PER_CELL).next_power_of_two()
 }
 
@@ -156,10 +199,11 @@
             service.targets = told.remove(service.name.as_str()).unwrap_or_default();
             // Avoiding protects callers of a platform's targets; none is taken out of service as a whole.
             service.floor = service.targets.len();
-            let cells = cells_for(&service.targets);
-            service.cells = Some(cells);
+            let layout = Layout::new(&service.targets);
+            service.cells = layout.cells;
+            service.parts = layout.parts;
             // The burst is the whole service's.
-            service.retry.burst /= cells as f64;
+            service.retry.burst /= layout.total as f64;
         }
         Some(sync::Arc::new(bundle))
     }
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -190,6 +190,7 @@
             "deadline_ms",
             "queue",
             "cells",
+            "parts",
             "soundness",
             "breadth_pct",
             "ejection",
@@ -200,6 +201,7 @@
         within(service, "deadline_ms", 1, LONGEST_MS);
         within(service, "queue", 0, QUEUE);
         within(service, "cells", 1, CELLS);
+        within(service, "parts", 1, CELLS);
         service.optional("soundness").and_then(|s| s.boolean());
         if let Some(breadth) = service.optional("breadth_pct") {
             breadth.number(0.0..=100.0);
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -96,6 +96,9 @@
     /// The cells that the targets are dealt to, whatever their failure domains; one for each failure domain where absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cells: Option<usize>,
+    /// The cells that the targets of each failure domain are dealt to, where `cells` is absent.
+    #[serde(default = "default_parts")]
+    pub parts: usize,
     /// Whether targets are ranked by how their last requests went, for targets that fail briefly and often.
     #[serde(default)]
     pub soundness: bool,
@@ -235,9 +238,6 @@
     pub idle_ms: clock::Millis,
 }
 
-/// What stands for the failure domain of cells that targets are dealt to; no failure domain's name begins so.
-const DEALT_PREFIX: &str = "#";
-
 fn default_deadline() -> clock::Millis {
     clock::Millis(10_000)
 }
@@ -246,6 +246,10 @@
     100
 }
 
+fn default_parts() -> usize {
+    1
+}
+
 fn default_connections() -> usize {
     400
 }
@@ -297,6 +301,7 @@
             deadline_ms: default_deadline(),
             queue: 0,
             cells: None,
+            parts: default_parts(),
             soundness: false,
             breadth_pct: 0.0,
             ejection: Ejection::default(),
@@ -307,12 +312,14 @@
 
     /// Returns the cell of one of the targets.
     pub fn cell_of(&self, target: &Target) -> ids::CellId {
-        match self.cells {
-            Some(cells) => {
-                let dealt = hash::hash(&[&target.name]) % cells.max(1) as u64;
-                ids::CellId::new(&self.name, &format!("{DEALT_PREFIX}{dealt}"))
-            }
-            None => ids::CellId::new(&self.name, &target.domain),
+        let (domain, parts) = match self.cells {
+            Some(cells) => ("", cells),
+            None => (target.domain.as_str(), self.parts),
+        };
+        let dealt = hash::hash(&[&target.name]) % parts.max(1) as u64;
+        ids::CellId {
+            part: u32::try_from(dealt).unwrap_or_default(),
+            ..ids::CellId::new(&self.name, domain)
         }
     }
 
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -1,33 +1,45 @@
 //! Identities that cross process borders.
 
+use std::borrow;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
 use crate::state::hash;
 
-/// One service's targets in one failure domain: the unit that has a home.
+/// Some of one service's targets, all of them in one failure domain or regardless of it: the unit that has a home.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellId {
     /// The service's name in the bundle.
     pub service: String,
-    /// The failure domain's name in the bundle.
+    /// The failure domain's name in the bundle; empty where the cell holds targets of any.
     pub domain: String,
+    /// Which of the cells with this service and domain it is, from 0.
+    pub part: u32,
 }
 
 impl CellId {
-    /// Names the cell of `service` in `domain`.
+    /// Names the first cell of `service` in `domain`.
     pub fn new(service: &str, domain: &str) -> CellId {
         CellId {
             service: service.to_owned(),
             domain: domain.to_owned(),
+            part: 0,
+        }
+    }
+
+    /// Returns the text that tells it from other cells of its service.
+    pub fn place(&self) -> borrow::Cow<'_, str> {
+        match self.part {
+            0 => borrow::Cow::Borrowed(&self.domain),
+            part => borrow::Cow::Owned(format!("{}#{part}", self.domain)),
         }
     }
 }
 
 impl fmt::Display for CellId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}@{}", self.service, self.domain)
+        write!(f, "{}@{}", self.service, self.place())
     }
 }
 
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -32,6 +32,7 @@
         deadline_ms: Millis(10_000),
         queue: 4,
         cells: None,
+        parts: 1,
         soundness: false,
         breadth_pct: 0.0,
         ejection: bundle::Ejection::default(),
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -172,6 +172,7 @@
         deadline_ms: Millis(10_000),
         queue: 100,
         cells: None,
+        parts: 1,
         soundness: false,
         breadth_pct: 0.0,
         ejection: bundle::Ejection {
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -32,6 +32,7 @@
         deadline_ms: Millis(10_000),
         queue: 100,
         cells: None,
+        parts: 1,
         soundness: false,
         breadth_pct: 0.0,
         ejection: bundle::Ejection::default(),
@@ -200,3 +201,23 @@
     homes.observe(Millis(1_000), first, Observation::Stalled);
     assert_ne!(home(&mut homes), first);
 }
+
+#[test]
+fn the_cells_of_one_failure_domain_share_its_requests() {
+    let mut homes = homes::Homes::new("d0", HERE);
+    let mut service = service(&[]);
+    service.parts = 2;
+    service.targets = (0..8).map(|i| target(&format!("t{i}"), HERE)).collect();
+    assert_eq!(service.cells().len(), 2);
+    let mut chosen = std::collections::BTreeSet::new();
+    for busy in [(6, 0), (0, 6)] {
+        for (part, busy) in [busy.0, busy.1].into_iter().enumerate() {
+            let mut told = summary(HERE, busy, busy * 5);
+            told.cell.part = part as u32;
+            homes.learn(Millis(1_000), &told);
+        }
+        let choice = homes.choose(Millis(1_001), &service, &view(), &[]).unwrap();
+        chosen.insert(choice.cell.part);
+    }
+    assert_eq!(chosen.len(), 2, "a full cell is left for its neighbour");
+}
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -200,3 +200,52 @@
     );
     assert!(registry.news(Millis(5), Topic::Rules, 1).changes.is_empty());
 }
+
+/// A registry with `count` targets of three slots in each of two failure domains.
+fn two_domains(count: u64) -> Registry {
+    let mut registry = Registry::default();
+    registry.take(Millis(1), Topic::Rules, &rules(7, 1));
+    let changes = (0..2 * count).map(|i| {
+        let name = format!("t{i}");
+        let mut told = told(&name);
+        told.target.domain = ["lahore-1", "lahore-2"][(i % 2) as usize].to_owned();
+        Change {
+            item: Some(Item::Target(told)),
+            ..change(&name, 2 + i, None)
+        }
+    });
+    let reading = reading(changes.collect(), 2 + 2 * count);
+    registry.take(Millis(1), Topic::Targets, &reading);
+    registry
+}
+
+#[test]
+fn requests_stay_within_a_failure_domain_that_has_enough_targets() {
+    let bundle = two_domains(10).bundle().unwrap();
+    let cells = bundle.services[0].cells();
+    let domains: Vec<_> = cells.keys().map(|c| c.domain.as_str()).collect();
+    assert_eq!(domains, ["lahore-1", "lahore-2"]);
+}
+
+#[test]
+fn few_targets_share_one_cell_whatever_their_failure_domains() {
+    let bundle = two_domains(3).bundle().unwrap();
+    let cells = bundle.services[0].cells();
+    assert_eq!(cells.len(), 1);
+    assert_eq!(cells.keys().next().unwrap().domain, "");
+}
+
+#[test]
+fn cells_of_many_targets_share_the_burst_of_their_service() {
+    let bundle = two_domains(50).bundle().unwrap();
+    let service = &bundle.services[0];
+    let cells = service.cells();
+    assert_eq!(
+        cells.len(),
+        4,
+        "150 slots a domain are too many for one cell"
+    );
+    let whole = bundle::Retry::default().burst;
+    let shared = service.retry.burst * cells.len() as f64;
+    assert!((shared - whole).abs() < 1e-9);
+}
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -62,6 +62,7 @@
                 deadline_ms: clock::Millis(10_000),
                 queue: 100,
                 cells: None,
+                parts: 1,
                 soundness: false,
                 breadth_pct: 0.0,
                 ejection: bundle::Ejection::default(),
