coordination: what can be on time comes before what is late, newest first once load lasts

Cause: the queue served the oldest first, and admitted whatever could just meet its deadline. Under lasting load each request was served at the brink of its deadline, late, while the next could have been on time. The replay did not show it: there an objective was the deadline. It now is an ordinary run and the time from which a trace counts harm.

--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -109,7 +109,7 @@
             ticket: ids::Ticket(send as u64),
             tier: wanted.tier,
             deadline: wanted.deadline,
-            objective: wanted.deadline,
+            objective: wanted.objective,
             tries: u32::MAX,
             used: 0,
             origin: ids::Place::default(),
--- a/crates/lab/src/replay/scene.rs
+++ b/crates/lab/src/replay/scene.rs
@@ -58,6 +58,8 @@
     pub fingerprint: ids::Fingerprint,
     /// When its caller gives up.
     pub deadline: clock::Millis,
+    /// Until when an answer is worth most to its caller: an ordinary run, and the time from which more is harm.
+    pub objective: clock::Millis,
     /// The time that a healthy target works on it.
     pub work: clock::Millis,
     /// Whether it crashes each target that runs it.
@@ -296,15 +298,15 @@
 ) -> Vec<Request> {
     let mut requests = listed(trace, fleet, service, seed);
     if let Some(arrivals) = &trace.arrivals {
-        requests.extend(generated(arrivals, trace.span_ms, fleet, service, seed));
+        requests.extend(generated(trace, arrivals, fleet, service, seed));
     }
     requests.sort_by_key(|r| r.at);
     requests
 }
 
 fn generated(
+    trace: &trace::Trace,
     arrivals: &trace::Arrivals,
-    span: clock::Millis,
     fleet: &trace::Fleet,
     service: &trace::Service,
     seed: u64,
@@ -320,7 +322,7 @@
     };
     let mut requests = Vec::new();
     let mut at = draw.exponential(1.0 / rate);
-    while at < span.0 as f64 {
+    while at < trace.span_ms.0 as f64 {
         let number = requests.len() as u64 + 1;
         let idempotent = draw.unit() < service.idempotent;
         let now = clock::Millis(at as u64);
@@ -332,6 +334,7 @@
             key: (!idempotent).then_some(number),
             fingerprint: ids::Fingerprint(number),
             deadline: now + arrivals.deadline_ms,
+            objective: now + service.work_ms + trace.harm_ms,
             work: work(&mut draw, service),
             crash: false,
             resends: arrivals.resends,
@@ -362,6 +365,7 @@
             key,
             fingerprint: ids::Fingerprint(key.unwrap_or(2 * OFFSET + n as u64)),
             deadline: r.at_ms + r.deadline_ms,
+            objective: r.at_ms + service.work_ms + trace.harm_ms,
             work: r.work_ms.unwrap_or(drawn),
             crash: r.crash,
             resends: r.resends,
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -65,12 +65,27 @@
                 return;
             };
             self.grant(now, work, &target, rank == Rank::Trial, actions);
+            self.note_spare(now);
         }
         if self.queue.is_empty() {
             self.rescue(now, actions);
         }
     }
 
+    /// Counts a grant towards what is left of the slots for late requests.
+    fn note_spare(&mut self, now: clock::Millis) {
+        let timely = self.queue.highest_timely(now + self.run_span());
+        for tier in self.queue.tiers() {
+            let spare = self.spare.entry(tier).or_insert(1.0);
+            let left = if timely.is_some_and(|t| t <= tier) {
+                0.0
+            } else {
+                1.0
+            };
+            *spare += (left - *spare) * super::SPARE_STEP;
+        }
+    }
+
     /// Returns whether a target in favour is free for the request now.
     pub(super) fn has_room(&self, now: clock::Millis, work: &queue::Waiting) -> bool {
         matches!(self.pick(now, work), Some((_, Rank::Normal)))
@@ -94,7 +109,8 @@
         if self.queue.is_empty() || !self.targets.values().any(free) {
             return None;
         }
-        let mut searched = self.queue.iter().take(SEARCH_DEPTH);
+        let ordered = self.queue.order(now + self.run_span());
+        let mut searched = ordered.into_iter().take(SEARCH_DEPTH);
         searched.find_map(|work| {
             let (target, rank) = self.pick(now, work)?;
             Some((work.arrival.ticket, target, rank))
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -39,6 +39,8 @@
 const LEAST_RETRY_AFTER: clock::Millis = clock::Millis(100);
 /// The longest time after which a refused caller is told to come back.
 const MOST_RETRY_AFTER: clock::Millis = clock::Millis(30_000);
+/// The share of a new grant in the running share of grants that leave nobody waiting who can be on time.
+const SPARE_STEP: f64 = 0.05;
 /// The share of a new value in the running mean of the time that a slot is held.
 const HOLD_STEP: f64 = 0.05;
 
@@ -110,6 +112,9 @@
     strikes: quarantine::Strikes,
     /// The running mean of the time that a slot is held, in milliseconds.
     hold: Option<f64>,
+    /// By tier, the running share of grants that leave nobody of it or a higher one waiting who can be on time: what is left of
+    /// the slots for late requests.
+    spare: BTreeMap<u8, f64>,
     draining: bool,
     /// The number of arrivals, grants and abandoned tries.
     count: u64,
@@ -136,6 +141,7 @@
             quarantine: quarantine::Quarantine::default(),
             strikes: quarantine::Strikes::default(),
             hold: None,
+            spare: BTreeMap::new(),
             draining: false,
             count: 0,
             last: clock::Millis::ZERO,
@@ -323,7 +329,7 @@
 
     /// Returns the wait that a new request of `tier` is to expect.
     fn wait(&self, now: clock::Millis, tier: u8) -> clock::Millis {
-        let ahead = self.queue.ahead(tier);
+        let ahead = self.queue.ahead(tier, now + self.run_span());
         if ahead == 0 && self.targets.values().any(|t| t.is_free(now)) {
             return clock::Millis::ZERO;
         }
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -1,4 +1,8 @@
-//! The queue of one cell: strict by tier, oldest first within a tier.
+//! The queue of one cell: strict by tier; within a tier, what can still meet its objective comes before what cannot.
+//!
+//! Load pattern: more requests than slots for longer than an objective. Oldest first, each would be served just before its
+//! deadline, too late to be worth much, and the next could have been on time. So once some are late, the newest of the
+//! others come first; late ones get what is left. A load that passes sooner is served in the order of arrival.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -69,8 +73,13 @@
     }
 
     /// Returns the number of requests that are served before a new one of `tier`.
-    pub(super) fn ahead(&self, tier: u8) -> usize {
-        self.tiers.range(..=tier).map(|(_, n)| n).sum()
+    pub(super) fn ahead(&self, tier: u8, soonest: clock::Millis) -> usize {
+        let higher: usize = self.tiers.range(..tier).map(|(_, n)| n).sum();
+        let (timely, late) = self.split(tier, soonest);
+        match late.is_empty() {
+            true => higher + timely.len(),
+            false => higher,
+        }
     }
 
     pub(super) fn push(&mut self, work: Waiting) {
@@ -82,7 +91,47 @@
         self.waiting.insert(key, work);
     }
 
-    /// Returns the waiting requests, first to be served first.
+    /// Returns the waiting requests, first to be served first, where a request that is granted a slot now ends at `soonest`.
+    pub(super) fn order(&self, soonest: clock::Millis) -> Vec<&Waiting> {
+        let mut ordered = Vec::with_capacity(self.len());
+        for tier in self.tiers.keys() {
+            let (mut timely, late) = self.split(*tier, soonest);
+            if !late.is_empty() {
+                timely.reverse();
+            }
+            ordered.extend(timely);
+            ordered.extend(late);
+        }
+        ordered
+    }
+
+    /// Returns the highest tier of which a request waits that can still meet its objective.
+    pub(super) fn highest_timely(&self, soonest: clock::Millis) -> Option<u8> {
+        let mut waiting = self.waiting.values();
+        let timely = waiting.find(|work| work.arrival.objective >= soonest);
+        timely.map(|work| work.arrival.tier)
+    }
+
+    /// Returns the tiers of the requests that wait, or did so before.
+    pub(super) fn tiers(&self) -> impl Iterator<Item = u8> {
+        self.tiers.keys().copied()
+    }
+
+    /// Returns the requests that can't meet their objective any more, first to be served first.
+    pub(super) fn late(&self, soonest: clock::Millis) -> Vec<&Waiting> {
+        let late = self.tiers.keys().map(|tier| self.split(*tier, soonest).1);
+        late.flatten().collect()
+    }
+
+    /// Parts the requests of a tier into those that can still meet their objective and those that can't, oldest first.
+    fn split(&self, tier: u8, soonest: clock::Millis) -> (Vec<&Waiting>, Vec<&Waiting>) {
+        let of_tier = self.waiting.range((tier, 0)..=(tier, u64::MAX));
+        of_tier
+            .map(|(_, work)| work)
+            .partition(|work| work.arrival.objective >= soonest)
+    }
+
+    /// Returns the waiting requests by tier and arrival.
     pub(super) fn iter(&self) -> impl Iterator<Item = &Waiting> {
         self.waiting.values()
     }
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -160,6 +160,28 @@
         super::refuse(work, refusal::Cause::DeadlineTooShort, Some(wait))
     }
 
+    /// Refuses late requests for which no slot is likely to be left before their deadline, by what was left of late, so that
+    /// their callers need not wait for that.
+    fn drop_hopeless(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
+        let run = self.run_span();
+        let late = self.queue.late(now + run);
+        let slots = self.slots(now).max(1) as f64;
+        let wait = |ahead: usize, tier: u8| {
+            let spare = self.spare.get(&tier).copied().unwrap_or(1.0);
+            let span = run.0 as f64 * (ahead + 1) as f64 / (slots * spare);
+            clock::Millis(span as u64)
+        };
+        let hopeless = late.iter().enumerate().filter(|(ahead, work)| {
+            now + wait(*ahead, work.arrival.tier) + run > work.arrival.deadline
+        });
+        let hopeless: Vec<_> = hopeless.map(|(_, work)| work.arrival.ticket).collect();
+        for ticket in hopeless {
+            if let Some(work) = self.queue.remove(ticket) {
+                actions.push(self.expire(now, &work));
+            }
+        }
+    }
+
     /// Frees, refuses and lapses what is over.
     pub(super) fn elapse(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
         while let Some(lingering) = self.lingering.first() {
@@ -174,6 +196,7 @@
         while let Some(work) = self.queue.pop_expired(now) {
             actions.push(self.expire(now, &work));
         }
+        self.drop_hopeless(now, actions);
         let cause = refusal::Cause::DeadlinePassed;
         while let Some((deadline, ticket)) = self.held.first().copied() {
             if deadline > now {
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -10,6 +10,7 @@
 
 mod dispatch;
 mod ejection;
+mod overload;
 mod random;
 mod retry;
 mod scene;
