coordination, daemon: the log tells which route a request had, and how many targets of a cell are in use

In the incident the logs could not tell whether a cell saw the failures that the platform counted, whether it spread requests too late, or whether idle targets were not eligible: a route may lead to several services, and nothing said what the cell counted. The lines of the entry have the route; the home logs when too few targets of a cell receive requests, and when enough do again, with what it counted, once a second and cell at most. The decision itself is unchanged.

--- a/src/coordination/breadth.rs
+++ b/src/coordination/breadth.rs
@@ -26,6 +26,26 @@
 /// The least number of ended requests from which a share is computed.
 const MIN_ENDED: usize = 5;
 
+/// How many of a cell's targets receive requests, and what the cell knows of the requests that end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// The targets that should receive requests: those that accept them and have not failed within [`FLOOR_SPAN`].
+    pub counted: usize,
+    /// Those of them that received a request within [`USE_SPAN`].
+    pub used: usize,
+    /// The requests that ended at the cell within [`FLOOR_SPAN`].
+    pub ended: usize,
+    /// Those of them that were not served.
+    pub failed: usize,
+}
+
+impl Usage {
+    /// Returns whether less than `share` of the counted targets are used.
+    pub fn is_short(&self, share: f64) -> bool {
+        (self.used as f64) < share * self.counted as f64
+    }
+}
+
 /// The requests of a cell that ended recently, each with whether it failed: its last try failed, or it was refused.
 #[derive(Debug, Default)]
 pub struct RecentRequests {
@@ -50,14 +70,17 @@
         spans.into_iter().any(|span| self.may_exceed(now, span))
     }
 
-    fn may_exceed(&self, now: clock::Millis, span: clock::Millis) -> bool {
+    /// Returns the number of requests that ended within `span`, and how many of them failed.
+    pub fn count(&self, now: clock::Millis, span: clock::Millis) -> (usize, usize) {
         let recent = self.ended.iter().rev();
         let recent = recent.take_while(|(at, _)| now - *at <= span);
-        let (mut ended, mut failed) = (0, 0);
-        for (_, has_failed) in recent {
-            ended += 1;
-            failed += usize::from(*has_failed);
-        }
+        recent.fold((0, 0), |(ended, failed), (_, has_failed)| {
+            (ended + 1, failed + usize::from(*has_failed))
+        })
+    }
+
+    fn may_exceed(&self, now: clock::Millis, span: clock::Millis) -> bool {
+        let (ended, failed) = self.count(now, span);
         if ended < MIN_ENDED {
             return false;
         }
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -158,20 +158,37 @@
         if !self.recent_requests.is_required(now) {
             return None;
         }
-        let is_used = |t: &target::Target| now - t.last_used <= breadth::USE_SPAN;
+        if !self.usage(now).is_short(self.rules.breadth) {
+            return None;
+        }
+        let probability = |t: &target::Target| t.failure_model.probability(now);
+        let idle = free().filter(|(_, t)| !t.is_used(now));
+        let safest = idle.min_by(|a, b| probability(a.1).total_cmp(&probability(b.1)));
+        safest.map(|(name, _)| name.clone())
+    }
+
+    /// Returns how many of the targets receive requests.
+    pub fn usage(&self, now: clock::Millis) -> breadth::Usage {
         // A target that failed a moment ago has received requests, so it is not counted as idle capacity.
         let counted = || {
             let working = self.targets.values().filter(|t| t.accepts_requests());
             working.filter(|t| t.failed_at.is_none_or(|at| now - at > breadth::FLOOR_SPAN))
         };
-        let used = counted().filter(|t| is_used(t)).count();
-        if used as f64 >= self.rules.breadth * counted().count() as f64 {
-            return None;
+        let (ended, failed) = self.recent_requests.count(now, breadth::FLOOR_SPAN);
+        breadth::Usage {
+            counted: counted().count(),
+            used: counted().filter(|t| t.is_used(now)).count(),
+            ended,
+            failed,
+        }
+    }
+
+    /// Returns the least share of the targets that should receive requests, from 0 to 1; 0 if it is not enforced.
+    pub fn required_breadth(&self) -> f64 {
+        match self.rules.rank_by_failure {
+            true => self.rules.breadth,
+            false => 0.0,
         }
-        let probability = |t: &target::Target| t.failure_model.probability(now);
-        let idle = free().filter(|(_, t)| !is_used(t));
-        let safest = idle.min_by(|a, b| probability(a.1).total_cmp(&probability(b.1)));
-        safest.map(|(name, _)| name.clone())
     }
 
     fn fit(
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -1,5 +1,6 @@
 //! One target of a cell: its slots, its health, and the state of its ejection.
 
+use crate::coordination::breadth;
 use crate::coordination::ejection;
 use crate::coordination::evidence;
 use crate::coordination::failure_model;
@@ -129,6 +130,11 @@
         !self.leaving && !self.ejection.is_ejected()
     }
 
+    /// Returns whether it received a request within [`breadth::USE_SPAN`].
+    pub(super) fn is_used(&self, now: clock::Millis) -> bool {
+        now - self.last_used <= breadth::USE_SPAN
+    }
+
     /// Returns the number of slots that may be used for requests other than trials.
     pub(super) fn usable_slots(&self, now: clock::Millis) -> usize {
         if self.accepts_requests() {
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -18,6 +18,8 @@
 
 /// The longest time between two ticks of the state machine.
 const TICK_INTERVAL: clock::Millis = clock::Millis(250);
+/// The least time between two log lines about the use of a cell's targets.
+const USAGE_LOG_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// The least time between two published summaries.
 const SUMMARY_INTERVAL: clock::Millis = clock::Millis(10);
 
@@ -154,6 +156,8 @@
     service: Option<bundle::Service>,
     verdicts: BTreeMap<ids::Ticket, tokio_sync::mpsc::UnboundedSender<Verdict>>,
     published: clock::Millis,
+    /// Whether the last log line said that too few targets were used, and when it was written.
+    short_usage: (bool, clock::Millis),
     draining: bool,
     /// When the next tick is due, and the task that sends it.
     timer: Option<(clock::Millis, task::JoinHandle<()>)>,
@@ -180,6 +184,7 @@
             service: None,
             verdicts: BTreeMap::new(),
             published: clock::Millis::ZERO,
+            short_usage: (false, clock::Millis::ZERO),
             draining: false,
             timer: None,
         })
@@ -201,6 +206,9 @@
             myself.stop(None);
         }
         state.publish(now);
+        if ticked {
+            state.log_usage(now);
+        }
         state.schedule_tick(&myself, now, ticked);
         Ok(())
     }
@@ -322,6 +330,23 @@
         tokio::spawn(async move { budget.release(&service, &target).await });
     }
 
+    /// Logs that too few targets receive requests, or that enough do again.
+    fn log_usage(&mut self, now: clock::Millis) {
+        let required = self.cell.required_breadth();
+        let usage = self.cell.usage(now);
+        let (was_short, logged) = self.short_usage;
+        let is_short = usage.is_short(required);
+        if is_short == was_short || now - logged < USAGE_LOG_INTERVAL {
+            return;
+        }
+        self.short_usage = (is_short, now);
+        log::info!(
+            cell = self.options.id.to_string(), counted = usage.counted, used = usage.used,
+            required_pct = (required * 100.0) as u64, ended = usage.ended, failed = usage.failed;
+            "{}", if is_short { "too few targets in use" } else { "enough targets in use" }
+        );
+    }
+
     fn publish(&mut self, now: clock::Millis) {
         if now - self.published < SUMMARY_INTERVAL && self.published != clock::Millis::ZERO {
             return;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -92,6 +92,8 @@
     outgoing: exchange::Outgoing,
     organisation: String,
     key: Option<String>,
+    /// The prefix of the route.
+    route: String,
     /// When the route's objective for the response time is missed.
     objective: clock::Millis,
 }
@@ -158,8 +160,8 @@
                     .metrics
                     .record_request(&record.service, record.tier, "answered", took);
                 log::info!(
-                    request = record.name, id = id.to_string(), service = record.service, home = record.home,
-                    tried = record.homes_tried, bundle = record.version, status = response.status().as_u16(),
+                    request = record.name, id = id.to_string(), route = record.route, service = record.service,
+                    home = record.home, tried = record.homes_tried, bundle = record.version, status = response.status().as_u16(),
                     took_ms = took.0;
                     "answered"
                 );
@@ -183,8 +185,8 @@
                     .metrics
                     .record_refusal(refusal.cause.as_str(), refusal.outcome.as_str());
                 log::info!(
-                    request = record.name, id = id.to_string(), service = record.service, home = record.home,
-                    tried = record.homes_tried, bundle = record.version, outcome = refusal.outcome.as_str(),
+                    request = record.name, id = id.to_string(), route = record.route, service = record.service,
+                    home = record.home, tried = record.homes_tried, bundle = record.version, outcome = refusal.outcome.as_str(),
                     cause = refusal.cause.as_str(), retry_after_ms = refusal.retry_after.unwrap_or_default().0,
                     took_ms = took.0;
                     "refused"
@@ -210,6 +212,7 @@
         let mut parsed = self.parse(&current, id, from, request).await?;
         record.service.clone_from(&parsed.slot_request.cell.service);
         record.tier = parsed.slot_request.tier;
+        record.route.clone_from(&parsed.route);
         let mut failed = Vec::new();
         let mut last = Refusal::not_run(Cause::NoHome, Some(RETRY_AFTER));
         while failed.len() < MAX_HOMES {
@@ -398,6 +401,7 @@
             outgoing,
             organisation: caller.organisation.to_owned(),
             key: key.filter(|_| !idempotent),
+            route: route.prefix.clone(),
             objective: deadline - left + objective,
         })
     }
@@ -491,6 +495,8 @@
 struct RequestRecord {
     /// The caller's own name for the request.
     name: String,
+    /// The prefix of the route; a route may lead to several services.
+    route: String,
     service: String,
     tier: u8,
     /// The version of the bundle that the request was routed by.
