--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -8,6 +8,7 @@
 use peridotspread::state::clock::Millis;
 use peridotspread::state::ids;
 
+mod breadth;
 mod dispatch;
 mod ejection;
 mod overload;
