coordination: a cell keeps the share of targets in use at all times

What callers saw: on a route split over two services up to a quarter of the requests were not served, while sound targets of one of them stood idle for seconds. Cause: breadth was kept only while the requests that ended at the cell itself failed often enough. The platform counts all requests of the routes that lead to a service. The class: a guard that waits for a condition which the guarding part sees late and in part. Ranking by failure probability makes it matter, since a target that failed once ranks below those that carry the load and gets nothing until they are full. Change: the count of failures and its four constants are gone; the share is kept always. What that costs is bounded: requests that failed before go to the best target, and those with one try leave targets above the limit for such requests to those that can be resent, while there are any. Entries that tell cells how other requests of the route ended: a message for each request, and still after the fact.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -27,6 +27,9 @@
 const INITIAL_LIMIT: f64 = 0.7;
 /// The same limit for a new request that has only one try.
 const INITIAL_LIMIT_ONCE: f64 = 0.4;
+/// While requests that can be resent are granted slots at least this often, those with one try are not sent to idle
+/// targets above [`INITIAL_LIMIT_ONCE`]. Shorter than [`breadth::USE_SPAN`], so that either kind keeps the breadth.
+const RESENDABLE_SPAN: clock::Millis = clock::Millis(300);
 /// The shortest time over which the limit of a waiting request rises to 1.
 const MIN_TARGET_WAIT: clock::Millis = clock::Millis(100);
 
@@ -143,7 +146,7 @@
     }
 
     /// Returns a free target that was added and has received no request yet. If there is none, and too few targets
-    /// receive requests while many requests fail, returns the idle target with the lowest failure probability.
+    /// receive requests, returns the idle target with the lowest failure probability.
     fn underused_target(&self, now: clock::Millis, request: &queue::Request) -> Option<String> {
         if !self.rules.rank_by_failure {
             return None;
@@ -155,16 +158,22 @@
         if let Some((name, _)) = free().find(|(_, t)| t.newcomer) {
             return Some(name.clone());
         }
-        if !self.recent_requests.is_required(now) {
-            return None;
-        }
-        if !self.usage(now).is_short(self.rules.breadth) {
+        // A request that failed before goes to the target that is most likely to answer.
+        if request.tries > 0 || !self.usage(now).is_short(self.rules.breadth) {
             return None;
         }
         let probability = |t: &target::Target| t.failure_model.probability(now);
         let idle = free().filter(|(_, t)| !t.is_used(now));
         let safest = idle.min_by(|a, b| probability(a.1).total_cmp(&probability(b.1)));
-        safest.map(|(name, _)| name.clone())
+        let (name, target) = safest?;
+        let is_risky = probability(target) > INITIAL_LIMIT_ONCE;
+        let leaves_to_others = !request.arrival.can_be_resent() && self.has_resendable_load(now);
+        (!is_risky || !leaves_to_others).then(|| name.clone())
+    }
+
+    /// Returns whether requests that can be resent arrive often enough to find out which idle targets have recovered.
+    fn has_resendable_load(&self, now: clock::Millis) -> bool {
+        now - self.last_resendable <= RESENDABLE_SPAN
     }
 
     /// Returns how many of the targets receive requests.
@@ -174,12 +183,9 @@
             let working = self.targets.values().filter(|t| t.accepts_requests());
             working.filter(|t| t.failed_at.is_none_or(|at| now - at > breadth::FLOOR_SPAN))
         };
-        let (ended, failed) = self.recent_requests.count(now, breadth::FLOOR_SPAN);
         breadth::Usage {
             counted: counted().count(),
             used: counted().filter(|t| t.is_used(now)).count(),
-            ended,
-            failed,
         }
     }
 
@@ -310,6 +316,9 @@
         }
         if request.tries == 0 {
             self.budget.add_first_try();
+            if arrival.can_be_resent() {
+                self.last_resendable = now;
+            }
         }
         request.tries += 1;
         request.sent += 1;
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -89,18 +89,6 @@
     Tick,
 }
 
-impl Action {
-    /// Returns whether the action ends a request unserved at this cell, other than by handing it over to the cell's
-    /// next home.
-    pub(super) fn is_unserved(&self) -> bool {
-        match self {
-            Action::GiveUp { .. } => true,
-            Action::Refuse { refusal, .. } => refusal.cause != refusal::Cause::Draining,
-            _ => false,
-        }
-    }
-}
-
 /// An action that the home carries out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -48,9 +48,6 @@
         {
             target.record_outcome(now, outcome);
         }
-        if outcome == cell::Outcome::Answered {
-            self.recent_requests.record(now, false);
-        }
         match outcome {
             cell::Outcome::Answered => self.handle_answer(now, ticket, actions),
             cell::Outcome::Failed => self.handle_failure(now, ticket, actions),
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -8,7 +8,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::coordination::breadth;
 use crate::coordination::evidence;
 use crate::coordination::quarantine;
 use crate::coordination::retry;
@@ -85,7 +84,7 @@
     queue: usize,
     /// Whether targets are ranked by their failure probability.
     rank_by_failure: bool,
-    /// The least share of targets, from 0 to 1, that keep receiving requests while many requests fail.
+    /// The least share of targets, from 0 to 1, that keep receiving requests.
     breadth: f64,
     ejection: bundle::Ejection,
     /// The number of ejections that the service's floor allows.
@@ -110,7 +109,8 @@
     /// When the slots of abandoned requests become free.
     lingering: BTreeSet<(clock::Millis, u64, String)>,
     budget: retry::Budget,
-    recent_requests: breadth::RecentRequests,
+    /// When a request that can be resent last got a slot for its first try.
+    last_resendable: clock::Millis,
     quarantine: quarantine::Quarantine,
     crash_history: quarantine::CrashHistory,
     /// The moving average of the time that a request holds a slot, in milliseconds.
@@ -141,7 +141,7 @@
             stalled: BTreeSet::new(),
             lingering: BTreeSet::new(),
             budget: retry::Budget::default(),
-            recent_requests: breadth::RecentRequests::default(),
+            last_resendable: clock::Millis::ZERO,
             quarantine: quarantine::Quarantine::default(),
             crash_history: quarantine::CrashHistory::default(),
             mean_hold: None,
@@ -184,9 +184,6 @@
         self.run_timers(now, &mut actions);
         self.dispatch(now, &mut actions);
         self.limit_queue(now, arrived, &mut actions);
-        for _ in actions.iter().filter(|a| a.is_unserved()) {
-            self.recent_requests.record(now, true);
-        }
         actions
     }
 
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -342,7 +342,7 @@
         self.short_usage = (is_short, now);
         log::info!(
             cell = self.options.id.to_string(), counted = usage.counted, used = usage.used,
-            required_pct = (required * 100.0) as u64, ended = usage.ended, failed = usage.failed;
+            required_pct = (required * 100.0) as u64;
             "{}", if is_short { "too few targets in use" } else { "enough targets in use" }
         );
     }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -103,7 +103,7 @@
     /// often.
     #[serde(default)]
     pub soundness: bool,
-    /// The minimum share of targets, in percent, that receive requests while many requests fail, if `soundness` is set.
+    /// The minimum share of targets, in percent, that keep receiving requests, if `soundness` is set.
     #[serde(default)]
     pub breadth_pct: f64,
     /// The rules for avoiding and ejecting targets.
