platform: revisions of era and version, since versions are given out again after a restore

In a drill the store comes back from a copy that is some seconds old: its versions go back and are given out again, and the header Store-Era rises. A reader that went on from an old version missed the changes that got versions below it, without a 410, and a newer-version-wins rule kept rows that no longer exist. Change: the adapter combines era and version into one revision that rises through a restore. The first answer of a later era, from whichever call, ends waiting polls with an error of its own; an answer of an earlier era is an error. Ruled out: era and version as a pair in all types and messages; the same order, with a change of the protocol between daemons.

--- a/src/protocol/source.rs
+++ b/src/protocol/source.rs
@@ -55,7 +55,7 @@
     pub topic: Topic,
     /// The key, unique within its topic.
     pub key: String,
-    /// The position in the platform's total order of changes.
+    /// The position in the platform's total order of changes; see [`Source::era`].
     #[serde(rename = "mark")]
     pub revision: u64,
     /// The new value; absent if the key was removed or its value cannot be decoded.
@@ -86,6 +86,14 @@
         "the platform has dropped the history after this revision; read the whole topic again"
     ))]
     HistoryDropped,
+    /// The platform was restored from an earlier copy, so what was read before may no longer hold.
+    #[snafu(display(
+        "the platform was restored from an earlier copy, era {era}; read all topics again"
+    ))]
+    Restored {
+        /// The era that has begun.
+        era: u64,
+    },
     /// The platform is unreachable, or its answer is invalid.
     #[snafu(display("the platform is unavailable ({reason}); trying again"))]
     Unavailable {
@@ -103,5 +111,14 @@
     fn read(&self, topic: Topic) -> Call<'_>;
 
     /// Waits up to `max_wait` for changes of a topic after `revision`; the batch is empty if there are none.
+    ///
+    /// Fails with [`Error::Restored`] if the revision is of an earlier era.
     fn follow(&self, topic: Topic, revision: u64, max_wait: clock::Millis) -> Call<'_>;
+
+    /// Returns the era of a revision: it rises by one each time the platform is restored from an earlier copy. All
+    /// revisions of an era are greater than those of earlier ones. A platform that is never restored has one era.
+    fn era(&self, revision: u64) -> u64 {
+        let _ = revision;
+        0
+    }
 }
--- a/src/transport/channel.rs
+++ b/src/transport/channel.rs
@@ -40,6 +40,8 @@
 pub struct Response {
     /// The HTTP status.
     pub status: http::StatusCode,
+    /// The header fields.
+    pub headers: http::HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -115,14 +117,18 @@
                 }
             }
         };
-        let status = response.status();
-        let limited = http_body_util::Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let (head, body) = response.into_parts();
+        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
         let body = match before(deadline, limited.collect()).await? {
             Ok(body) => body.to_bytes(),
             Err(e) => return lost(&e.to_string()),
         };
         self.release(sender);
-        Ok(Response { status, body })
+        Ok(Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
     }
 
     /// Sends a message as JSON in a POST request, as [`Channel::call`] does.
