coordination: a restore of the platform removes no live target and revives none that left

The copy lacks targets that have just started, and lists runs that have reported since that they leave, or are gone. Taken at its word, live targets lost their requests, and drained ones got them again after their drain had been acknowledged. Change: after a restore what the copy lacks is kept for as long as after an outage, also where a second restore falls into that time; runs known to have ended get no requests for 6 s, or until they write again.

--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -4,6 +4,10 @@
 //! from peers that reach it. Revisions give all changes one total order, so a change may arrive over any path and any
 //! number of times. The version of the rules never decreases. A target that disappears during an outage of the platform
 //! is kept until the platform has answered again for long enough to list the target again.
+//!
+//! A platform may be restored from a copy that is some seconds old. Revisions rise all the same, so what is read
+//! afterwards replaces what was known, with two exceptions: the rules in force stay until the operators' latest ones
+//! are back, and runs of targets that were known to be leaving or gone get no requests because of the copy alone.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync;
@@ -27,6 +31,12 @@
 /// a third of all targets fail.
 const MIN_SLOTS_PER_DOMAIN: usize = 24;
 
+/// The number of ended runs that are remembered of each target.
+const ENDED_RUNS: usize = 4;
+/// How long after a restore a run that had ended gets no requests although the platform lists it: longer than the
+/// platform keeps the entry of a target that does not write.
+const ENDED_SPAN: clock::Millis = clock::Millis(6_000);
+
 /// How the targets of a service are divided into cells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Layout {
@@ -81,6 +91,8 @@
     removal: Option<clock::Millis>,
     /// When the target last changed.
     changed_at: clock::Millis,
+    /// The names of the last runs under this key that were removed or replaced, oldest first.
+    ended_runs: Vec<String>,
 }
 
 impl Record {
@@ -88,6 +100,36 @@
     fn present_target(&self) -> Option<&ServiceTarget> {
         self.target.as_ref().filter(|_| self.removal.is_none())
     }
+
+    /// Returns the runs that are known to be leaving or gone.
+    fn ended_runs(&self) -> impl Iterator<Item = &String> {
+        let held = self.target.as_ref().map(|t| &t.target);
+        let leaving = held.filter(|t| t.leaving).map(|t| &t.name);
+        self.ended_runs.iter().chain(leaving)
+    }
+
+    /// Replaces the target, and returns whether that changes it. The run that is replaced has ended, unless a copy of
+    /// the platform may be the reason (`is_certain`).
+    fn replace(
+        &mut self,
+        now: clock::Millis,
+        target: Option<ServiceTarget>,
+        is_certain: bool,
+    ) -> bool {
+        self.removal = None;
+        self.changed_at = now;
+        let changed = self.target != target;
+        let run = target.as_ref().map(|t| t.target.name.clone());
+        self.ended_runs.retain(|ended| run.as_ref() != Some(ended));
+        let replaced = std::mem::replace(&mut self.target, target).map(|t| t.target);
+        let has_ended = |t: &bundle::Target| is_certain || t.leaving;
+        if let Some(ended) = replaced.filter(|t| has_ended(t) && run.as_ref() != Some(&t.name)) {
+            self.ended_runs.push(ended.name);
+            let surplus = self.ended_runs.len().saturating_sub(ENDED_RUNS);
+            self.ended_runs.drain(..surplus);
+        }
+        changed
+    }
 }
 
 /// The rules and targets in force, with the revisions up to which they are known.
@@ -102,6 +144,10 @@
     outage_start: Option<clock::Millis>,
     /// The end of the grace period after an outage, in which targets that disappear are kept.
     grace_end: clock::Millis,
+    /// Whether the platform was restored, and its targets have not been read since.
+    reads_copy: bool,
+    /// The runs that had ended when the platform was restored, each with the time until which it gets no requests.
+    ended: BTreeMap<String, clock::Millis>,
 }
 
 impl Registry {
@@ -119,13 +165,35 @@
     pub fn record_recovery(&mut self, now: clock::Millis) -> Option<clock::Millis> {
         let outage = now - self.outage_start.take()?;
         if outage >= MIN_OUTAGE {
-            self.grace_end = now + RECOVERY_GRACE;
-            let pending = self.targets.values_mut().filter(|r| r.removal.is_some());
-            pending.for_each(|r| r.removal = Some(now + RECOVERY_GRACE));
+            self.begin_grace(now);
         }
         Some(outage)
     }
 
+    /// Starts the time in which targets that have disappeared can be listed again.
+    fn begin_grace(&mut self, now: clock::Millis) {
+        self.grace_end = now + RECOVERY_GRACE;
+        let pending = self.targets.values_mut().filter(|r| r.removal.is_some());
+        pending.for_each(|r| r.removal = Some(now + RECOVERY_GRACE));
+    }
+
+    /// Records that the platform was restored from an earlier copy. Targets that the copy lacks are kept for as long as
+    /// after an outage, so that they can write their entries again. Runs that have ended get no requests meanwhile.
+    pub fn record_restore(&mut self, now: clock::Millis) {
+        self.reads_copy = true;
+        self.begin_grace(now);
+        let known = self.targets.values().flat_map(Record::ended_runs);
+        // After an earlier restore, the records may hold what its copy listed.
+        let ended: Vec<_> = known.chain(self.ended.keys()).cloned().collect();
+        let until = now + ENDED_SPAN;
+        self.ended.extend(ended.into_iter().map(|run| (run, until)));
+    }
+
+    /// Returns the version of the rules in force, 0 while there are none.
+    pub fn rules_version(&self) -> u64 {
+        self.rules.as_ref().map_or(0, |r| r.version)
+    }
+
     /// Applies a batch of one topic from the platform, and returns whether the rules or targets changed.
     pub fn apply(&mut self, now: clock::Millis, topic: Topic, batch: &Batch) -> bool {
         self.apply_batch(now, topic, batch, false)
@@ -146,13 +214,17 @@
         from_peer: bool,
     ) -> bool {
         let mut changed = false;
-        if batch.whole && topic == Topic::Targets {
+        let is_whole_list = batch.whole && topic == Topic::Targets;
+        let is_copy = is_whole_list && std::mem::take(&mut self.reads_copy);
+        if is_whole_list {
             changed |= self.remove_unlisted(now, batch);
         }
+        // After a restore, a peer may pass on what a copy lists.
+        let is_certain = !is_copy && (!from_peer || now >= self.grace_end);
         for change in batch.changes.iter().filter(|c| c.topic == topic) {
             changed |= match topic {
                 Topic::Rules => self.apply_rules(change),
-                Topic::Targets => self.apply_target(now, change, from_peer),
+                Topic::Targets => self.apply_target(now, change, from_peer, is_certain),
             };
         }
         let revision = self.revisions.entry(topic).or_default();
@@ -160,19 +232,19 @@
         changed
     }
 
-    /// Removes the targets whose grace period has ended, and returns whether the targets changed.
+    /// Removes the targets whose grace period has ended, and takes the platform's word again for runs that had ended.
+    /// Returns whether the targets changed.
     pub fn tick(&mut self, now: clock::Millis) -> bool {
         // During an outage no target can be listed again.
         if self.outage_start.is_some() {
             return false;
         }
-        let mut changed = false;
+        let held_back = self.ended.len();
+        self.ended.retain(|_, until| *until > now);
+        let mut changed = self.ended.len() != held_back;
         for record in self.targets.values_mut() {
             if record.removal.is_some_and(|at| at <= now) {
-                record.removal = None;
-                record.target = None;
-                record.changed_at = now;
-                changed = true;
+                changed |= record.replace(now, None, true);
             }
         }
         self.targets
@@ -180,10 +252,11 @@
         changed
     }
 
-    /// Returns when [`Registry::tick`] next removes a target; [`clock::Millis::MAX`] if no removal is pending.
+    /// Returns when [`Registry::tick`] next changes the targets; [`clock::Millis::MAX`] if no change is pending.
     pub fn next_deadline(&self) -> clock::Millis {
         let removals = self.targets.values().filter_map(|r| r.removal);
-        removals.min().unwrap_or(clock::Millis::MAX)
+        let ended = self.ended.values().copied();
+        removals.chain(ended).min().unwrap_or(clock::Millis::MAX)
     }
 
     /// Returns the bundle in force: the rules with the targets of their services. Returns `None` until both are known.
@@ -193,7 +266,9 @@
         let mut by_service = BTreeMap::<&str, Vec<_>>::new();
         for entry in self.targets.values().filter_map(|r| r.target.as_ref()) {
             let of_service = by_service.entry(&entry.service).or_default();
-            of_service.push(entry.target.clone());
+            let mut target = entry.target.clone();
+            target.leaving |= self.ended.contains_key(&target.name);
+            of_service.push(target);
         }
         for service in &mut bundle.services {
             service.targets = by_service.remove(service.name.as_str()).unwrap_or_default();
@@ -251,7 +326,7 @@
             log::warn!(mark = change.revision; "failed to read the rules; the rules in force stay");
             return false;
         };
-        let held = self.rules.as_ref().map_or(0, |r| r.version);
+        let held = self.rules_version();
         if rules.version < held {
             log::warn!(version = rules.version, held = held; "ignored rules of a lower version");
             return false;
@@ -262,7 +337,13 @@
         changed
     }
 
-    fn apply_target(&mut self, now: clock::Millis, change: &Change, from_peer: bool) -> bool {
+    fn apply_target(
+        &mut self,
+        now: clock::Millis,
+        change: &Change,
+        from_peer: bool,
+        is_certain: bool,
+    ) -> bool {
         let held = self.targets.get(&change.key);
         // The peer may already have removed, by the same change, a target whose grace period still runs here.
         let confirms_removal =
@@ -281,15 +362,24 @@
             };
             return self.remove_target(now, &change.key, change.revision, grace);
         }
-        let changed = held.and_then(|r| r.target.as_ref()) != target.as_ref();
-        let record = Record {
-            revision: change.revision,
-            target,
+        // What a target has written itself since the restore counts at once.
+        let run = target.as_ref().map(|t| &t.target.name);
+        let is_back = is_certain && run.is_some_and(|run| self.ended.remove(run).is_some());
+        let record = self.record(now, &change.key);
+        record.revision = change.revision;
+        record.replace(now, target, is_certain) || is_back
+    }
+
+    /// Returns the record under `key`, which is created without a target if there is none.
+    fn record(&mut self, now: clock::Millis, key: &str) -> &mut Record {
+        let record = self.targets.entry(key.to_owned());
+        record.or_insert_with(|| Record {
+            revision: 0,
+            target: None,
             removal: None,
             changed_at: now,
-        };
-        self.targets.insert(change.key.clone(), record);
-        changed
+            ended_runs: Vec::new(),
+        })
     }
 
     /// Returns how long a target is kept that the platform no longer lists: the rest of the grace period after an
@@ -306,21 +396,17 @@
         revision: u64,
         grace: clock::Millis,
     ) -> bool {
-        let record = self.targets.entry(key.to_owned()).or_insert(Record {
-            revision,
-            target: None,
-            removal: None,
-            changed_at: now,
-        });
+        let is_certain = now >= self.grace_end;
+        let held = self.targets.get(key).and_then(|r| r.target.as_ref());
+        let leaving =
+            held.is_some_and(|t| t.target.leaving || self.ended.contains_key(&t.target.name));
+        let record = self.record(now, key);
         record.revision = record.revision.max(revision);
-        let leaving = record.target.as_ref().is_some_and(|t| t.target.leaving);
         if grace > clock::Millis::ZERO && record.target.is_some() && !leaving {
             record.removal = Some(now + grace);
             return false;
         }
-        record.removal = None;
-        record.changed_at = now;
-        record.target.take().is_some()
+        record.replace(now, None, is_certain || leaving)
     }
 
     /// Removes the targets that a complete batch of the platform does not list.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,4 +11,5 @@
 mod readers;
 mod refusal;
 mod registry;
+mod restore;
 mod support;
--- /dev/null
+++ b/tests/testsuite/restore.rs
@@ -0,0 +1,441 @@
+//! A platform that is restored from a copy which is some seconds old, and the registries of three daemons: one that
+//! reads the platform, one that polls that reader, and one that is cut off at times.
+
+use std::collections::BTreeMap;
+
+use peridotspread::coordination::registry::Registry;
+use peridotspread::protocol::source::{Batch, Change, Item, ServiceTarget, Topic};
+use peridotspread::state::bundle;
+use peridotspread::state::clock::Millis;
+
+/// The distance between the revisions of two eras.
+const ERA: u64 = 1 << 44;
+/// The time within which operators and targets write again what a copy lacks.
+const WRITE_AGAIN: u64 = 2_000;
+/// The age of the oldest copy from which the platform is restored.
+const COPY_AGE: u64 = 10_000;
+/// The time after which the platform removes the entry of a target that does not write.
+const LAPSE: u64 = 4_500;
+
+fn service_target(run: &str, leaving: bool) -> ServiceTarget {
+    ServiceTarget {
+        service: "fees".to_owned(),
+        target: bundle::Target {
+            name: run.to_owned(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            domain: "lahore-1".to_owned(),
+            slots: 3,
+            connections: 3,
+            leaving,
+        },
+    }
+}
+
+fn rules_item(version: u64) -> Item {
+    Item::Rules(Box::new(bundle::Bundle {
+        version,
+        services: vec![bundle::Service::without_targets("fees")],
+        ..bundle::Bundle::default()
+    }))
+}
+
+fn change(topic: Topic, key: &str, revision: u64, item: Option<Item>) -> Change {
+    Change {
+        topic,
+        key: key.to_owned(),
+        revision,
+        item,
+        grace: Millis::ZERO,
+    }
+}
+
+fn target_change(revision: u64, run: &str, leaving: bool) -> Change {
+    let key = run.split_once('~').map_or(run, |(key, _)| key);
+    let item = Item::Target(service_target(run, leaving));
+    change(Topic::Targets, key, revision, Some(item))
+}
+
+fn whole(changes: Vec<Change>, revision: u64) -> Batch {
+    Batch {
+        changes,
+        revision,
+        whole: true,
+    }
+}
+
+/// Returns the runs in force, and whether each of them is leaving.
+fn targets(registry: &Registry) -> BTreeMap<String, bool> {
+    let bundle = registry.bundle().expect("rules and targets are known");
+    let targets = bundle.services[0].targets.iter();
+    targets.map(|t| (t.name.clone(), t.leaving)).collect()
+}
+
+/// Returns a registry in the first era, with rules 7 and the runs a~1 and b~1, of which b~1 is leaving.
+fn registry() -> Registry {
+    let mut registry = Registry::default();
+    let rules = change(Topic::Rules, "", ERA + 90, Some(rules_item(7)));
+    registry.apply(Millis(1), Topic::Rules, &whole(vec![rules], ERA + 100));
+    let both = vec![
+        target_change(ERA + 95, "a~1", false),
+        target_change(ERA + 99, "b~1", true),
+    ];
+    registry.apply(Millis(1), Topic::Targets, &whole(both, ERA + 100));
+    registry
+}
+
+#[test]
+fn targets_that_a_copy_lacks_are_kept_until_they_could_write_again() {
+    let mut registry = registry();
+    registry.record_restore(Millis(10_000));
+    let copy = whole(Vec::new(), 2 * ERA + 50);
+    registry.apply(Millis(10_010), Topic::Targets, &copy);
+    assert!(targets(&registry).contains_key("a~1"));
+    let written = vec![target_change(2 * ERA + 51, "a~1", false)];
+    let written = Batch {
+        whole: false,
+        ..whole(written, 2 * ERA + 51)
+    };
+    registry.apply(Millis(11_900), Topic::Targets, &written);
+    registry.tick(Millis(13_000));
+    assert!(targets(&registry).contains_key("a~1"));
+}
+
+#[test]
+fn a_target_that_does_not_write_again_after_a_restore_is_gone_within_three_seconds() {
+    let mut registry = registry();
+    registry.record_restore(Millis(10_000));
+    registry.apply(
+        Millis(10_010),
+        Topic::Targets,
+        &whole(Vec::new(), 2 * ERA + 50),
+    );
+    assert!(registry.next_deadline() <= Millis(13_000));
+    registry.tick(registry.next_deadline());
+    assert!(targets(&registry).is_empty());
+}
+
+#[test]
+fn a_copy_does_not_revive_a_run_that_was_leaving_or_gone() {
+    let mut registry = registry();
+    let removed = change(Topic::Targets, "a", ERA + 101, None);
+    let removed = Batch {
+        whole: false,
+        ..whole(vec![removed], ERA + 101)
+    };
+    registry.apply(Millis(5_000), Topic::Targets, &removed);
+    registry.record_restore(Millis(10_000));
+    let copied = vec![
+        target_change(2 * ERA + 30, "a~1", false),
+        target_change(2 * ERA + 40, "b~1", false),
+    ];
+    registry.apply(Millis(10_010), Topic::Targets, &whole(copied, 2 * ERA + 50));
+    let both = ["a~1", "b~1"].map(|run| (run.to_owned(), true));
+    assert_eq!(targets(&registry), BTreeMap::from(both));
+    // What the target writes itself counts.
+    let written = Batch {
+        whole: false,
+        ..whole(
+            vec![target_change(2 * ERA + 51, "a~1", false)],
+            2 * ERA + 51,
+        )
+    };
+    registry.apply(Millis(11_000), Topic::Targets, &written);
+    assert_eq!(targets(&registry).get("a~1"), Some(&false));
+}
+
+#[test]
+fn a_new_run_in_a_copy_is_used_although_an_earlier_one_left() {
+    let mut registry = registry();
+    registry.record_restore(Millis(10_000));
+    let copied = vec![target_change(2 * ERA + 40, "b~2", false)];
+    registry.apply(Millis(10_010), Topic::Targets, &whole(copied, 2 * ERA + 50));
+    assert_eq!(targets(&registry).get("b~2"), Some(&false));
+}
+
+#[test]
+fn rules_stay_in_force_until_the_operators_latest_are_back() {
+    let mut registry = registry();
+    registry.record_restore(Millis(10_000));
+    let apply = |registry: &mut Registry, version: u64, revision: u64| {
+        let rules = change(Topic::Rules, "", revision, Some(rules_item(version)));
+        registry.apply(Millis(10_010), Topic::Rules, &whole(vec![rules], revision));
+        registry.bundle().unwrap().version
+    };
+    assert_eq!(apply(&mut registry, 5, 2 * ERA + 50), 7);
+    assert_eq!(apply(&mut registry, 7, 2 * ERA + 51), 7);
+    assert_eq!(apply(&mut registry, 9, 2 * ERA + 52), 9);
+}
+
+/// A linear congruential generator of random numbers.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 33) % bound
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+/// The rows of the platform, each with its version.
+#[derive(Clone, Debug, Default)]
+struct Rows {
+    version: u64,
+    rules: (u64, u64),
+    /// By key: the version, the run and whether it is leaving.
+    targets: BTreeMap<String, (u64, String, bool)>,
+}
+
+/// The platform, and what the operators and targets would have it say.
+#[derive(Debug, Default)]
+struct Platform {
+    rows: Rows,
+    era: u64,
+    /// The copies, each with the time at which it was made.
+    copies: Vec<(u64, Rows)>,
+    /// The removals of this era: the version and the key.
+    removals: Vec<(u64, String)>,
+    /// The first version whose changes are known in this era.
+    history: u64,
+    rules: u64,
+    /// By key: the run and whether it is leaving.
+    targets: BTreeMap<String, (String, bool)>,
+    /// What is due after a restore: when, and the key of a target; the rules without one.
+    due: Vec<(u64, Option<String>)>,
+    runs: u64,
+}
+
+impl Platform {
+    fn revision(&self, version: u64) -> u64 {
+        (self.era + 1) * ERA + version
+    }
+
+    fn write_rules(&mut self) {
+        self.rows.version += 1;
+        self.rows.rules = (self.rows.version, self.rules);
+    }
+
+    /// Writes the entry of a target as it is, or removes it.
+    fn write_target(&mut self, key: &str) {
+        self.rows.version += 1;
+        match self.targets.get(key) {
+            Some((run, leaving)) => {
+                let row = (self.rows.version, run.clone(), *leaving);
+                self.rows.targets.insert(key.to_owned(), row);
+            }
+            None => {
+                self.rows.targets.remove(key);
+                self.removals.push((self.rows.version, key.to_owned()));
+            }
+        }
+    }
+
+    /// Comes back from one of the last copies. What is written again, and when, is drawn.
+    fn restore(&mut self, now: u64, random: &mut Random) {
+        self.copies.retain(|(made, _)| now - made <= COPY_AGE);
+        let Some((_, copy)) = self.copies.pop() else {
+            return;
+        };
+        self.rows = copy;
+        self.era += 1;
+        self.removals.clear();
+        self.history = self.rows.version;
+        self.due = vec![(now + random.below(WRITE_AGAIN), None)];
+        let listed = self.rows.targets.keys().cloned();
+        let gone: Vec<_> = listed.filter(|k| !self.targets.contains_key(k)).collect();
+        let gone = gone.into_iter().map(|key| (now + LAPSE, Some(key)));
+        self.due.extend(gone);
+        for key in self.targets.keys() {
+            self.due
+                .push((now + random.below(WRITE_AGAIN), Some(key.clone())));
+        }
+    }
+
+    fn write_due(&mut self, now: u64) {
+        let due: Vec<_> = self.due.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, key) in due {
+            match key {
+                Some(key) => self.write_target(&key),
+                None => self.write_rules(),
+            }
+        }
+    }
+
+    fn batch(&self, topic: Topic, after: Option<u64>) -> Batch {
+        let since = after.unwrap_or_default();
+        let mut changes = Vec::new();
+        match topic {
+            Topic::Rules if self.rows.rules.0 > since => {
+                let (version, rules) = self.rows.rules;
+                let revision = self.revision(version);
+                changes.push(change(topic, "", revision, Some(rules_item(rules))));
+            }
+            Topic::Rules => {}
+            Topic::Targets => {
+                for (version, run, leaving) in self.rows.targets.values().filter(|r| r.0 > since) {
+                    changes.push(target_change(self.revision(*version), run, *leaving));
+                }
+                for (version, key) in self.removals.iter().filter(|r| r.0 > since) {
+                    if !self.rows.targets.contains_key(key) && after.is_some() {
+                        changes.push(change(topic, key, self.revision(*version), None));
+                    }
+                }
+            }
+        }
+        changes.sort_by_key(|c| c.revision);
+        Batch {
+            changes,
+            revision: self.revision(self.rows.version),
+            whole: after.is_none(),
+        }
+    }
+}
+
+/// A daemon that reads the platform, with what the actor of its registry keeps.
+#[derive(Default)]
+struct Reader {
+    registry: Registry,
+    is_cut: bool,
+}
+
+impl Reader {
+    fn poll(&mut self, now: u64, platform: &Platform) {
+        if self.is_cut {
+            self.registry.record_outage(Millis(now));
+            return;
+        }
+        self.registry.record_recovery(Millis(now));
+        enter_era(&mut self.registry, platform.revision(0), now);
+        for topic in Topic::ALL {
+            let revision = self.registry.revision(topic);
+            let is_current = |r: &u64| *r >= platform.revision(platform.history);
+            let after = revision.filter(is_current).map(|r| r % ERA);
+            let batch = platform.batch(topic, after);
+            self.registry.apply(Millis(now), topic, &batch);
+        }
+    }
+}
+
+/// Tells a registry of the restore if a revision shows one.
+fn enter_era(registry: &mut Registry, revision: u64, now: u64) {
+    let known = Topic::ALL
+        .iter()
+        .filter_map(|t| registry.revision(*t))
+        .max();
+    if known.is_some_and(|known| known / ERA < revision / ERA) {
+        registry.record_restore(Millis(now));
+    }
+}
+
+fn ask(asking: &mut Registry, asked: &Registry, now: u64) {
+    for topic in Topic::ALL {
+        let since = asking.revision(topic).unwrap_or_default();
+        let updates = asked.updates_since(Millis(now), topic, since);
+        if updates.revision > 0 {
+            enter_era(asking, updates.revision, now);
+            asking.apply_peer(Millis(now), topic, &updates);
+        }
+    }
+}
+
+/// Draws one event of the operators, the targets or the platform.
+fn draw_event(platform: &mut Platform, random: &mut Random, now: u64) {
+    let keys: Vec<_> = platform.targets.keys().cloned().collect();
+    let key = keys.get(random.below(keys.len().max(1) as u64) as usize);
+    match random.below(10) {
+        0 | 1 => {
+            platform.rules += 1 + random.below(3);
+            platform.write_rules();
+        }
+        2 | 3 => {
+            platform.runs += 1;
+            let key = format!("i{}", random.below(12));
+            let run = format!("{key}~{}", platform.runs);
+            platform.targets.insert(key.clone(), (run, false));
+            platform.write_target(&key);
+        }
+        4 | 5 => {
+            if let Some(key) = key {
+                platform.targets.get_mut(key).unwrap().1 = true;
+                platform.write_target(key);
+            }
+        }
+        6 => {
+            if let Some(key) = key.filter(|k| platform.targets[*k].1) {
+                platform.targets.remove(key);
+                platform.write_target(key);
+            }
+        }
+        7 => platform.copies.push((now, platform.rows.clone())),
+        8 => platform.restore(now, random),
+        _ => {}
+    }
+}
+
+#[test]
+fn after_any_series_of_restores_all_daemons_hold_what_operators_and_targets_wrote() {
+    for seed in 0..200 {
+        let mut random = Random(seed);
+        let mut platform = Platform {
+            rules: 1,
+            ..Platform::default()
+        };
+        platform.write_rules();
+        let mut reader = Reader::default();
+        let (mut peer, mut cut_off) = (Registry::default(), Registry::default());
+        let (mut highest, mut ended) = (0, BTreeMap::new());
+        let mut now = 1_000;
+        reader.poll(now, &platform);
+        for step in 0..300 {
+            now += 20 + random.below(300);
+            platform.write_due(now);
+            // Nothing happens in the last steps but what is due, so that all is settled.
+            let is_over = step >= 200;
+            if !is_over {
+                draw_event(&mut platform, &mut random, now);
+                reader.is_cut ^= random.chance(8);
+                if random.chance(2) {
+                    peer = Registry::default();
+                }
+            }
+            reader.is_cut &= !is_over;
+            reader.poll(now, &platform);
+            ask(&mut peer, &reader.registry, now);
+            if is_over || random.chance(15) {
+                ask(&mut cut_off, &peer, now);
+            }
+            for registry in [&mut reader.registry, &mut peer, &mut cut_off] {
+                registry.tick(Millis(now));
+            }
+            let version = reader.registry.rules_version();
+            assert!(version >= highest, "seed {seed}, step {step}: rules fell");
+            highest = version;
+            for (run, leaving) in targets(&reader.registry) {
+                let was_leaving = ended.insert(run.clone(), leaving).unwrap_or_default();
+                assert!(
+                    leaving || !was_leaving,
+                    "seed {seed}, step {step}: {run} is revived"
+                );
+            }
+        }
+        let expected: BTreeMap<_, _> = platform.targets.values().cloned().collect();
+        for (name, registry) in [
+            ("reader", &reader.registry),
+            ("peer", &peer),
+            ("cut off", &cut_off),
+        ] {
+            assert_eq!(targets(registry), expected, "seed {seed}: {name}");
+            assert_eq!(
+                registry.rules_version(),
+                platform.rules,
+                "seed {seed}: {name}"
+            );
+        }
+    }
+}
