--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -21,6 +21,7 @@
     requests: Counter<u64>,
     duration: Histogram<f64>,
     refusals: Counter<u64>,
+    restores: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -61,6 +62,10 @@
                 .u64_counter("peridotspread.entry.refusals")
                 .with_description("Refused requests by cause and outcome")
                 .build(),
+            restores: meter
+                .u64_counter("peridotspread.registry.restores")
+                .with_description("Times that the platform was restored from an earlier copy")
+                .build(),
             registry,
             provider,
         })
@@ -94,6 +99,11 @@
         );
     }
 
+    /// Counts that the platform was restored from an earlier copy.
+    pub fn record_restore(&self) {
+        self.restores.add(1, &[]);
+    }
+
     /// Returns all series in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -299,6 +299,8 @@
             source: source.clone(),
             members: fleet.view.clone(),
             sender: fleet.sender.clone(),
+            hosts: self.hosts.clone(),
+            metrics: self.metrics.clone(),
             recorder: self.recorder.clone(),
         };
         let part = "registry of rules and targets";
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -11,10 +11,10 @@
 use tokio::{sync as tokio_sync, time};
 
 use crate::coordination;
-use crate::coordination::{member, readers};
-use crate::daemon::stop;
-use crate::protocol::peer;
+use crate::coordination::{homes, member, readers};
+use crate::daemon::{metrics, stop};
 use crate::protocol::source::{self, Batch, Topic};
+use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, timeline};
 
 /// How long a peer's reply may take beyond the time of the long poll: several round trips between failure domains.
@@ -26,6 +26,17 @@
 /// the daemon. This is a small part of the time within which changes must be in force.
 const PUBLISH_DELAY: clock::Millis = clock::Millis(60);
 
+/// The shortest time over which the daemons of a fleet spread the rewriting of their rows after the platform was
+/// restored. Rows should be back within two seconds.
+const REWRITE_SPREAD: clock::Millis = clock::Millis(1_200);
+/// The most daemons that begin to rewrite their rows in one second, which keeps them below a platform's limit on writes.
+const REWRITES_PER_S: u64 = 900;
+/// The pause after a failed attempt to rewrite rows.
+const REWRITE_PAUSE: clock::Millis = clock::Millis(200);
+/// How long another daemon may have rules of a higher version in force before they are requested from it: longer than
+/// the platform takes to tell both.
+const BEHIND_SPAN: clock::Millis = clock::Millis(800);
+
 /// Options of the registry.
 pub struct Options {
     /// The daemon's name.
@@ -40,6 +51,10 @@
     pub members: tokio_sync::watch::Receiver<sync::Arc<member::View>>,
     /// Sends control messages to peers.
     pub sender: sync::Arc<dyn peer::ControlSender>,
+    /// Rewrites this daemon's rows after the platform was restored.
+    pub hosts: sync::Arc<dyn platform::Hosts>,
+    /// The daemon's metrics.
+    pub metrics: sync::Arc<metrics::Metrics>,
     /// Records events in the daemon's time line.
     pub recorder: sync::Arc<timeline::Recorder>,
 }
@@ -116,8 +131,8 @@
     Read,
     /// Wait for changes after a revision at the platform.
     Follow(u64),
-    /// Request the updates of all topics from a peer.
-    Peer(String, Revisions),
+    /// Request the updates of all topics from a peer, which may hold the reply for some time.
+    Peer(String, Revisions, clock::Millis),
     /// Poll nothing for a while.
     Pause(clock::Millis),
 }
@@ -225,8 +240,8 @@
                 topic,
                 source.follow(topic, revision, readers::LONG_POLL).await,
             ),
-            Poll::Peer(name, revisions) => {
-                let reply = poll_peer(peers.as_ref(), &name, revisions).await;
+            Poll::Peer(name, revisions, wait) => {
+                let reply = poll_peer(peers.as_ref(), &name, revisions, wait).await;
                 PollResult::Peer(name, reply)
             }
             Poll::Pause(span) => {
@@ -252,15 +267,15 @@
     peers: &dyn peer::ControlSender,
     name: &str,
     revisions: Revisions,
+    wait: clock::Millis,
 ) -> Option<(Option<clock::Millis>, PeerUpdates)> {
     let request = peer::ControlMessage::GetUpdates {
         rules: revisions.rules,
         targets: revisions.targets,
-        wait: readers::LONG_POLL,
+        wait,
     };
     let polled = peers.send(name, request);
-    let Ok(replied) = time::timeout((readers::LONG_POLL + REPLY_TIMEOUT).span(), polled).await
-    else {
+    let Ok(replied) = time::timeout((wait + REPLY_TIMEOUT).span(), polled).await else {
         log::info!(peer = name; "no reply from a peer in time");
         return None;
     };
@@ -285,6 +300,32 @@
     }
 }
 
+/// Returns how long one of `daemons` waits before it rewrites its rows, by hash, which spreads them evenly.
+fn rewrite_delay(name: &str, era: u64, daemons: usize) -> clock::Millis {
+    let spread = (daemons as u64 * 1_000 / REWRITES_PER_S).max(REWRITE_SPREAD.0);
+    clock::Millis(homes::hash(&["rewrite", name, &era.to_string()]) % spread)
+}
+
+/// Rewrites the rows of this daemon after `delay`, and tries again until the platform has answered.
+async fn rewrite_rows(hosts: sync::Arc<dyn platform::Hosts>, era: u64, delay: clock::Millis) {
+    time::sleep(delay.span()).await;
+    loop {
+        match hosts.restore_rows().await {
+            Ok(rows) => {
+                log::info!(era = era, rows = rows; "rewrote the rows that a copy may lack");
+                return;
+            }
+            Err(e) => {
+                log::warn!(era = era; "failed to rewrite the rows that a copy may lack: {e}");
+                time::sleep(REWRITE_PAUSE.span()).await;
+            }
+        }
+    }
+}
+
+/// The name of the platform in log lines about the origin of updates.
+const PLATFORM: &str = "platform";
+
 struct RegistryActor;
 
 struct State {
@@ -298,6 +339,10 @@
     answered: BTreeMap<Topic, clock::Millis>,
     /// The topics whose history the platform dropped, so that the whole topic must be read.
     history_dropped: BTreeSet<Topic>,
+    /// The latest era of a revision; absent before the first batch.
+    era: Option<u64>,
+    /// Since when another daemon has had rules of a higher version in force.
+    behind_since: Option<clock::Millis>,
     /// Whether the platform does not answer.
     lost: bool,
     /// When the first unpublished change occurred, and what changed.
@@ -329,6 +374,8 @@
             updates,
             answered: BTreeMap::new(),
             history_dropped: BTreeSet::new(),
+            era: None,
+            behind_since: None,
             lost: false,
             unpublished: None,
             next_tick: clock::Millis::MAX,
@@ -374,13 +421,77 @@
         let view = self.options.members.borrow().clone();
         match self.selector.next_source(now, &view) {
             readers::Source::Peer(_) if topic != Topic::Targets => Poll::Pause(readers::LONG_POLL),
-            readers::Source::Peer(name) => Poll::Peer(name, self.revisions()),
+            readers::Source::Peer(name) => Poll::Peer(name, self.revisions(), readers::LONG_POLL),
             readers::Source::Wait(until) => Poll::Pause(until - now + clock::Millis(1)),
-            readers::Source::Platform => match self.registry.revision(topic) {
-                Some(revision) if !self.history_dropped.contains(&topic) => Poll::Follow(revision),
-                _ => Poll::Read,
-            },
+            readers::Source::Platform => {
+                if topic == Topic::Rules
+                    && let Some(name) = self.peer_ahead(now, &view)
+                {
+                    let revisions = Revisions {
+                        rules: 0,
+                        ..self.revisions()
+                    };
+                    return Poll::Peer(name, revisions, clock::Millis::ZERO);
+                }
+                self.platform_poll(topic)
+            }
+        }
+    }
+
+    fn platform_poll(&self, topic: Topic) -> Poll {
+        match self.registry.revision(topic) {
+            Some(revision) if self.can_follow(topic, revision) => Poll::Follow(revision),
+            _ => Poll::Read,
+        }
+    }
+
+    /// Returns whether the platform can be asked for the changes after a revision.
+    fn can_follow(&self, topic: Topic, revision: u64) -> bool {
+        let is_current = self.era == Some(self.options.source.era(revision));
+        is_current && !self.history_dropped.contains(&topic)
+    }
+
+    /// Returns an alive daemon that has had rules of a higher version in force for [`BEHIND_SPAN`].
+    ///
+    /// The platform has lost them if it was restored from a copy, until the operators write them again.
+    fn peer_ahead(&mut self, now: clock::Millis, view: &member::View) -> Option<String> {
+        let held = self.registry.rules_version();
+        let is_ahead =
+            |m: &member::Member| m.liveness == member::Liveness::Alive && m.version > held;
+        let ahead = view.members.iter().find(|(_, m)| is_ahead(m));
+        let Some((name, _)) = ahead.filter(|_| held > 0) else {
+            self.behind_since = None;
+            return None;
+        };
+        let since = *self.behind_since.get_or_insert(now);
+        if now - since < BEHIND_SPAN {
+            return None;
         }
+        self.behind_since = Some(now);
+        Some(name.clone())
+    }
+
+    /// Handles the first sign of a later era: this daemon rewrites its rows, and each topic is read again from the
+    /// platform unless a peer sends its updates.
+    fn enter_era(&mut self, now: clock::Millis, era: u64, from: &str) {
+        if self.era.is_some_and(|known| known >= era) {
+            return;
+        }
+        let Some(before) = self.era.replace(era) else {
+            return;
+        };
+        let revisions = self.revisions();
+        log::warn!(
+            era = era, era_before = before, from = from, rules_mark = revisions.rules,
+            targets_mark = revisions.targets, rules = self.registry.rules_version();
+            "the platform was restored from a copy"
+        );
+        self.record(timeline::Kind::Platform, "restored from a copy");
+        self.options.metrics.record_restore();
+        self.registry.record_restore(now);
+        let daemons = self.options.members.borrow().members.len();
+        let delay = rewrite_delay(&self.options.name, era, daemons);
+        tokio::spawn(rewrite_rows(self.options.hosts.clone(), era, delay));
     }
 
     fn revisions(&self) -> Revisions {
@@ -400,15 +511,29 @@
         let is_unavailable = matches!(outcome, Err(source::Error::Unavailable { .. }));
         self.selector.record_platform(now, !is_unavailable);
         match outcome {
+            Ok(batch) if self.is_outdated(batch.revision) => {
+                log::info!(topic = topic.as_str(), mark = batch.revision; "ignored an answer of an earlier era");
+            }
             Ok(batch) => {
+                self.enter_era(now, self.options.source.era(batch.revision), PLATFORM);
                 self.history_dropped.remove(&topic);
                 self.answered.insert(topic, now);
                 self.record_contact(now);
-                self.log_changes(topic, &batch, "platform");
+                self.log_changes(topic, &batch, PLATFORM);
+                if batch.whole {
+                    log::info!(
+                        topic = topic.as_str(), mark = batch.revision, keys = batch.changes.len();
+                        "read a whole topic"
+                    );
+                }
                 if self.registry.apply(now, topic, &batch) {
                     self.record_change(now, topic.as_str());
+                } else if batch.whole {
+                    // The revisions may have changed, which peers that wait for updates need to know.
+                    self.updates.send_modify(|n| *n += 1);
                 }
             }
+            Err(source::Error::Restored { era }) => self.enter_era(now, era, PLATFORM),
             Err(source::Error::HistoryDropped) => {
                 log::info!(topic = topic.as_str(); "the platform dropped the history of a topic; reading all of it");
                 self.history_dropped.insert(topic);
@@ -443,6 +568,10 @@
             (Topic::Rules, &updates.rules),
             (Topic::Targets, &updates.targets),
         ] {
+            if self.is_outdated(batch.revision) {
+                continue;
+            }
+            self.enter_era(now, self.options.source.era(batch.revision), name);
             self.log_changes(topic, batch, name);
             changed |= self.registry.apply_peer(now, topic, batch);
         }
@@ -451,6 +580,12 @@
         }
     }
 
+    /// Returns whether a revision is of an era that has ended.
+    fn is_outdated(&self, revision: u64) -> bool {
+        let era = self.options.source.era(revision);
+        self.era.is_some_and(|known| era < known)
+    }
+
     /// Returns the updates after a peer's revisions, and how fresh they are.
     fn updates_since(&self, now: clock::Millis, revisions: Revisions) -> peer::ControlMessage {
         let updates = PeerUpdates {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -89,6 +89,12 @@
 pub trait Hosts: Send + Sync {
     /// Reads the list of all hosts.
     fn hosts(&self) -> Call<'_, Vec<Host>>;
+
+    /// Writes the rows of this daemon again that the platform may have lost when it was restored from an earlier copy;
+    /// returns how many were written.
+    fn restore_rows(&self) -> Call<'_, usize> {
+        Box::pin(async { Ok(0) })
+    }
 }
 
 /// The platform, as the daemon and the command-line tool use it.
--- a/tests/testsuite/restore.rs
+++ b/tests/testsuite/restore.rs
@@ -2,11 +2,18 @@
 //! reads the platform, one that polls that reader, and one that is cut off at times.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
+use futures_util::future;
+use peridotspread::coordination::member;
 use peridotspread::coordination::registry::Registry;
+use peridotspread::daemon::metrics;
+use peridotspread::daemon::registry as daemon_registry;
 use peridotspread::protocol::source::{Batch, Change, Item, ServiceTarget, Topic};
-use peridotspread::state::bundle;
-use peridotspread::state::clock::Millis;
+use peridotspread::protocol::{peer, platform, source};
+use peridotspread::state::clock::{Clock, Millis};
+use peridotspread::state::{bundle, ids, timeline};
+use tokio::sync::watch;
 
 /// The distance between the revisions of two eras.
 const ERA: u64 = 1 << 44;
@@ -439,3 +446,91 @@
         }
     }
 }
+
+/// A platform whose copy has rules 5 and no targets, and where nothing is written again.
+struct CopiedSource;
+
+impl source::Source for CopiedSource {
+    fn read(&self, topic: Topic) -> source::Call<'_> {
+        let rules = change(Topic::Rules, "", 2 * ERA + 40, Some(rules_item(5)));
+        let changes = Vec::from_iter((topic == Topic::Rules).then_some(rules));
+        Box::pin(async { Ok(whole(changes, 2 * ERA + 50)) })
+    }
+
+    fn follow(&self, _topic: Topic, _revision: u64, max_wait: Millis) -> source::Call<'_> {
+        Box::pin(async move {
+            tokio::time::sleep(max_wait.span()).await;
+            Ok(Batch {
+                whole: false,
+                ..whole(Vec::new(), 2 * ERA + 50)
+            })
+        })
+    }
+
+    fn era(&self, revision: u64) -> u64 {
+        revision / ERA
+    }
+}
+
+/// A peer that has had rules 7 in force since before the restore.
+struct PeerAhead;
+
+impl peer::ControlSender for PeerAhead {
+    fn send<'a>(
+        &'a self,
+        _to: &'a str,
+        _message: peer::ControlMessage,
+    ) -> future::BoxFuture<'a, Result<peer::ControlMessage, peer::NoReply>> {
+        let rules = change(Topic::Rules, "", 2 * ERA + 41, Some(rules_item(7)));
+        let rules = whole(vec![rules], 2 * ERA + 50);
+        let updates = serde_json::json!({"rules": rules, "targets": Batch::default()});
+        let reply = peer::ControlMessage::Updates {
+            age: Some(Millis::ZERO),
+            changes: updates.to_string().into_bytes(),
+        };
+        Box::pin(async { Ok(reply) })
+    }
+}
+
+/// A platform without hosts.
+struct NoHosts;
+
+impl platform::Hosts for NoHosts {
+    fn hosts(&self) -> platform::Call<'_, Vec<platform::Host>> {
+        Box::pin(async { Ok(Vec::new()) })
+    }
+}
+
+#[tokio::test]
+async fn a_daemon_that_starts_from_a_copy_takes_the_later_rules_that_others_have_in_force() {
+    let ahead = member::Member {
+        peer: "127.0.0.1:1".parse().unwrap(),
+        domain: "lahore-2".to_owned(),
+        incarnation: ids::Incarnation(1),
+        liveness: member::Liveness::Alive,
+        version: 7,
+    };
+    let view = member::View {
+        members: BTreeMap::from([("d2".to_owned(), ahead)]),
+    };
+    let (_members, members) = watch::channel(Arc::new(view));
+    let handle = daemon_registry::spawn(daemon_registry::Options {
+        name: "d1".to_owned(),
+        domain: "lahore-1".to_owned(),
+        clock: Clock::start(),
+        source: Arc::new(CopiedSource),
+        members,
+        sender: Arc::new(PeerAhead),
+        hosts: Arc::new(NoHosts),
+        metrics: Arc::new(metrics::Metrics::new().unwrap()),
+        recorder: Arc::new(timeline::Recorder::new("d1", ids::Incarnation(1))),
+    });
+    let handle = handle.await.unwrap();
+    let mut bundle = handle.bundle();
+    let taken = bundle.wait_for(|b| b.version == 7);
+    let taken = tokio::time::timeout(Millis(4_000).span(), taken).await;
+    assert!(
+        matches!(taken, Ok(Ok(_))),
+        "the daemon stays at the rules of the copy"
+    );
+}
