coordination: a peer that knows nothing of a topic does not make it count as known

An empty reply of a peer has revision 0, which was recorded as the revision of the topic: rules without targets could count as ready, and a daemon that then saw the platform's era took it for a restore. Such a batch has no effect now. The new test failed before. In daemon::registry the name of the platform in logs stands with the other constants.

--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -201,9 +201,11 @@
 
     /// Applies a batch of one topic from a peer, and returns whether the rules or targets changed.
     ///
+    /// A batch without a revision is of a peer that knows nothing of the topic, and has no effect.
+    ///
     /// For a target that has disappeared, the peer sends the rest of its grace period, which is adopted here.
     pub fn apply_peer(&mut self, now: clock::Millis, topic: Topic, batch: &Batch) -> bool {
-        self.apply_batch(now, topic, batch, true)
+        batch.revision > 0 && self.apply_batch(now, topic, batch, true)
     }
 
     fn apply_batch(
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -36,6 +36,8 @@
 /// How long another daemon may have rules of a higher version in force before they are requested from it: longer than
 /// the platform takes to tell both.
 const BEHIND_SPAN: clock::Millis = clock::Millis(800);
+/// The name of the platform in log lines about the origin of updates.
+const PLATFORM: &str = "platform";
 
 /// Options of the registry.
 pub struct Options {
@@ -323,9 +325,6 @@
     }
 }
 
-/// The name of the platform in log lines about the origin of updates.
-const PLATFORM: &str = "platform";
-
 struct RegistryActor;
 
 struct State {
@@ -568,7 +567,8 @@
             (Topic::Rules, &updates.rules),
             (Topic::Targets, &updates.targets),
         ] {
-            if self.is_outdated(batch.revision) {
+            // A peer without news states no revision.
+            if batch.revision == 0 || self.is_outdated(batch.revision) {
                 continue;
             }
             self.enter_era(now, self.options.source.era(batch.revision), name);
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -78,6 +78,14 @@
     assert_eq!(registry.bundle().unwrap().version, 7);
 }
 
+#[test]
+fn a_peer_that_knows_no_targets_does_not_make_rules_count_as_ready() {
+    let mut registry = Registry::default();
+    registry.apply(Millis(1), Topic::Rules, &rules(7, 1));
+    registry.apply_peer(Millis(2), Topic::Targets, &Batch::default());
+    assert!(registry.bundle().is_none());
+}
+
 #[test]
 fn the_version_of_the_rules_never_decreases() {
     let mut registry = registry();
