--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -156,8 +156,10 @@
     service: Option<bundle::Service>,
     verdicts: BTreeMap<ids::Ticket, tokio_sync::mpsc::UnboundedSender<Verdict>>,
     published: clock::Millis,
-    /// Whether the last log line said that too few targets were used, and when it was written.
-    short_usage: (bool, clock::Millis),
+    /// Whether the last log line about the use of targets said that too few were used.
+    logged_short: bool,
+    /// When that line was written.
+    logged_at: clock::Millis,
     draining: bool,
     /// When the next tick is due, and the task that sends it.
     timer: Option<(clock::Millis, task::JoinHandle<()>)>,
@@ -184,7 +186,8 @@
             service: None,
             verdicts: BTreeMap::new(),
             published: clock::Millis::ZERO,
-            short_usage: (false, clock::Millis::ZERO),
+            logged_short: false,
+            logged_at: clock::Millis::ZERO,
             draining: false,
             timer: None,
         })
@@ -334,12 +337,11 @@
     fn log_usage(&mut self, now: clock::Millis) {
         let required = self.cell.required_breadth();
         let usage = self.cell.usage(now);
-        let (was_short, logged) = self.short_usage;
         let is_short = usage.is_short(required);
-        if is_short == was_short || now - logged < USAGE_LOG_INTERVAL {
+        if is_short == self.logged_short || now - self.logged_at < USAGE_LOG_INTERVAL {
             return;
         }
-        self.short_usage = (is_short, now);
+        (self.logged_short, self.logged_at) = (is_short, now);
         log::info!(
             cell = self.options.id.to_string(), counted = usage.counted, used = usage.used,
             required_pct = (required * 100.0) as u64;
