tests: a whole service keeps any part of its sound targets in use, and retries within the budget, which fails

Entries and homes of a fleet run the code of the decisions against targets that fail and recover by themselves. The checks follow the platform's rules: what targets and callers see, over all daemons, for any part of the targets that the platform may count, and for a failure domain without callers.

--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -14,7 +14,7 @@
 mod overload;
 mod random;
 mod retry;
-mod scene;
+pub(crate) mod scene;
 mod scenes;
 mod soundness;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod refusal;
 mod registry;
 mod restore;
+mod service;
 mod support;
--- /dev/null
+++ b/tests/testsuite/service/world.rs
@@ -0,0 +1,505 @@
+//! A simulated service: the entries and homes of a fleet, and targets that fail and recover by themselves.
+//!
+//! Entries and homes run the code of the daemon's decisions; messages between them take no time. What targets and
+//! callers see is recorded, so that checks do not depend on what a cell counts.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use peridotspread::coordination::cell;
+use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::coordination::{homes, member};
+use peridotspread::protocol::{peer, refusal};
+use peridotspread::state::bundle;
+use peridotspread::state::clock::Millis;
+use peridotspread::state::ids;
+
+use crate::cell::scene::Random;
+
+/// The time between two steps, in milliseconds.
+const STEP: u64 = 2;
+/// The most homes that one request is sent to.
+const MAX_HOMES: usize = 4;
+/// How long the other daemons take to notice that a daemon was killed, in milliseconds.
+const DETECTION: u64 = 1_500;
+/// How long a daemon that has started sees no other daemon, in milliseconds.
+const ALONE: u64 = 1_000;
+
+/// A target's life; times are in milliseconds since the start.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Life {
+    /// The spans in which it breaks most connections.
+    pub(crate) failing: Vec<(u64, u64)>,
+    /// The spans in which it refuses all requests.
+    pub(crate) refusing: Vec<(u64, u64)>,
+}
+
+fn contains(spans: &[(u64, u64)], at: u64) -> bool {
+    spans.iter().any(|(from, to)| (*from..*to).contains(&at))
+}
+
+impl Life {
+    pub(crate) fn is_failing(&self, at: u64) -> bool {
+        contains(&self.failing, at)
+    }
+}
+
+/// The parameters of a simulation.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// The targets of each failure domain.
+    pub(crate) targets: Vec<Vec<Life>>,
+    /// The slots of each target.
+    pub(crate) slots: usize,
+    /// The daemons of each failure domain.
+    pub(crate) daemons: usize,
+    /// The requests per second from callers of each failure domain.
+    pub(crate) rates: Vec<f64>,
+    /// The mean run time of a request, in milliseconds.
+    pub(crate) run_ms: u64,
+    /// Whether requests can be resent.
+    pub(crate) can_be_resent: bool,
+    /// The share of requests that failing targets break.
+    pub(crate) broken: f64,
+    /// When all daemons are killed and start again.
+    pub(crate) restart_at: Option<u64>,
+    /// When the homes of all cells are killed and start again.
+    pub(crate) home_kills: Vec<u64>,
+    /// The end of the simulation, in milliseconds.
+    pub(crate) end: u64,
+}
+
+/// One request, as callers and targets see it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Record {
+    pub(crate) sent_at: u64,
+    /// When it reached targets.
+    pub(crate) arrivals: Vec<u64>,
+    pub(crate) served: bool,
+}
+
+/// What targets and callers saw.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) requests: Vec<Record>,
+    /// For each target: when requests reached it, and whether it failed them.
+    pub(crate) arrivals: Vec<Vec<(u64, bool)>>,
+}
+
+/// A request that has not ended.
+struct Open {
+    entry: String,
+    choice: homes::Choice,
+    failed: Vec<homes::FailedAttempt>,
+    deadline: u64,
+    /// The number of tries that were sent to targets.
+    tries: u32,
+    /// The number of the try in flight; an older one was abandoned.
+    current: u32,
+    /// Whether a try may have run.
+    may_have_run: bool,
+    last: Option<Outcome>,
+}
+
+type HomeKey = (String, ids::CellId);
+
+pub(crate) struct World {
+    options: Options,
+    service: bundle::Service,
+    random: Random,
+    now: u64,
+    members: BTreeMap<String, member::Member>,
+    /// When each killed daemon is seen by the others again, and until when it sees itself only.
+    alone: BTreeMap<String, u64>,
+    hidden: BTreeMap<String, u64>,
+    entries: BTreeMap<String, homes::Selector>,
+    homes: BTreeMap<HomeKey, cell::Cell>,
+    open: BTreeMap<u64, Open>,
+    /// The end of each try: the time, the ticket, the number of the try, and the outcome.
+    ends: BTreeSet<(u64, u64, u32, u8)>,
+    /// The requests that each target is running.
+    running: Vec<usize>,
+    run_at: BTreeMap<(u64, u32), (usize, Outcome)>,
+    pub(crate) report: Report,
+}
+
+fn domain(index: usize) -> String {
+    format!("d{index}")
+}
+
+fn service(options: &Options) -> bundle::Service {
+    let domains = options.targets.iter().enumerate();
+    let targets = domains.flat_map(|(d, lives)| lives.iter().map(move |_| d));
+    let targets = targets.enumerate().map(|(i, d)| bundle::Target {
+        name: format!("t{i}"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: domain(d),
+        slots: options.slots,
+        connections: 400,
+        leaving: false,
+    });
+    let targets: Vec<_> = targets.collect();
+    let per_domain = options.targets.iter().map(Vec::len).min().unwrap_or(0) * options.slots;
+    let own_cells = options.targets.len() > 1 && per_domain >= 24;
+    let cells = if own_cells { options.targets.len() } else { 1 };
+    bundle::Service {
+        floor: targets.len(),
+        queue: 200,
+        cells: (!own_cells).then_some(1),
+        soundness: true,
+        breadth_pct: super::BREADTH_PCT,
+        retry: bundle::Retry {
+            budget_pct: 18.0,
+            tries: 10,
+            burst: super::BUDGET_SLACK * 0.4 / cells as f64,
+        },
+        targets,
+        ..bundle::Service::without_targets("s")
+    }
+}
+
+impl World {
+    pub(crate) fn new(options: &Options, seed: u64) -> World {
+        let service = service(options);
+        let mut members = BTreeMap::new();
+        for d in 0..options.rates.len() {
+            for n in 0..options.daemons {
+                let member = member::Member {
+                    peer: "127.0.0.1:1".parse().unwrap(),
+                    domain: domain(d),
+                    incarnation: ids::Incarnation(1),
+                    liveness: member::Liveness::Alive,
+                    version: 1,
+                };
+                members.insert(format!("n{d}-{n}"), member);
+            }
+        }
+        let selector = |(name, m): (&String, &member::Member)| {
+            (name.clone(), homes::Selector::new(name, &m.domain))
+        };
+        World {
+            random: Random(seed),
+            now: 0,
+            alone: BTreeMap::new(),
+            hidden: BTreeMap::new(),
+            entries: members.iter().map(selector).collect(),
+            homes: BTreeMap::new(),
+            open: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            running: vec![0; service.targets.len()],
+            run_at: BTreeMap::new(),
+            report: Report {
+                requests: Vec::new(),
+                arrivals: vec![Vec::new(); service.targets.len()],
+            },
+            members,
+            service,
+            options: options.clone(),
+        }
+    }
+
+    /// Runs the simulation to its end.
+    pub(crate) fn run(mut self) -> Report {
+        let mut due = vec![0.0; self.options.rates.len()];
+        while self.now < self.options.end {
+            self.now += STEP;
+            self.apply_kills();
+            self.end_tries();
+            self.tick_cells();
+            for (d, due) in due.iter_mut().enumerate() {
+                *due += self.options.rates[d] * STEP as f64 / 1_000.0;
+                while *due >= 1.0 {
+                    *due -= 1.0;
+                    self.call(d);
+                }
+            }
+        }
+        self.report
+    }
+
+    fn time(&self) -> Millis {
+        Millis(self.now)
+    }
+
+    fn life(&self, target: usize) -> &Life {
+        let lives = self.options.targets.iter().flatten();
+        lives.skip(target).next().expect("the target exists")
+    }
+
+    /// Returns the members that the daemon `name` sees.
+    fn view(&self, name: &str) -> member::View {
+        let alone = self.alone.get(name).is_some_and(|until| self.now < *until);
+        let is_seen = |other: &str| {
+            other == name
+                || (!alone
+                    && self
+                        .hidden
+                        .get(other)
+                        .is_none_or(|until| self.now >= *until))
+        };
+        let members = self.members.iter().filter(|(other, _)| is_seen(other));
+        member::View {
+            members: members.map(|(n, m)| (n.clone(), m.clone())).collect(),
+        }
+    }
+
+    fn apply_kills(&mut self) {
+        if self.options.restart_at == Some(self.now) {
+            let all: Vec<_> = self.members.keys().cloned().collect();
+            self.kill(&all);
+        }
+        if self.options.home_kills.contains(&self.now) {
+            let homes: BTreeSet<_> = self.homes.keys().map(|(home, _)| home.clone()).collect();
+            self.kill(&homes.into_iter().collect::<Vec<_>>());
+        }
+    }
+
+    /// Kills daemons, which start again at once.
+    fn kill(&mut self, names: &[String]) {
+        let names: BTreeSet<_> = names.iter().collect();
+        for name in &names {
+            self.alone.insert((*name).clone(), self.now + ALONE);
+            self.hidden.insert((*name).clone(), self.now + DETECTION);
+            let domain = &self.members[*name].domain;
+            let selector = homes::Selector::new(name, domain);
+            self.entries.insert((*name).clone(), selector);
+        }
+        self.homes.retain(|(home, _), _| !names.contains(home));
+        self.open.retain(|_, open| !names.contains(&open.entry));
+        let lost = self.open.iter();
+        let lost = lost.filter(|(_, open)| names.contains(&open.choice.home));
+        let lost: Vec<_> = lost.map(|(ticket, _)| *ticket).collect();
+        for ticket in lost {
+            let in_flight = self.run_at.keys().any(|(t, _)| *t == ticket);
+            if !in_flight {
+                self.lose_home(ticket);
+            }
+        }
+    }
+
+    /// Sends a request, whose home was lost, to another home.
+    fn lose_home(&mut self, ticket: u64) {
+        let Some(open) = self.open.get_mut(&ticket) else {
+            return;
+        };
+        let choice = open.choice.clone();
+        let entry = open.entry.clone();
+        open.failed.push(homes::FailedAttempt {
+            choice: choice.clone(),
+            refused: false,
+        });
+        let now = Millis(self.now);
+        let selector = self.entries.get_mut(&entry).expect("the entry exists");
+        selector.observe(now, &choice.home, homes::Observation::Lost);
+        self.ask(ticket);
+    }
+
+    /// Sends a new request from a caller of a failure domain to one of its daemons.
+    fn call(&mut self, domain: usize) {
+        let n = (self.random.unit() * self.options.daemons as f64) as usize;
+        let ticket = self.report.requests.len() as u64;
+        self.report.requests.push(Record {
+            sent_at: self.now,
+            ..Record::default()
+        });
+        let open = Open {
+            entry: format!("n{domain}-{n}"),
+            choice: homes::Choice {
+                cell: ids::CellId::new("s", ""),
+                home: String::new(),
+            },
+            failed: Vec::new(),
+            deadline: self.now + 4_000,
+            tries: 0,
+            current: 0,
+            may_have_run: false,
+            last: None,
+        };
+        self.open.insert(ticket, open);
+        self.ask(ticket);
+    }
+
+    /// Selects a home for the request, and requests a slot there.
+    fn ask(&mut self, ticket: u64) {
+        let open = &self.open[&ticket];
+        let entry = open.entry.clone();
+        let view = self.view(&entry);
+        let now = self.time();
+        let selector = self.entries.get_mut(&entry).expect("the entry exists");
+        let choice = match open.failed.len() < MAX_HOMES && self.now < open.deadline {
+            true => selector.select(now, &self.service, &view, &open.failed),
+            false => None,
+        };
+        let Some(choice) = choice else {
+            self.open.remove(&ticket);
+            return;
+        };
+        let summaries = selector.summaries(now, &self.service);
+        let open = self.open.get_mut(&ticket).expect("the request is open");
+        open.choice = choice.clone();
+        let arrival = cell::Arrival {
+            ticket: ids::Ticket(ticket),
+            tier: 0,
+            deadline: Millis(open.deadline),
+            objective: Millis(open.deadline) - Millis(2_800),
+            max_tries: 3,
+            prior_tries: open.tries,
+            idempotent: self.options.can_be_resent,
+            replayable: true,
+            fingerprint: ids::Fingerprint(ticket),
+            origin: ids::DomainId::from_name(&self.members[&entry].domain),
+        };
+        let key = (choice.home, choice.cell);
+        if !self.homes.contains_key(&key) {
+            let mut cell = cell::Cell::new(&key.1);
+            cell.handle(now, Event::Rules(&self.service));
+            self.homes.insert(key.clone(), cell);
+        }
+        self.handle(&key, Event::OtherCells(&summaries));
+        self.handle(&key, Event::Arrive(arrival));
+    }
+
+    /// Passes an event to a cell, and carries out its actions and those that follow.
+    fn handle(&mut self, key: &HomeKey, event: Event<'_>) {
+        let now = self.time();
+        let Some(cell) = self.homes.get_mut(key) else {
+            return;
+        };
+        let mut pending: VecDeque<_> = cell.handle(now, event).into();
+        while let Some(action) = pending.pop_front() {
+            match action {
+                Action::Grant { ticket, target } => self.grant(key, ticket.0, &target),
+                Action::Refuse { ticket, refusal } => self.refuse(key, ticket.0, refusal),
+                Action::GiveUp { ticket } => self.give_up(key, ticket.0),
+                Action::Abandon { ticket } => {
+                    if let Some(open) = self.open.get_mut(&ticket.0) {
+                        self.run_at.remove(&(ticket.0, open.current));
+                        open.may_have_run = true;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn record_summary(&mut self, key: &HomeKey, ticket: u64) {
+        let now = self.time();
+        let summary: Option<peer::CellSummary> = self.homes.get(key).map(|c| c.summary(now));
+        if let Some(open) = self.open.get(&ticket)
+            && let Some(summary) = summary
+            && let Some(selector) = self.entries.get_mut(&open.entry)
+        {
+            selector.record_summary(now, &summary);
+            selector.observe(now, &key.0, homes::Observation::Answered);
+        }
+    }
+
+    /// Sends the request to the granted target.
+    fn grant(&mut self, key: &HomeKey, ticket: u64, target: &str) {
+        self.record_summary(key, ticket);
+        if !self.open.contains_key(&ticket) {
+            self.handle(key, Event::Cancel(ids::Ticket(ticket)));
+            return;
+        }
+        self.handle(key, Event::Sent(ids::Ticket(ticket)));
+        let index: usize = target[1..].parse().expect("targets have numbers");
+        let life = self.life(index);
+        let (breaks, refuses) = (
+            life.is_failing(self.now),
+            contains(&life.refusing, self.now),
+        );
+        let is_full = self.running[index] >= self.options.slots;
+        let span = (self.options.run_ms as f64 * (0.5 + self.random.unit())) as u64;
+        let (span, outcome) = match breaks {
+            true if self.random.unit() < self.options.broken => (STEP, Outcome::Broken),
+            _ if refuses || is_full => (STEP, Outcome::NotRun),
+            _ => (span, Outcome::Answered),
+        };
+        self.running[index] += 1;
+        let fails = outcome == Outcome::Broken;
+        self.report.arrivals[index].push((self.now, fails));
+        self.report.requests[ticket as usize]
+            .arrivals
+            .push(self.now);
+        let open = self.open.get_mut(&ticket).expect("the request is open");
+        open.current += 1;
+        open.tries += 1;
+        let current = open.current;
+        self.run_at.insert((ticket, current), (index, outcome));
+        self.ends
+            .insert((self.now + span, ticket, current, index as u8));
+    }
+
+    fn end_tries(&mut self) {
+        while let Some((at, ticket, current, index)) = self.ends.first().copied() {
+            if at > self.now {
+                return;
+            }
+            self.ends.pop_first();
+            self.running[usize::from(index)] -= 1;
+            let Some((_, outcome)) = self.run_at.remove(&(ticket, current)) else {
+                continue;
+            };
+            let Some(open) = self.open.get_mut(&ticket) else {
+                continue;
+            };
+            open.last = Some(outcome);
+            open.may_have_run |= outcome == Outcome::Broken;
+            let key = (open.choice.home.clone(), open.choice.cell.clone());
+            let answered = outcome == Outcome::Answered;
+            if answered {
+                self.report.requests[ticket as usize].served = true;
+                self.open.remove(&ticket);
+            }
+            if !self.homes.contains_key(&key) {
+                // Without its home, the try in flight is the request's last one.
+                self.open.remove(&ticket);
+                continue;
+            }
+            let ticket = ids::Ticket(ticket);
+            self.handle(&key, Event::Done { ticket, outcome });
+            if answered {
+                self.handle(&key, Event::Release(ticket));
+            }
+        }
+    }
+
+    fn tick_cells(&mut self) {
+        let now = self.time();
+        let due = self.homes.iter().filter(|(_, c)| c.wake() <= now);
+        let due: Vec<_> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            self.handle(&key, Event::Tick);
+        }
+    }
+
+    fn refuse(&mut self, key: &HomeKey, ticket: u64, refusal: refusal::Refusal) {
+        self.record_summary(key, ticket);
+        let not_run = refusal.outcome == refusal::Outcome::NotRun;
+        let Some(open) = self.open.get_mut(&ticket) else {
+            return;
+        };
+        if !not_run || open.may_have_run {
+            self.open.remove(&ticket);
+            return;
+        }
+        open.failed.push(homes::FailedAttempt {
+            choice: open.choice.clone(),
+            refused: refusal.cause != refusal::Cause::Draining,
+        });
+        self.ask(ticket);
+    }
+
+    fn give_up(&mut self, key: &HomeKey, ticket: u64) {
+        self.handle(key, Event::Release(ids::Ticket(ticket)));
+        let last = self.open.get(&ticket).and_then(|o| o.last);
+        match last {
+            Some(Outcome::NotRun) => {
+                let cause = refusal::Cause::TargetShed;
+                self.refuse(key, ticket, refusal::Refusal::not_run(cause, None));
+            }
+            _ => {
+                self.open.remove(&ticket);
+            }
+        }
+    }
+}
