coordination: a retry bucket starts empty, so that homes which start together stay within the budget

Callers' requests reached targets more often than the platform's retry budget allows after daemons had restarted: each new home of a cell began with a full bucket.

Class: a limit of the whole fleet that each holder counts alone, with a stock that comes with every new holder. A smaller first stock was ruled out: the number of homes has no bound but that of the daemons, so any stock adds up. Tokens now come from first tries alone, so homes together spend at most the share of the requests that they granted, and what they had saved up.

--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -1,4 +1,7 @@
 //! The retry budget: a token bucket that first tries fill, so that retries stay a share of them.
+//!
+//! A bucket starts empty. While daemons start, or do not see each other, any number of them may be home of one cell, so
+//! tokens that each had from the start would add up without bound.
 
 use crate::state::bundle;
 
@@ -24,10 +27,9 @@
 }
 
 impl Budget {
-    /// Applies the settings of a bundle. If the capacity changes, the tokens change by the same amount, so a new bucket
-    /// is full.
+    /// Applies the settings of a bundle. Tokens beyond a reduced capacity are lost.
     pub fn configure(&mut self, rules: &bundle::Retry) {
-        self.tokens = (self.tokens + rules.burst - self.burst).clamp(0.0, rules.burst);
+        self.tokens = self.tokens.min(rules.burst);
         self.burst = rules.burst;
         self.share = (rules.budget_pct / 100.0).max(0.0);
         self.max_tries = rules.tries;
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -147,7 +147,7 @@
     pub budget_pct: f64,
     /// The maximum number of tries of a request, including the first.
     pub tries: u32,
-    /// The number of retries that a cell may make in a burst, regardless of the ratio.
+    /// The most retries that a cell may save up from the ratio, to make them in a burst.
     pub burst: f64,
 }
 
--- a/tests/testsuite/cell/soundness.rs
+++ b/tests/testsuite/cell/soundness.rs
@@ -184,6 +184,9 @@
         prior_tries: 1,
         ..arrival(ticket)
     };
+    let (_, refusal) = refused(&harness.arrive(retried(0))).unwrap();
+    assert_eq!(refusal.cause, refusal::Cause::TargetShed);
+    harness.warm_up(300);
     assert!(granted(&harness.arrive(retried(1))).is_some());
     assert!(granted(&harness.arrive(retried(2))).is_some());
     let (_, refusal) = refused(&harness.arrive(retried(3))).unwrap();
