coordination, platform: every target takes its turn, since the platform counts a part of them that no cell knows

A cell kept 78 % of its own targets in use, and the idle ones were always those that had failed before. The platform counts those under no fault that did not fail within 2 s, which may be one failure domain or a quarter of the service, and the idle ones may all lie in it.

Class: a share that is taken of another set than the one it must hold for. A fourth margin was ruled out for this reason.

The log tells how long a cell's targets have been idle, which tells a target that takes its turn late from one that is left out.

--- a/src/coordination/breadth.rs
+++ b/src/coordination/breadth.rs
@@ -18,14 +18,19 @@
 /// The time over which the floor counts targets that receive requests, and after which a target that failed counts as
 /// healthy again; the platform uses the same time.
 pub const FLOOR_SPAN: clock::Millis = clock::Millis(2_000);
+/// How long a target that failed is not counted. Shorter than [`FLOOR_SPAN`], so that it gets a request before the
+/// platform counts it as idle.
+pub const FAILED_SPAN: clock::Millis = clock::Millis(1_900);
 
 /// How many of a cell's targets receive requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
-    /// The targets that should receive requests: those that accept them and have not failed within [`FLOOR_SPAN`].
+    /// The targets that should receive requests: those that accept them and have not failed within [`FAILED_SPAN`].
     pub counted: usize,
     /// Those of them that received a request within [`USE_SPAN`].
     pub used: usize,
+    /// The longest time for which one of them has received no request.
+    pub longest_idle: clock::Millis,
 }
 
 impl Usage {
@@ -33,4 +38,9 @@
     pub fn is_short(&self, share: f64) -> bool {
         (self.used as f64) < share * self.counted as f64
     }
+
+    /// Returns whether a target that should receive requests has received none for [`FLOOR_SPAN`].
+    pub fn has_neglected_target(&self) -> bool {
+        self.longest_idle > FLOOR_SPAN
+    }
 }
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -146,7 +146,9 @@
     }
 
     /// Returns a free target that was added and has received no request yet. If there is none, and too few targets
-    /// receive requests, returns the idle target with the lowest failure probability.
+    /// receive requests, returns the one that has been idle longest.
+    ///
+    /// A request with one try does not go to a target that is likely to fail while others can be resent.
     fn underused_target(&self, now: clock::Millis, request: &queue::Request) -> Option<String> {
         if !self.rules.rank_by_failure {
             return None;
@@ -162,13 +164,13 @@
         if request.tries > 0 || !self.usage(now).is_short(self.rules.breadth) {
             return None;
         }
-        let probability = |t: &target::Target| t.failure_model.probability(now);
-        let idle = free().filter(|(_, t)| !t.is_used(now));
-        let safest = idle.min_by(|a, b| probability(a.1).total_cmp(&probability(b.1)));
-        let (name, target) = safest?;
-        let is_risky = probability(target) > INITIAL_LIMIT_ONCE;
-        let leaves_to_others = !request.arrival.can_be_resent() && self.has_resendable_load(now);
-        (!is_risky || !leaves_to_others).then(|| name.clone())
+        let avoids_risk = !request.arrival.can_be_resent() && self.has_resendable_load(now);
+        let is_acceptable = |t: &target::Target| {
+            !avoids_risk || t.failure_model.probability(now) <= INITIAL_LIMIT_ONCE
+        };
+        let idle = free().filter(|(_, t)| !t.is_used(now) && is_acceptable(t));
+        let longest_idle = idle.min_by_key(|(_, t)| t.last_used);
+        longest_idle.map(|(name, _)| name.clone())
     }
 
     /// Returns whether requests that can be resent arrive often enough to find out which idle targets have recovered.
@@ -181,11 +183,16 @@
         // A target that failed a moment ago has received requests, so it is not counted as idle capacity.
         let counted = || {
             let working = self.targets.values().filter(|t| t.accepts_requests());
-            working.filter(|t| t.failed_at.is_none_or(|at| now - at > breadth::FLOOR_SPAN))
+            working.filter(|t| {
+                t.failed_at
+                    .is_none_or(|at| now - at >= breadth::FAILED_SPAN)
+            })
         };
+        let longest_idle = counted().map(|t| now - t.last_used).max();
         breadth::Usage {
             counted: counted().count(),
             used: counted().filter(|t| t.is_used(now)).count(),
+            longest_idle: longest_idle.unwrap_or_default(),
         }
     }
 
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -156,8 +156,8 @@
     service: Option<bundle::Service>,
     verdicts: BTreeMap<ids::Ticket, tokio_sync::mpsc::UnboundedSender<Verdict>>,
     published: clock::Millis,
-    /// Whether the last log line about the use of targets said that too few were used.
-    logged_short: bool,
+    /// Whether the last log line about the use of targets said that one receives no requests.
+    logged_neglect: bool,
     /// When that line was written.
     logged_at: clock::Millis,
     draining: bool,
@@ -186,7 +186,7 @@
             service: None,
             verdicts: BTreeMap::new(),
             published: clock::Millis::ZERO,
-            logged_short: false,
+            logged_neglect: false,
             logged_at: clock::Millis::ZERO,
             draining: false,
             timer: None,
@@ -333,19 +333,18 @@
         tokio::spawn(async move { budget.release(&service, &target).await });
     }
 
-    /// Logs that too few targets receive requests, or that enough do again.
+    /// Logs that a target receives no requests for too long, or that all receive some again.
     fn log_usage(&mut self, now: clock::Millis) {
-        let required = self.cell.required_breadth();
         let usage = self.cell.usage(now);
-        let is_short = usage.is_short(required);
-        if is_short == self.logged_short || now - self.logged_at < USAGE_LOG_INTERVAL {
+        let is_neglected = self.cell.required_breadth() > 0.0 && usage.has_neglected_target();
+        if is_neglected == self.logged_neglect || now - self.logged_at < USAGE_LOG_INTERVAL {
             return;
         }
-        (self.logged_short, self.logged_at) = (is_short, now);
+        (self.logged_neglect, self.logged_at) = (is_neglected, now);
         log::info!(
             cell = self.options.id.to_string(), counted = usage.counted, used = usage.used,
-            required_pct = (required * 100.0) as u64;
-            "{}", if is_short { "too few targets in use" } else { "enough targets in use" }
+            longest_idle_ms = usage.longest_idle.0;
+            "{}", if is_neglected { "targets without requests" } else { "all targets receive requests" }
         );
     }
 
