coordination: entries send requests to cells with idle targets, also in failure domains without callers

Targets of a failure domain with few callers got no requests: entries prefer the cell of their own domain, so the cell of such a domain was idle as a whole, and the platform may count just this domain.

A cell's summary now counts the targets that need a request. One request in 16 of a service that keeps a share of its targets in use goes to a cell at random; more follow while the summary is fresh and shows idle targets and free slots. Weighed: a period for each entry and cell, which at the target size, with one request of a service per entry in 12 s, would send every request elsewhere.

CellSummary has one more field, so daemons of this version and of earlier ones don't grant each other slots while both run.

--- a/src/coordination/breadth.rs
+++ b/src/coordination/breadth.rs
@@ -36,7 +36,13 @@
 impl Usage {
     /// Returns whether less than `share` of the counted targets are used.
     pub fn is_short(&self, share: f64) -> bool {
-        (self.used as f64) < share * self.counted as f64
+        self.missing(share) > 0
+    }
+
+    /// Returns how many idle targets need a request until `share` of the counted targets are used.
+    pub fn missing(&self, share: f64) -> usize {
+        let required = (share * self.counted as f64).ceil() as usize;
+        required.saturating_sub(self.used)
     }
 
     /// Returns whether a target that should receive requests has received none for [`FLOOR_SPAN`].
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -223,6 +223,7 @@
                 bad
             },
             seen: seen.round() as u32,
+            idle: as_count(self.usage(now).missing(self.required_breadth())),
             age: clock::Millis::ZERO,
         }
     }
--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -7,9 +7,14 @@
 //! An entry asks its [`Selector`] for each request. The selector skips homes whose answers stall or get lost, whichever
 //! direction of the path is cut, and compares the cells of a service by the load in the summaries that homes attach to
 //! their answers.
+//!
+//! Entries prefer their own failure domain, so a domain with few callers would leave its targets without requests. If
+//! the service keeps a share of its targets in use, some requests go to a cell at random, and more follow while its
+//! summary shows idle targets.
 
 use std::collections::BTreeMap;
 
+use crate::coordination::breadth;
 use crate::coordination::member;
 use crate::coordination::random::Random;
 use crate::protocol::peer;
@@ -40,6 +45,8 @@
 const LOAD_MAX_AGE: clock::Millis = clock::Millis(5_000);
 /// The age above which a summary is no longer forwarded to homes.
 const FORWARD_MAX_AGE: clock::Millis = clock::Millis(30_000);
+/// One in this many requests goes to a cell at random, if the service keeps a share of its targets in use.
+const EXPLORATION_INTERVAL: u64 = 16;
 /// The number of ranked homes that an entry tries for one cell before it acts as the home itself.
 const RANKED_HOMES: usize = 2;
 
@@ -80,10 +87,21 @@
     created: clock::Millis,
 }
 
+impl CachedSummary {
+    /// Returns whether the cell has targets that need a request, and slots for it.
+    fn has_idle_targets(&self, now: clock::Millis) -> bool {
+        let summary = &self.summary;
+        let is_fresh = now - self.created <= breadth::USE_SPAN;
+        is_fresh && summary.idle > 0 && summary.queued == 0 && summary.busy < summary.slots
+    }
+}
+
 /// A cell, the home that would serve it, and the expected cost in milliseconds.
 struct Candidate {
     choice: Choice,
     cost: f64,
+    /// Whether the home is the cell's first.
+    at_first: bool,
 }
 
 impl Selector {
@@ -103,6 +121,8 @@
     /// Samples two cells of the entry's own failure domain and two of other domains at random, and selects the
     /// cheapest; cells of other domains carry a penalty. The home is the first in rank order that is reachable, and
     /// finally the entry itself. Returns `None` once every cell has refused the request or failed at every home.
+    ///
+    /// A new request of a service that keeps a share of its targets in use may go to a cell with idle targets instead.
     pub fn select(
         &mut self,
         now: clock::Millis,
@@ -114,15 +134,54 @@
         let candidates = cells
             .iter()
             .filter_map(|c| self.candidate(now, c, view, failed));
-        let (near, far): (Vec<_>, Vec<_>) =
-            candidates.partition(|c| c.choice.cell.domain == self.domain);
-        let sampled = self.sample(near).into_iter();
-        let sampled = sampled.chain(self.sample(far));
-        let best = sampled.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        let mut candidates: Vec<_> = candidates.collect();
+        let keeps_breadth = service.soundness && service.breadth_pct > 0.0;
+        let idle = match keeps_breadth && failed.is_empty() {
+            true => self.select_idle(now, &candidates),
+            false => None,
+        };
+        let best = match idle {
+            Some(index) => candidates.swap_remove(index),
+            None => self.select_cheapest(candidates)?,
+        };
         self.reachability.record_selection(now, &best.choice.home);
         Some(best.choice)
     }
 
+    /// Samples candidates and returns the cheapest.
+    fn select_cheapest(&mut self, candidates: Vec<Candidate>) -> Option<Candidate> {
+        let (near, far): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .partition(|c| c.choice.cell.domain == self.domain);
+        let sampled = self.sample(near).into_iter();
+        let sampled = sampled.chain(self.sample(far));
+        sampled.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    /// Returns the index of a candidate with idle targets and free slots. If none is known, returns one at random for
+    /// one in [`EXPLORATION_INTERVAL`] requests, whose response brings the summary of its cell.
+    fn select_idle(&mut self, now: clock::Millis, candidates: &[Candidate]) -> Option<usize> {
+        let indices = |wanted: &dyn Fn(&Candidate) -> bool| -> Vec<usize> {
+            let wanted = candidates.iter().enumerate().filter(|(_, c)| wanted(c));
+            wanted.map(|(index, _)| index).collect()
+        };
+        let has_idle = |c: &Candidate| {
+            let cached = self.cells.get(&c.choice.cell);
+            c.at_first && cached.is_some_and(|cached| cached.has_idle_targets(now))
+        };
+        let idle = indices(&has_idle);
+        if !idle.is_empty() {
+            let index = idle[self.random.index(idle.len())];
+            if let Some(cached) = self.cells.get_mut(&candidates[index].choice.cell) {
+                cached.summary.idle -= 1;
+            }
+            return Some(index);
+        }
+        let reachable = indices(&|c| c.at_first);
+        let explores = !reachable.is_empty() && self.random.below(EXPLORATION_INTERVAL) == 0;
+        explores.then(|| reachable[self.random.index(reachable.len())])
+    }
+
     /// Samples two candidates at random; returns all of them if there are no more than two.
     fn sample(&mut self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
         if candidates.len() <= 2 {
@@ -208,6 +267,7 @@
                 home: home.to_owned(),
             },
             cost: home_penalty + domain_penalty + self.load_cost(now, cell),
+            at_first: home_penalty == 0.0,
         })
     }
 
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -107,6 +107,8 @@
     pub bad: f32,
     /// The number of recent requests from which `median` and `bad` are computed.
     pub seen: u32,
+    /// The number of targets that lack a request, so that the share of them that the service keeps in use is reached.
+    pub idle: u32,
     /// The age of the summary when it was forwarded.
     pub age: clock::Millis,
 }
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -191,6 +191,7 @@
         median: Millis(20),
         bad,
         seen: 48,
+        idle: 0,
         age: Millis::ZERO,
     }
 }
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -70,6 +70,7 @@
         median: Millis(100),
         bad: 0.0,
         seen: 50,
+        idle: 0,
         age: Millis::ZERO,
     }
 }
