coordination, daemon, platform: a target gets no more requests than the rate limit that it states

No code read `Server-Limit`.

The home of the target's cell grants its slots, so it enforces the limit there, with a token bucket of one request, for first tries, retries, trials, moved requests and breadth alike. A limit counts in the expected wait, so a request that finds no room goes elsewhere or is refused at once, and a target without room is not counted for breadth. Entries keep the limits that they were told and send them along with their slot requests, so a home that is new or starts again knows them before it grants a slot to an entry that the platform counts. A home that does not rank first leaves such targets out: several homes together would exceed the limit. A response without a limit to a request that was granted after the last statement ends it. A bucket starts empty, and the lowest rate is one request in 5 s, so that the end is seen.

Weighed: a limit divided among the homes that may be there, which has no bound; limits as rows of the platform, which cost a write for each change and come late.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -183,10 +183,12 @@
         // A target that failed a moment ago has received requests, so it is not counted as idle capacity.
         let counted = || {
             let working = self.targets.values().filter(|t| t.accepts_requests());
-            working.filter(|t| {
+            let working = working.filter(|t| {
                 t.failed_at
                     .is_none_or(|at| now - at >= breadth::FAILED_SPAN)
-            })
+            });
+            // A target gets no more requests than its rate limit allows.
+            working.filter(|t| t.limiter.allows(now) || t.is_used(now))
         };
         let longest_idle = counted().map(|t| now - t.last_used).max();
         breadth::Usage {
@@ -311,6 +313,7 @@
         self.sequence += 1;
         target.last_grant = self.sequence;
         target.last_used = now;
+        target.limiter.take(now);
         target.newcomer = false;
         target.busy += 1;
         target.crash_risks += usize::from(crash_risk);
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -55,6 +55,20 @@
         /// How the try ended.
         outcome: Outcome,
     },
+    /// A response states a rate limit of the target that the request runs at, or that it has none.
+    LimitStated {
+        /// The request.
+        ticket: ids::Ticket,
+        /// The limit.
+        limit: peer::RateLimit,
+    },
+    /// The rate limits of targets that an entry knows.
+    KnownLimits(&'a [peer::TargetLimit]),
+    /// Whether this home ranks first for the cell; a cell starts as if it did.
+    Ranked {
+        /// Whether it does.
+        is_first: bool,
+    },
     /// The body of the response has ended or was cut off, so the slot is free.
     Release(ids::Ticket),
     /// The caller disconnected, or the entry was lost. The cell removes the request.
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -41,6 +41,8 @@
 const MIN_RETRY_AFTER: clock::Millis = clock::Millis(100);
 /// The longest retry-after time of a refusal.
 const MAX_RETRY_AFTER: clock::Millis = clock::Millis(30_000);
+/// The least number of concurrent requests by which the expected wait is computed.
+const MIN_CONCURRENCY: f64 = 0.001;
 /// The weight of a new grant in the moving average [`Cell::late_share`].
 const LATE_SHARE_STEP: f64 = 0.05;
 /// The weight of a new value in the moving average [`Cell::mean_hold`].
@@ -120,6 +122,8 @@
     /// requests.
     late_share: BTreeMap<u8, f64>,
     draining: bool,
+    /// Whether this home ranks first for the cell.
+    is_first: bool,
     /// The last number given to an arrival, a grant or an abandoned try.
     sequence: u64,
     /// When the last event was handled.
@@ -147,6 +151,7 @@
             mean_hold: None,
             late_share: BTreeMap::new(),
             draining: false,
+            is_first: true,
             sequence: 0,
             last_event: clock::Millis::ZERO,
         }
@@ -167,6 +172,9 @@
             Event::Arrive(arrival) => self.arrive(now, arrival, &mut actions),
             Event::Sent(ticket) => self.mark_sent(now, ticket),
             Event::Done { ticket, outcome } => self.end_try(now, ticket, outcome, &mut actions),
+            Event::LimitStated { ticket, limit } => self.apply_stated_limit(now, ticket, limit),
+            Event::KnownLimits(limits) => self.apply_known_limits(now, limits),
+            Event::Ranked { is_first } => self.apply_rank(is_first),
             Event::Release(ticket) => self.end_response(now, ticket),
             Event::Cancel(ticket) => self.cancel(now, ticket),
             Event::Rules(service) => self.adopt(now, service, &mut actions),
@@ -212,7 +220,7 @@
         let median = evidence::median(now, counted().map(|t| &t.evidence), std::iter::empty());
         peer::CellSummary {
             cell: self.id.clone(),
-            slots: as_count(counted().map(|t| t.usable_slots(now)).sum()),
+            slots: as_count(counted().map(|t| t.open_slots(now)).sum()),
             busy: as_count(counted().map(|t| t.busy).sum()),
             queued: as_count(self.queue.len()),
             wait: self.expected_wait(now, u8::MAX),
@@ -314,7 +322,7 @@
             return refuse(refusal::Cause::DeadlinePassed, None);
         }
         let is_probe = self.running.is_empty() && arrival.idempotent;
-        if self.usable_slots(now) == 0 || (self.defers(now) && !is_probe) {
+        if self.concurrency(now) == 0.0 || (self.defers(now) && !is_probe) {
             return refuse(refusal::Cause::NoTarget, Some(clock::Millis(1_000)));
         }
         let wait = self.expected_wait(now, arrival.tier);
@@ -347,13 +355,46 @@
         if ahead == 0 && self.targets.values().any(|t| t.has_free_slot(now)) {
             return clock::Millis::ZERO;
         }
-        let slots = self.usable_slots(now).max(1) as f64;
+        let concurrency = self.concurrency(now).max(MIN_CONCURRENCY);
         let hold = self.mean_hold.unwrap_or_default();
-        clock::Millis((hold * (ahead + 1) as f64 / slots).ceil() as u64)
+        clock::Millis((hold * (ahead + 1) as f64 / concurrency).ceil() as u64)
     }
 
-    fn usable_slots(&self, now: clock::Millis) -> usize {
-        self.targets.values().map(|t| t.usable_slots(now)).sum()
+    /// Returns the number of requests that the targets can run at a time, by their slots and rate limits.
+    fn concurrency(&self, now: clock::Millis) -> f64 {
+        let hold = self.mean_hold();
+        let of_targets = self.targets.values().map(|t| t.concurrency(now, hold));
+        of_targets.sum()
+    }
+
+    /// Applies the rate limit that a response states to the target of its request.
+    fn apply_stated_limit(
+        &mut self,
+        now: clock::Millis,
+        ticket: ids::Ticket,
+        limit: peer::RateLimit,
+    ) {
+        if let Some(run) = self.running.get(&ticket)
+            && let Some(target) = self.targets.get_mut(&run.target)
+        {
+            target.limiter.state_in_response(now, run.granted, limit);
+        }
+    }
+
+    fn apply_known_limits(&mut self, now: clock::Millis, limits: &[peer::TargetLimit]) {
+        for known in limits {
+            if let Some(target) = self.targets.get_mut(&known.target) {
+                target.limiter.state(now, now - known.age, known.limit);
+            }
+        }
+    }
+
+    /// Leaves targets with a rate limit to the home that ranks first: several homes together would exceed it.
+    fn apply_rank(&mut self, is_first: bool) {
+        self.is_first = is_first;
+        for target in self.targets.values_mut() {
+            target.limiter.enforce_elsewhere(!is_first);
+        }
     }
 
     /// Refuses the newest requests of the lowest tiers while the queue is longer than its limit.
--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -58,6 +58,7 @@
             let is_new = !is_first && !self.targets.contains_key(name);
             let entry = self.targets.entry(name.to_owned());
             let target = entry.or_insert_with(|| target::Target::new(now));
+            target.limiter.enforce_elsewhere(!self.is_first);
             if target.leaving && !rule.leaving {
                 target.slow_start = trial::SlowStart::new(now);
             }
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -5,6 +5,7 @@
 use crate::coordination::evidence;
 use crate::coordination::failure_model;
 use crate::coordination::outlier;
+use crate::coordination::rate_limit;
 use crate::coordination::trial;
 use crate::protocol::peer;
 use crate::state::clock;
@@ -54,6 +55,8 @@
     pub(super) trial: trial::Trial,
     /// The slow start of its slots.
     pub(super) slow_start: trial::SlowStart,
+    /// The rate limit that it states.
+    pub(super) limiter: rate_limit::Limiter,
     paused_until: clock::Millis,
     pauses: u32,
     crash: Option<Crash>,
@@ -96,6 +99,7 @@
             ejection: ejection::Ejection::default(),
             trial: trial::Trial::default(),
             slow_start: trial::SlowStart::new(now),
+            limiter: rate_limit::Limiter::default(),
             paused_until: clock::Millis::ZERO,
             pauses: 0,
             crash: None,
@@ -145,7 +149,22 @@
 
     /// Returns whether it has a free slot for a request other than a trial.
     pub(super) fn has_free_slot(&self, now: clock::Millis) -> bool {
-        self.paused_until <= now && self.busy < self.usable_slots(now)
+        self.paused_until <= now && self.busy < self.usable_slots(now) && self.limiter.allows(now)
+    }
+
+    /// Returns the number of slots for summaries: none beyond those in use while its rate limit allows no request.
+    pub(super) fn open_slots(&self, now: clock::Millis) -> usize {
+        let usable = self.usable_slots(now);
+        match self.limiter.allows(now) {
+            true => usable,
+            false => usable.min(self.busy),
+        }
+    }
+
+    /// Returns the number of requests of the mean duration `hold` that it can run at a time, by its slots and its rate
+    /// limit.
+    pub(super) fn concurrency(&self, now: clock::Millis, hold: clock::Millis) -> f64 {
+        (self.usable_slots(now) as f64).min(self.limiter.concurrency(hold))
     }
 
     /// Returns whether it may be granted a trial now.
@@ -154,6 +173,7 @@
             && !self.is_normal()
             && self.paused_until <= now
             && self.busy < self.total_slots
+            && self.limiter.allows(now)
             && self.trial.is_due(now)
     }
 
@@ -165,6 +185,9 @@
         if self.paused_until > now {
             return self.paused_until;
         }
+        if !self.limiter.allows(now) {
+            return self.limiter.next_at(now);
+        }
         let trial = match self.ejection.state() {
             ejection::State::Normal => clock::Millis::MAX,
             _ if self.trial.next_due() <= now => clock::Millis::MAX,
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -166,7 +166,7 @@
     fn refuse_unservable(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
         let hold = self.mean_hold();
         let late = self.queue.late(now + hold);
-        let slots = self.usable_slots(now).max(1) as f64;
+        let slots = self.concurrency(now).max(super::MIN_CONCURRENCY);
         let wait = |ahead: usize, tier: u8| {
             let share = self.late_share.get(&tier).copied().unwrap_or(1.0);
             let span = hold.0 as f64 * (ahead + 1) as f64 / (slots * share);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 pub mod outlier;
 pub mod quarantine;
 mod random;
+pub mod rate_limit;
 pub mod readers;
 pub mod registry;
 pub mod retry;
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -54,6 +54,15 @@
         ticket: ids::Ticket,
         /// The outcome of the try.
         outcome: coordination::cell::Outcome,
+        /// The rate limit that the response states; absent if there is no response of the target.
+        limit: Option<peer::RateLimit>,
+    },
+    /// The rate limits of targets that an entry knows.
+    KnownLimits(Vec<peer::TargetLimit>),
+    /// Whether this daemon ranks first for the cell.
+    Ranked {
+        /// Whether it does.
+        is_first: bool,
     },
     /// The request ended, and its slot is free.
     Release(ids::Ticket),
@@ -225,9 +234,20 @@
                 self.cell.handle(now, Event::Arrive(arrival))
             }
             Message::Sent(ticket) => self.cell.handle(now, Event::Sent(ticket)),
-            Message::Done { ticket, outcome } => {
-                self.cell.handle(now, Event::Done { ticket, outcome })
+            Message::Done {
+                ticket,
+                outcome,
+                limit,
+            } => {
+                let mut actions = match limit {
+                    Some(limit) => self.cell.handle(now, Event::LimitStated { ticket, limit }),
+                    None => Vec::new(),
+                };
+                actions.extend(self.cell.handle(now, Event::Done { ticket, outcome }));
+                actions
             }
+            Message::KnownLimits(limits) => self.cell.handle(now, Event::KnownLimits(&limits)),
+            Message::Ranked { is_first } => self.cell.handle(now, Event::Ranked { is_first }),
             Message::Release(ticket) => {
                 self.verdicts.remove(&ticket);
                 self.cell.handle(now, Event::Release(ticket))
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -15,6 +15,7 @@
 
 use crate::coordination::homes;
 use crate::coordination::member;
+use crate::coordination::rate_limit;
 use crate::daemon::broadcast;
 use crate::daemon::claim;
 use crate::daemon::claims::Claims;
@@ -74,6 +75,7 @@
 pub struct Entry {
     options: Options,
     selector: sync::Mutex<homes::Selector>,
+    limits: sync::Mutex<rate_limit::KnownLimits>,
     indexed: sync::Mutex<sync::Arc<IndexedBundle>>,
     permits: tokio_sync::Semaphore,
 }
@@ -117,6 +119,7 @@
         Entry {
             options,
             selector: sync::Mutex::new(selector),
+            limits: sync::Mutex::default(),
             indexed: sync::Mutex::default(),
             permits,
         }
@@ -380,6 +383,7 @@
             fingerprint,
             origin: ids::DomainId::from_name(&self.options.settings.domain),
             peers: Vec::new(),
+            limits: Vec::new(),
         };
         let outgoing = exchange::Outgoing {
             id,
@@ -433,6 +437,22 @@
         self.selector.lock().expect("lock is not poisoned")
     }
 
+    fn limits(&self) -> sync::MutexGuard<'_, rate_limit::KnownLimits> {
+        self.limits.lock().expect("lock is not poisoned")
+    }
+
+    /// Returns the rate limits that this entry knows of a cell's targets.
+    fn known_limits(
+        &self,
+        now: clock::Millis,
+        service: &bundle::Service,
+        cell: &ids::CellId,
+    ) -> Vec<peer::TargetLimit> {
+        let targets = service.targets.iter();
+        let of_cell = targets.filter(|t| service.cell_of(t) == *cell);
+        self.limits().of(now, of_cell.map(|t| t.name.as_str()))
+    }
+
     /// Records whether a home answered, for the selection of homes.
     fn record_observation(&self, home: &str, observation: homes::Observation) {
         let now = self.options.clock.now();
@@ -465,6 +485,7 @@
             objective: parsed.objective - now,
             used: parsed.outgoing.tries,
             stamp: self.options.recorder.stamp(),
+            limits: self.known_limits(now, service, &choice.cell),
             ..parsed.slot_request.clone()
         };
         let stream = exchange::HomeStream { recv, send };
@@ -472,6 +493,12 @@
             self.selector()
                 .record_summary(self.options.clock.now(), summary);
         };
+        let record_limit = |target: &str, limit: peer::RateLimit| {
+            let now = self.options.clock.now();
+            if self.limits().record(now, target, limit) {
+                log::info!(limit = format!("{limit:?}"), target = target; "the rate limit of a target changed");
+            }
+        };
         let claim = claim::Claim {
             claims: self.options.claims.as_ref(),
             scope: [&parsed.organisation, &service.name],
@@ -482,6 +509,7 @@
             client: &self.options.client,
             service,
             record_summary: &record_summary,
+            record_limit: &record_limit,
             claim: &claim,
         };
         exchange
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -193,6 +193,8 @@
     pub service: &'a bundle::Service,
     /// Records each summary of the cell that the home sends.
     pub record_summary: &'a (dyn Fn(&peer::CellSummary) + Sync),
+    /// Records the rate limit that each response of a target states.
+    pub record_limit: &'a (dyn Fn(&str, peer::RateLimit) + Sync),
     /// The claim of the request's key.
     pub claim: &'a claim::Claim<'a>,
 }
@@ -309,7 +311,7 @@
                 target: String::new(),
             },
         };
-        stream.report_outcome(Outcome::Withdrawn).await;
+        stream.report_outcome(Outcome::Withdrawn, None).await;
         Some(result)
     }
 
@@ -323,7 +325,8 @@
         let last = match self.send_to_target(&mut stream, outgoing, target).await {
             TryResult::Response(response) => {
                 let class = classify(self.client, outgoing, &response);
-                stream.report_outcome(outcome_of(class)).await;
+                let limit = self.stated_limit(class, &response);
+                stream.report_outcome(outcome_of(class), limit).await;
                 if class == ResponseClass::Answered {
                     return GrantResult::Answered(self.forward(stream, *response, outgoing));
                 }
@@ -333,7 +336,7 @@
                 if refusal.outcome == refusal::Outcome::Unknown {
                     outgoing.unknown_cause = Some(refusal.cause);
                 }
-                stream.report_outcome(outcome).await;
+                stream.report_outcome(outcome, None).await;
                 LastTry::Refusal(refusal)
             }
             TryResult::Abandoned => {
@@ -344,6 +347,20 @@
         GrantResult::Failed(last, stream)
     }
 
+    /// Records and returns the rate limit that a response states; absent if another target sent the response.
+    fn stated_limit(
+        &self,
+        class: ResponseClass,
+        response: &TargetResponse,
+    ) -> Option<peer::RateLimit> {
+        if class == ResponseClass::Misplaced {
+            return None;
+        }
+        let limit = self.client.dialect.rate_limit(&response.head);
+        (self.record_limit)(&response.target, limit);
+        Some(limit)
+    }
+
     /// Returns the final result of a request whose last try was `last`.
     fn final_result(
         &self,
@@ -649,8 +666,8 @@
     }
 
     /// Reports the outcome of a try to the home. If the stream is broken, the home frees the slot by itself.
-    async fn report_outcome(&mut self, outcome: Outcome) {
-        if let Err(e) = self.send(&ToHome::Done(outcome)).await {
+    async fn report_outcome(&mut self, outcome: Outcome, limit: Option<peer::RateLimit>) {
+        if let Err(e) = self.send(&ToHome::Done { outcome, limit }).await {
             log::debug!("failed to report the outcome of a try to the home: {e}");
         }
     }
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -122,6 +122,9 @@
                 );
                 return false;
             }
+            if handle.is_first != is_first {
+                handle.send(Message::Ranked { is_first });
+            }
             handle.is_first = is_first;
             true
         });
@@ -200,6 +203,7 @@
             actor,
             summary,
         };
+        handle.send(Message::Ranked { is_first });
         cells.insert(id.clone(), handle.clone());
         self.options.recorder.record(
             timeline::Kind::Home,
@@ -231,6 +235,11 @@
             Err(cause) => return refuse(&mut send, cause).await,
         };
         handle.send(Message::OtherCells(std::mem::take(&mut slot_request.peers)));
+        if !slot_request.limits.is_empty() {
+            handle.send(Message::KnownLimits(std::mem::take(
+                &mut slot_request.limits,
+            )));
+        }
         let ticket = ids::Ticket(self.tickets.fetch_add(1, atomic::Ordering::Relaxed));
         let (verdicts, receiver) = tokio_sync::mpsc::unbounded_channel();
         let arrival = self.arrival(ticket, &slot_request);
@@ -308,8 +317,8 @@
                 biased;
                 verdict = verdicts.recv() => verdict.unwrap_or(CELL_STOPPED),
                 outcome = reported.recv() => match outcome {
-                    Some(outcome) => {
-                        self.report_outcome(slot_request, outcome);
+                    Some((outcome, limit)) => {
+                        self.report_outcome(slot_request, outcome, limit);
                         continue;
                     }
                     None => return self.finish(reader).await,
@@ -327,7 +336,12 @@
         }
     }
 
-    fn report_outcome(&mut self, slot_request: &peer::SlotRequest, outcome: peer::Outcome) {
+    fn report_outcome(
+        &mut self,
+        slot_request: &peer::SlotRequest,
+        outcome: peer::Outcome,
+        limit: Option<peer::RateLimit>,
+    ) {
         log::info!(
             request = slot_request.name, id = slot_request.request.to_string(), cell = slot_request.cell.to_string(),
             outcome = format!("{outcome:?}");
@@ -335,7 +349,11 @@
         );
         self.answered |= outcome == peer::Outcome::Answered;
         let ticket = self.ticket;
-        self.handle.send(Message::Done { ticket, outcome });
+        self.handle.send(Message::Done {
+            ticket,
+            outcome,
+            limit,
+        });
     }
 
     /// Logs a refusal with the state of the cell that led to it. Grants are not logged, since their outcomes are.
@@ -400,13 +418,13 @@
 /// Receives the outcomes from the entry until the request ends; returns whether it ended with [`peer::ToHome::Ended`].
 async fn read_outcomes(
     recv: &mut RecvHalf,
-    outcomes: tokio_sync::mpsc::Sender<peer::Outcome>,
+    outcomes: tokio_sync::mpsc::Sender<(peer::Outcome, Option<peer::RateLimit>)>,
 ) -> bool {
     loop {
         match frame::read(recv).await {
             Ok(message) => match frame::decode(&message) {
-                Ok(peer::ToHome::Done(outcome)) => {
-                    if outcomes.send(outcome).await.is_err() {
+                Ok(peer::ToHome::Done { outcome, limit }) => {
+                    if outcomes.send((outcome, limit)).await.is_err() {
                         return false;
                     }
                 }
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -6,7 +6,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 
-use crate::protocol::{headers, problem, refusal};
+use crate::protocol::{headers, peer, problem, refusal};
 use crate::state::{clock, ids};
 use crate::transport::body;
 
@@ -85,6 +85,11 @@
     /// Classifies the response to a try by its head.
     fn classify(&self, response: &Parts, attempt: &Try<'_>) -> ResponseClass;
 
+    /// Returns what a target's response states about the rate of requests that the target accepts.
+    fn rate_limit(&self, _response: &Parts) -> peer::RateLimit {
+        peer::RateLimit::None
+    }
+
     /// Adds the dialect's header fields to a target's response before it goes to the caller.
     fn complete_response(&self, map: &mut HeaderMap, request: &RequestIdentity<'_>, target: &str);
 
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -44,6 +44,28 @@
     pub origin: ids::DomainId,
     /// The latest summaries that the entry has received of the service's other cells (not of peers, which are daemons).
     pub peers: Vec<CellSummary>,
+    /// The rate limits that the entry knows of the cell's targets.
+    pub limits: Vec<TargetLimit>,
+}
+
+/// What a response of a target states about the rate of requests that it accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RateLimit {
+    /// The target states no limit.
+    None,
+    /// The target accepts this many requests per second from the whole fleet.
+    PerSecond(f64),
+}
+
+/// The rate limit of a target, as an entry knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetLimit {
+    /// The name of the target in the bundle.
+    pub target: String,
+    /// The limit.
+    pub limit: RateLimit,
+    /// The time since the target stated it.
+    pub age: clock::Millis,
 }
 
 /// The outcome of one try of a request at a target.
@@ -122,7 +144,12 @@
     #[serde(rename = "Ask")]
     SlotRequest(Box<SlotRequest>),
     /// Reports the outcome of a try, once it has failed or the response head has arrived.
-    Done(Outcome),
+    Done {
+        /// The outcome.
+        outcome: Outcome,
+        /// The rate limit that the response states; absent if there is no response of the target.
+        limit: Option<RateLimit>,
+    },
     /// Reports that the response body has ended; always the last message.
     Ended,
 }
--- a/tests/testsuite/service/budget.rs
+++ b/tests/testsuite/service/budget.rs
@@ -42,7 +42,7 @@
 fn refusing_service() -> Options {
     let life = Life {
         refusing: vec![(10_000, 40_000)],
-        failing: Vec::new(),
+        ..Life::default()
     };
     Options {
         targets: vec![vec![life; 25]; 4],
--- a/tests/testsuite/service/floor.rs
+++ b/tests/testsuite/service/floor.rs
@@ -27,7 +27,7 @@
         }
         Life {
             failing,
-            refusing: Vec::new(),
+            ..Life::default()
         }
     });
     lives.collect()
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -7,7 +7,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::{Action, Event, Outcome};
-use peridotspread::coordination::{homes, member};
+use peridotspread::coordination::{homes, member, rate_limit};
 use peridotspread::protocol::{peer, refusal};
 use peridotspread::state::bundle;
 use peridotspread::state::clock::Millis;
@@ -31,6 +31,8 @@
     pub(crate) failing: Vec<(u64, u64)>,
     /// The spans in which it refuses all requests.
     pub(crate) refusing: Vec<(u64, u64)>,
+    /// The rate that it states as its limit, in requests per second, and the span in which it does.
+    pub(crate) limit: Option<(f64, (u64, u64))>,
 }
 
 fn contains(spans: &[(u64, u64)], at: u64) -> bool {
@@ -41,6 +43,14 @@
     pub(crate) fn is_failing(&self, at: u64) -> bool {
         contains(&self.failing, at)
     }
+
+    /// Returns the limit that it states at `at`.
+    fn stated_limit(&self, at: u64) -> peer::RateLimit {
+        let limit = self.limit.filter(|(_, span)| contains(&[*span], at));
+        limit.map_or(peer::RateLimit::None, |(rate, _)| {
+            peer::RateLimit::PerSecond(rate)
+        })
+    }
 }
 
 /// The parameters of a simulation.
@@ -83,8 +93,13 @@
     pub(crate) requests: Vec<Record>,
     /// For each target: when requests reached it, and whether it failed them.
     pub(crate) arrivals: Vec<Vec<(u64, bool)>>,
+    /// For each target: when requests reached it from entries that had passed on its limit half a second before.
+    pub(crate) told_arrivals: Vec<Vec<u64>>,
 }
 
+/// How long after an entry passed on a limit the platform counts its requests, in milliseconds.
+const TOLD_SPAN: u64 = 500;
+
 /// A request that has not ended.
 struct Open {
     entry: String,
@@ -112,6 +127,9 @@
     alone: BTreeMap<String, u64>,
     hidden: BTreeMap<String, u64>,
     entries: BTreeMap<String, homes::Selector>,
+    limits: BTreeMap<String, rate_limit::KnownLimits>,
+    /// When each entry first passed on the limit of a target.
+    told: BTreeMap<(String, usize), u64>,
     homes: BTreeMap<HomeKey, cell::Cell>,
     open: BTreeMap<u64, Open>,
     /// The end of each try: the time, the ticket, the number of the try, and the outcome.
@@ -182,6 +200,8 @@
             alone: BTreeMap::new(),
             hidden: BTreeMap::new(),
             entries: members.iter().map(selector).collect(),
+            limits: BTreeMap::new(),
+            told: BTreeMap::new(),
             homes: BTreeMap::new(),
             open: BTreeMap::new(),
             ends: BTreeSet::new(),
@@ -190,6 +210,7 @@
             report: Report {
                 requests: Vec::new(),
                 arrivals: vec![Vec::new(); service.targets.len()],
+                told_arrivals: vec![Vec::new(); service.targets.len()],
             },
             members,
             service,
@@ -262,6 +283,8 @@
             let domain = &self.members[*name].domain;
             let selector = homes::Selector::new(name, domain);
             self.entries.insert((*name).clone(), selector);
+            self.limits.remove(*name);
+            self.told.retain(|(entry, _), _| entry != *name);
         }
         self.homes.retain(|(home, _), _| !names.contains(home));
         self.open.retain(|_, open| !names.contains(&open.entry));
@@ -349,11 +372,18 @@
             origin: ids::DomainId::from_name(&self.members[&entry].domain),
         };
         let key = (choice.home, choice.cell);
+        let home_view = self.view(&key.0);
+        let is_first = homes::rank(&key.1, &home_view).first() == Some(&key.0.as_str());
         if !self.homes.contains_key(&key) {
             let mut cell = cell::Cell::new(&key.1);
             cell.handle(now, Event::Rules(&self.service));
             self.homes.insert(key.clone(), cell);
         }
+        self.handle(&key, Event::Ranked { is_first });
+        let targets = self.service.targets.iter().map(|t| t.name.as_str());
+        let known = self.limits.entry(entry.clone()).or_default();
+        let known = known.of(now, targets);
+        self.handle(&key, Event::KnownLimits(&known));
         self.handle(&key, Event::OtherCells(&summaries));
         self.handle(&key, Event::Arrive(arrival));
     }
@@ -420,6 +450,11 @@
         self.report.requests[ticket as usize]
             .arrivals
             .push(self.now);
+        let entry = self.open[&ticket].entry.clone();
+        let told = self.told.get(&(entry, index));
+        if told.is_some_and(|at| self.now >= at + TOLD_SPAN) {
+            self.report.told_arrivals[index].push(self.now);
+        }
         let open = self.open.get_mut(&ticket).expect("the request is open");
         open.current += 1;
         open.tries += 1;
@@ -446,6 +481,9 @@
             open.may_have_run |= outcome == Outcome::Broken;
             let key = (open.choice.home.clone(), open.choice.cell.clone());
             let answered = outcome == Outcome::Answered;
+            if outcome != Outcome::Broken {
+                self.state_limit(&key, ticket, usize::from(index));
+            }
             if answered {
                 self.report.requests[ticket as usize].served = true;
                 self.open.remove(&ticket);
@@ -463,6 +501,25 @@
         }
     }
 
+    /// Passes on the limit that a response of the target states.
+    fn state_limit(&mut self, key: &HomeKey, ticket: u64, target: usize) {
+        let limit = self.life(target).stated_limit(self.now);
+        let entry = self.open[&ticket].entry.clone();
+        let now = self.time();
+        let known = self.limits.entry(entry.clone()).or_default();
+        known.record(now, &format!("t{target}"), limit);
+        match limit {
+            peer::RateLimit::None => {
+                self.told.remove(&(entry, target));
+            }
+            peer::RateLimit::PerSecond(_) => {
+                self.told.entry((entry, target)).or_insert(self.now);
+            }
+        }
+        let ticket = ids::Ticket(ticket);
+        self.handle(key, Event::LimitStated { ticket, limit });
+    }
+
     fn tick_cells(&mut self) {
         let now = self.time();
         let due = self.homes.iter().filter(|(_, c)| c.wake() <= now);
