transport, daemon: interim responses without end do not keep a connection to a target busy

A target may send bytes without end in a head or a body. Heads that grow or trickle, bytes that are no response, and bodies of chunks or without a length were bounded before: by the size of one head, by the deadline, and by what the caller reads. Interim responses (status 1xx) were not: the HTTP library skips them without a limit and parses all it has read in one go, so the connection stayed open more than 0.5 s beyond the deadline, and its thread was busy.

What is read until the head of a response is complete is now limited to the size of a head; the connection breaks beyond it, which callers are told as an outcome that is not known.

--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -108,11 +108,12 @@
         if let Some(error) = self.error.take() {
             return task::Poll::Ready(Some(Err(error)));
         }
+        // A body without end may be ready at each poll.
+        if self.resources.is_some() && self.deadline.as_mut().poll(cx).is_ready() {
+            return self.truncate(cx, Box::new(body::Truncated));
+        }
         let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
         let task::Poll::Ready(next) = polled else {
-            if self.deadline.as_mut().poll(cx).is_ready() {
-                return self.truncate(cx, Box::new(body::Truncated));
-            }
             return task::Poll::Pending;
         };
         match next {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod channel;
 pub mod client;
+mod head_limit;
 pub mod http;
 pub mod keys;
 pub mod platform;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -15,7 +15,7 @@
 use tokio::{net as tcp, task, time};
 
 use crate::state::clock;
-use crate::transport::body;
+use crate::transport::{body, head_limit};
 
 /// How long a target may take to accept a connection: several round trips between failure domains, and far less than
 /// a caller waits, so that the request can still be sent to another target.
@@ -73,6 +73,9 @@
 pub struct Connection {
     address: net::SocketAddr,
     sender: http1::SendRequest<body::Body>,
+    /// Limits what is read until the head of a response is complete.
+    limit: head_limit::HeadLimit,
+    head_bytes: usize,
     driver: task::JoinHandle<()>,
 }
 
@@ -161,8 +164,10 @@
         };
         let stream = connected.context(ConnectSnafu { address })?;
         stream.set_nodelay(true).context(ConnectSnafu { address })?;
+        let head_bytes = self.head_bytes.max(MIN_BUFFER_BYTES);
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(self.head_bytes.max(MIN_BUFFER_BYTES));
+        builder.max_buf_size(head_bytes);
+        let (stream, limit) = head_limit::LimitedStream::new(stream);
         let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
         let Ok((sender, connection)) = handshake else {
             return NotSentSnafu.fail();
@@ -175,6 +180,8 @@
         Ok(Connection {
             address,
             sender,
+            limit,
+            head_bytes,
             driver,
         })
     }
@@ -240,8 +247,12 @@
         &mut self,
         request: Request<body::Body>,
     ) -> Result<Response<Incoming>, Error> {
+        self.limit.begin(self.head_bytes);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.limit.end();
+                Ok(response)
+            }
             Err(mut e) => match e.take_message() {
                 Some(_) => NotSentSnafu.fail(),
                 None => Err(e.into_error()).context(BrokenSnafu),
