--- a/tests/testsuite/restore.rs
+++ b/tests/testsuite/restore.rs
@@ -2,7 +2,7 @@
 //! reads the platform, one that polls that reader, and one that is cut off at times.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use futures_util::future;
 use peridotspread::coordination::member;
@@ -10,7 +10,7 @@
 use peridotspread::daemon::metrics;
 use peridotspread::daemon::registry as daemon_registry;
 use peridotspread::protocol::source::{Batch, Change, Item, ServiceTarget, Topic};
-use peridotspread::protocol::{peer, source};
+use peridotspread::protocol::{peer, platform, source};
 use peridotspread::state::clock::{Clock, Millis};
 use peridotspread::state::{bundle, ids, timeline};
 use tokio::sync::watch;
@@ -527,3 +527,149 @@
         "the daemon stays at the rules of the copy"
     );
 }
+
+/// The platform's limit on writes per second where a fleet has 93 daemons.
+const WRITES_PER_S: usize = 1_200;
+/// The time within which the rows of daemons are back after a restore.
+const ROWS_BACK: Millis = Millis(2_000);
+/// When the platform comes back from a copy, since the start of the fleet.
+const RESTORED_AT: Millis = Millis(1_500);
+
+/// A platform that comes back from a copy at [`RESTORED_AT`], and a peer that passes on what it says.
+#[derive(Clone, Copy)]
+struct RestoredPlatform {
+    clock: Clock,
+}
+
+impl RestoredPlatform {
+    fn batch(self) -> Batch {
+        let era = 1 + u64::from(self.clock.now() >= RESTORED_AT);
+        let rules = change(Topic::Rules, "", era * ERA + 40, Some(rules_item(5)));
+        whole(vec![rules], era * ERA + 50)
+    }
+
+    /// Waits for `span`, or until the restore, which ends the calls that wait.
+    async fn wait(self, span: Millis) {
+        let until_restore = RESTORED_AT - self.clock.now();
+        let span = match until_restore > Millis::ZERO {
+            true => span.min(until_restore + Millis(5)),
+            false => span,
+        };
+        tokio::time::sleep(span.span()).await;
+    }
+}
+
+impl source::Source for RestoredPlatform {
+    fn read(&self, _topic: Topic) -> source::Call<'_> {
+        Box::pin(async { Ok(self.batch()) })
+    }
+
+    fn follow(&self, _topic: Topic, _revision: u64, max_wait: Millis) -> source::Call<'_> {
+        Box::pin(async move {
+            self.wait(max_wait).await;
+            Ok(Batch {
+                changes: Vec::new(),
+                whole: false,
+                ..self.batch()
+            })
+        })
+    }
+
+    fn era(&self, revision: u64) -> u64 {
+        revision / ERA
+    }
+}
+
+impl peer::ControlSender for RestoredPlatform {
+    fn send<'a>(
+        &'a self,
+        _to: &'a str,
+        message: peer::ControlMessage,
+    ) -> future::BoxFuture<'a, Result<peer::ControlMessage, peer::NoReply>> {
+        Box::pin(async move {
+            let peer::ControlMessage::GetUpdates { targets, wait, .. } = message else {
+                return Ok(peer::ControlMessage::Ack);
+            };
+            if targets >= self.batch().revision {
+                self.wait(wait).await;
+            }
+            let batch = self.batch();
+            let updates = serde_json::json!({"rules": batch, "targets": batch});
+            let is_news = targets < batch.revision;
+            Ok(peer::ControlMessage::Updates {
+                age: Some(Millis::ZERO),
+                changes: Vec::from_iter(is_news.then(|| updates.to_string()))
+                    .concat()
+                    .into_bytes(),
+            })
+        })
+    }
+}
+
+/// A list of hosts that records when a daemon rewrites its row.
+struct RecordedHosts {
+    clock: Clock,
+    writes: Arc<Mutex<Vec<Millis>>>,
+}
+
+impl platform::Hosts for RecordedHosts {
+    fn hosts(&self) -> platform::Call<'_, Vec<platform::Host>> {
+        Box::pin(async { Ok(Vec::new()) })
+    }
+
+    fn restore_rows(&self) -> platform::Call<'_, usize> {
+        self.writes.lock().unwrap().push(self.clock.now());
+        Box::pin(async { Ok(1) })
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ninety_three_daemons_rewrite_their_rows_in_two_seconds_below_the_rate_of_writes() {
+    let member = |i: usize| member::Member {
+        peer: "127.0.0.1:1".parse().unwrap(),
+        domain: format!("d{}", i % 4),
+        incarnation: ids::Incarnation(1),
+        liveness: member::Liveness::Alive,
+        version: 5,
+    };
+    let members: BTreeMap<_, _> = (0..93).map(|i| (format!("n{i}"), member(i))).collect();
+    let (_view, view) = watch::channel(Arc::new(member::View {
+        members: members.clone(),
+    }));
+    let clock = Clock::start();
+    let writes = Arc::<Mutex<Vec<Millis>>>::default();
+    let mut handles = Vec::new();
+    for (name, member) in &members {
+        let options = daemon_registry::Options {
+            name: name.clone(),
+            domain: member.domain.clone(),
+            clock,
+            source: Arc::new(RestoredPlatform { clock }),
+            members: view.clone(),
+            sender: Arc::new(RestoredPlatform { clock }),
+            hosts: Arc::new(RecordedHosts {
+                clock,
+                writes: writes.clone(),
+            }),
+            metrics: Arc::new(metrics::Metrics::new().unwrap()),
+            recorder: Arc::new(timeline::Recorder::new(name, ids::Incarnation(1))),
+        };
+        handles.push(daemon_registry::spawn(options).await.unwrap());
+    }
+    let margin = Millis(1_000);
+    tokio::time::sleep((RESTORED_AT + ROWS_BACK + margin - clock.now()).span()).await;
+    let mut writes = writes.lock().unwrap().clone();
+    writes.sort_unstable();
+    let in_second = |from: &Millis| {
+        writes
+            .iter()
+            .filter(|at| (*from..*from + Millis(1_000)).contains(at))
+            .count()
+    };
+    let most = writes.iter().map(in_second).max().unwrap_or_default();
+    let last = writes.last().copied().unwrap_or_default() - RESTORED_AT;
+    println!("{most} writes in one second at most, the last {last} after the restore");
+    assert_eq!(writes.len(), members.len());
+    assert!(last < ROWS_BACK, "the last row is back after {last}");
+    assert!(most <= WRITES_PER_S, "{most} writes in one second");
+}
