coordination: targets that join give way to idle ones, which lack a request sooner

A target that was added went before all others, so for 1.7 s every request went to a new one.

Class: a rule with absolute priority over another that has a deadline too. Idle targets are now served in one order: those in use by their last request, new ones 2 s after they joined, so that none waits longer than it may.

Before: sound_targets_stay_in_use_while_many_others_join failed (6 of 9 sound targets in use). After: it passes, with the other tests of cells and services.

--- a/src/coordination/breadth.rs
+++ b/src/coordination/breadth.rs
@@ -22,6 +22,9 @@
 /// platform counts it as idle.
 pub const FAILED_SPAN: clock::Millis = clock::Millis(1_900);
 
+/// How long a target that was added gives way to idle ones, which a platform may require to be in use already.
+pub const JOIN_SPAN: clock::Millis = clock::Millis(2_000);
+
 /// How many of a cell's targets receive requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -145,31 +145,26 @@
         best.map(|(fit, name)| (name.clone(), fit.rank))
     }
 
-    /// Returns a free target that was added and has received no request yet. If there is none, and too few targets
-    /// receive requests, returns the one that has been idle longest.
+    /// Returns the free target that has been idle longest, among those that were added and have received no request yet
+    /// and, if too few targets receive requests, all idle ones.
     ///
     /// A request with one try does not go to a target that is likely to fail while others can be resent.
     fn underused_target(&self, now: clock::Millis, request: &queue::Request) -> Option<String> {
         if !self.rules.rank_by_failure {
             return None;
         }
-        let free = || {
-            let targets = self.targets.iter();
-            targets.filter(|(name, t)| t.has_free_slot(now) && !request.excluded.contains(name))
-        };
-        if let Some((name, _)) = free().find(|(_, t)| t.newcomer) {
-            return Some(name.clone());
-        }
         // A request that failed before goes to the target that is most likely to answer.
-        if request.tries > 0 || !self.usage(now).is_short(self.rules.breadth) {
-            return None;
-        }
+        let includes_idle = request.tries == 0 && self.usage(now).is_short(self.rules.breadth);
         let avoids_risk = !request.arrival.can_be_resent() && self.has_resendable_load(now);
-        let is_acceptable = |t: &target::Target| {
-            !avoids_risk || t.failure_model.probability(now) <= INITIAL_LIMIT_ONCE
+        let is_idle = |t: &target::Target| {
+            let is_risky = t.failure_model.probability(now) > INITIAL_LIMIT_ONCE;
+            includes_idle && !t.is_used(now) && !(avoids_risk && is_risky)
         };
-        let idle = free().filter(|(_, t)| !t.is_used(now) && is_acceptable(t));
-        let longest_idle = idle.min_by_key(|(_, t)| t.last_used);
+        let free = self.targets.iter();
+        let free =
+            free.filter(|(name, t)| t.has_free_slot(now) && !request.excluded.contains(name));
+        let underused = free.filter(|(_, t)| t.newcomer || is_idle(t));
+        let longest_idle = underused.min_by_key(|(_, t)| t.idle_since());
         longest_idle.map(|(name, _)| name.clone())
     }
 
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -35,6 +35,8 @@
     pub(super) last_used: clock::Millis,
     /// When a try at it last failed.
     pub(super) failed_at: Option<clock::Millis>,
+    /// When it was added.
+    pub(super) added_at: clock::Millis,
     /// Whether it was added to a running cell and has received no request yet.
     pub(super) newcomer: bool,
     /// The number of requests in flight that are slow or worse.
@@ -89,6 +91,7 @@
             last_grant: 0,
             last_used: clock::Millis::ZERO,
             failed_at: None,
+            added_at: now,
             newcomer: false,
             overdue: 0,
             crash_risks: 0,
@@ -139,6 +142,14 @@
         now - self.last_used <= breadth::USE_SPAN
     }
 
+    /// Returns the time by which idle targets are ordered; the earliest gets the next request.
+    pub(super) fn idle_since(&self) -> clock::Millis {
+        match self.newcomer {
+            true => self.added_at + breadth::JOIN_SPAN,
+            false => self.last_used,
+        }
+    }
+
     /// Returns the number of slots that may be used for requests other than trials.
     pub(super) fn usable_slots(&self, now: clock::Millis) -> usize {
         if self.accepts_requests() {
--- a/tests/testsuite/cell/breadth.rs
+++ b/tests/testsuite/cell/breadth.rs
@@ -325,3 +325,32 @@
         assert_eq!(report.findings.first(), None, "seed {seed}");
     }
 }
+
+/// Returns a service of 13 targets with little load, of which four fail, and 17 that join it at 8 s.
+fn joined_by_many() -> Replay {
+    let established = (0..13).map(|i| Life {
+        failing: if i < 4 { vec![(0, 60_000)] } else { Vec::new() },
+        ..Life::default()
+    });
+    let joining = (0..17).map(|_| Life {
+        joins: 8_000,
+        ..Life::default()
+    });
+    Replay {
+        targets: established.chain(joining).collect(),
+        rates: vec![10; 10],
+        run_ms: 180,
+        broken: 0.73,
+        breadth_pct: 100.0,
+        mixed: false,
+        counted_from: 6_000,
+    }
+}
+
+#[test]
+fn sound_targets_stay_in_use_while_many_others_join() {
+    for seed in 0..10 {
+        let findings = joined_by_many().run(seed).findings;
+        assert_eq!(findings.first(), None, "seed {seed}");
+    }
+}
