coordination, daemon, protocol, platform: targets that state that they leave, or ask for a pause, get no requests

Cause: of what a target states in its responses, only the rate limit was read. A target that leaves was used until the list of targets said so, and one that refused with Retry-After was asked again after 50 ms.

Change: a statement is one type (limit, leaving, pause), decoded by the dialect, recorded by the entry that received it, reported to the home with the outcome and sent along with slot requests. A target that leaves is out for good at the home and at the entry, whatever the list says, until it starts again. A pause binds the daemon that was asked: the entry sends its pauses along, the home grants it other targets, or refuses at once with the time left. The entry checks each grant as well and returns one that it does not use, which costs no retry token. For all daemons, the home's own pause of a target that sheds each request grows up to the pause that it asked for, and starts anew after an answer.

Weighed: a pause of all daemons as stated. Not taken: a target may refuse a part of its requests, and the pauses of all daemons together would leave it idle.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -75,7 +75,7 @@
 
     fn enqueue(&mut self) {
         self.next += 1;
-        self.handle(Event::Arrive(Arrival {
+        let arrival = Arrival {
             ticket: ids::Ticket(self.next),
             tier: (self.next % 3) as u8,
             deadline: Millis::MAX,
@@ -86,7 +86,11 @@
             idempotent: true,
             replayable: true,
             fingerprint: ids::Fingerprint(self.next),
-        }));
+        };
+        self.handle(Event::Arrive {
+            arrival,
+            known: &[],
+        });
     }
 
     /// Adds one request, and completes the one that has held its slot for the longest time.
--- a/crates/lab/src/replay/baseline.rs
+++ b/crates/lab/src/replay/baseline.rs
@@ -67,7 +67,7 @@
     fn handle(&mut self, sim: &mut Simulation, input: sim::Input<Message>) {
         match input {
             sim::Input::Request(request) => self.start_try(sim, request, 1),
-            sim::Input::TryEnded { id, outcome } => self.handle_outcome(sim, id, outcome),
+            sim::Input::TryEnded { id, outcome, .. } => self.handle_outcome(sim, id, outcome),
             sim::Input::Message(Message::TimedOut(id)) => {
                 if self.tries_in_flight.contains_key(&id) {
                     sim.cancel(id);
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -134,7 +134,8 @@
             replayable: true,
             fingerprint: details.fingerprint,
         };
-        self.handle_event(sim, location, cell::Event::Arrive(arrival));
+        let known = &[];
+        self.handle_event(sim, location, cell::Event::Arrive { arrival, known });
     }
 
     fn grant(&mut self, sim: &mut Simulation, ticket: ids::Ticket, target: &str) {
@@ -179,6 +180,7 @@
         sim: &mut Simulation,
         id: target::TryId,
         outcome: cell::Outcome,
+        statement: peer::Statement,
     ) {
         let Some(exchange) = self.tries.remove(&id) else {
             return;
@@ -202,6 +204,7 @@
             | cell::Outcome::Unlisted
             | cell::Outcome::Withdrawn => {}
         }
+        self.handle_event(sim, location, cell::Event::Stated { ticket, statement });
         self.handle_event(sim, location, cell::Event::Done { ticket, outcome });
         if outcome == cell::Outcome::Answered {
             self.handle_event(sim, location, cell::Event::Release(ticket));
@@ -215,7 +218,7 @@
         }
         if let Some(id) = self.exchanges[exchange].running {
             sim.cancel(id);
-            self.handle_outcome(sim, id, cell::Outcome::TimedOut);
+            self.handle_outcome(sim, id, cell::Outcome::TimedOut, peer::Statement::default());
         } else {
             self.handle_event(sim, self.exchanges[exchange].location, cell::Event::Tick);
         }
--- a/crates/lab/src/replay/fleet/mod.rs
+++ b/crates/lab/src/replay/fleet/mod.rs
@@ -180,7 +180,11 @@
     fn handle(&mut self, sim: &mut Simulation, input: sim::Input<Message>) {
         match input {
             sim::Input::Request(request) => self.accept_request(sim, request),
-            sim::Input::TryEnded { id, outcome } => self.handle_outcome(sim, id, outcome),
+            sim::Input::TryEnded {
+                id,
+                outcome,
+                statement,
+            } => self.handle_outcome(sim, id, outcome, statement),
             sim::Input::Rules => self.apply_rules(sim),
             sim::Input::Message(message) => self.handle_message(sim, message),
         }
--- a/crates/lab/src/replay/sim.rs
+++ b/crates/lab/src/replay/sim.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use peridotspread::coordination::cell;
-use peridotspread::protocol::refusal;
+use peridotspread::protocol::{peer, refusal};
 use peridotspread::state::clock;
 
 use crate::replay::measures;
@@ -47,6 +47,8 @@
         id: target::TryId,
         /// The outcome, as the daemon observes it.
         outcome: cell::Outcome,
+        /// What the target states in its response.
+        statement: peer::Statement,
     },
     /// A message or timer of the policy is delivered.
     Message(M),
@@ -77,6 +79,7 @@
     TryEnded {
         id: target::TryId,
         outcome: cell::Outcome,
+        statement: peer::Statement,
     },
     Message {
         daemon: usize,
@@ -310,9 +313,17 @@
                 self.check_floor();
                 return Some(Input::Rules);
             }
-            Event::TryEnded { id, outcome } => {
+            Event::TryEnded {
+                id,
+                outcome,
+                statement,
+            } => {
                 let current = !std::mem::replace(&mut self.tries[id.0].finished, true);
-                return current.then_some(Input::TryEnded { id, outcome });
+                return current.then_some(Input::TryEnded {
+                    id,
+                    outcome,
+                    statement,
+                });
             }
             Event::Message { message, .. } => return Some(Input::Message(message)),
         }
@@ -363,7 +374,16 @@
             return;
         }
         let span = self.target_latency(daemon, target);
-        self.schedule(self.now + span, Event::TryEnded { id, outcome });
+        let statement = peer::Statement {
+            leaving: self.targets[target].is_draining(self.now),
+            ..peer::Statement::default()
+        };
+        let ended = Event::TryEnded {
+            id,
+            outcome,
+            statement,
+        };
+        self.schedule(self.now + span, ended);
     }
 
     fn target_latency(&self, daemon: usize, target: usize) -> clock::Millis {
--- a/crates/lab/src/replay/target.rs
+++ b/crates/lab/src/replay/target.rs
@@ -246,6 +246,12 @@
             .any(|f| matches!(f, trace::Fault::Shed | trace::Fault::Drain { .. }))
     }
 
+    /// Returns whether the target drains, which it states in its responses.
+    pub fn is_draining(&self, now: clock::Millis) -> bool {
+        self.faults(now)
+            .any(|f| matches!(f, trace::Fault::Drain { .. }))
+    }
+
     fn is_restarting(&self, now: clock::Millis) -> bool {
         self.ready_at.is_some_and(|at| now < at)
     }
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -44,7 +44,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
     /// A request arrives.
-    Arrive(Arrival),
+    Arrive {
+        /// The request.
+        arrival: Arrival,
+        /// What its entry knows of targets from their statements.
+        known: &'a [peer::KnownTarget],
+    },
     /// The home starts to send a request to the target that it was granted.
     Sent(ids::Ticket),
     /// A try ended: the head of the response was received, or the try failed before that. After [`Outcome::Answered`]
@@ -55,15 +60,13 @@
         /// How the try ended.
         outcome: Outcome,
     },
-    /// A response states a rate limit of the target that the request runs at, or that it has none.
-    LimitStated {
+    /// The target that the request runs at states in its response which requests it accepts.
+    Stated {
         /// The request.
         ticket: ids::Ticket,
-        /// The limit.
-        limit: peer::RateLimit,
+        /// The statement.
+        statement: peer::Statement,
     },
-    /// The rate limits of targets that an entry knows.
-    KnownLimits(&'a [peer::TargetLimit]),
     /// Whether this home ranks first for the cell; a cell starts as if it did.
     Ranked {
         /// Whether it does.
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -229,11 +229,9 @@
         ticket: ids::Ticket,
         actions: &mut Vec<cell::Action>,
     ) {
-        if let Some(run) = self.running.get(&ticket)
-            && let Some(target) = self.targets.get_mut(&run.target)
-        {
-            target.leaving = true;
-            target.ejection.reset();
+        if let Some(run) = self.running.get(&ticket) {
+            let name = run.target.clone();
+            self.mark_leaving(&name, actions);
         }
         self.handle_shed(now, ticket, true, actions);
     }
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -163,17 +163,18 @@
     pub fn handle(&mut self, now: clock::Millis, event: Event<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
         let arrived = match &event {
-            Event::Arrive(arrival) => Some(arrival.ticket),
+            Event::Arrive { arrival, .. } => Some(arrival.ticket),
             _ => None,
         };
         self.shift_timers(now);
         self.update_classes(now, &mut actions);
         match event {
-            Event::Arrive(arrival) => self.arrive(now, arrival, &mut actions),
+            Event::Arrive { arrival, known } => self.arrive(now, arrival, known, &mut actions),
             Event::Sent(ticket) => self.mark_sent(now, ticket),
             Event::Done { ticket, outcome } => self.end_try(now, ticket, outcome, &mut actions),
-            Event::LimitStated { ticket, limit } => self.apply_stated_limit(now, ticket, limit),
-            Event::KnownLimits(limits) => self.apply_known_limits(now, limits),
+            Event::Stated { ticket, statement } => {
+                self.apply_statement(now, ticket, statement, &mut actions);
+            }
             Event::Ranked { is_first } => self.apply_rank(is_first),
             Event::Release(ticket) => self.end_response(now, ticket),
             Event::Cancel(ticket) => self.cancel(now, ticket),
@@ -285,9 +286,16 @@
         self.is_degraded() && self.other_cells_healthy(now)
     }
 
-    fn arrive(&mut self, now: clock::Millis, arrival: Arrival, actions: &mut Vec<Action>) {
+    fn arrive(
+        &mut self,
+        now: clock::Millis,
+        arrival: Arrival,
+        known: &[peer::KnownTarget],
+        actions: &mut Vec<Action>,
+    ) {
         self.sequence += 1;
-        match self.admit(now, &arrival) {
+        self.apply_known(now, known, actions);
+        match self.admit(now, &arrival, known) {
             Ok(()) => {
                 if arrival.prior_tries > 0 {
                     self.budget.take_token();
@@ -299,7 +307,7 @@
                     sequence: self.sequence,
                     tries: arrival.prior_tries,
                     sent: arrival.prior_tries,
-                    excluded: Vec::new(),
+                    excluded: paused_targets(known).map(str::to_owned).collect(),
                     unknown_cause: None,
                 });
             }
@@ -310,7 +318,12 @@
         }
     }
 
-    fn admit(&self, now: clock::Millis, arrival: &Arrival) -> Result<(), refusal::Refusal> {
+    fn admit(
+        &self,
+        now: clock::Millis,
+        arrival: &Arrival,
+        known: &[peer::KnownTarget],
+    ) -> Result<(), refusal::Refusal> {
         let refuse = |cause, after| Err(refusal::Refusal::not_run(cause, after));
         if self.draining {
             return refuse(refusal::Cause::Draining, Some(clock::Millis::ZERO));
@@ -325,6 +338,9 @@
         if self.concurrency(now) == 0.0 || (self.defers(now) && !is_probe) {
             return refuse(refusal::Cause::NoTarget, Some(clock::Millis(1_000)));
         }
+        if let Some(pause) = self.pause_of_all(known) {
+            return refuse(refusal::Cause::TargetShed, Some(retry_after(pause)));
+        }
         let wait = self.expected_wait(now, arrival.tier);
         let hold = self.mean_hold();
         if wait > clock::Millis::ZERO && now + wait + hold >= arrival.deadline {
@@ -367,26 +383,62 @@
         of_targets.sum()
     }
 
-    /// Applies the rate limit that a response states to the target of its request.
-    fn apply_stated_limit(
+    /// Applies what a target states in its response to a request. A pause binds the request's entry alone, which sends
+    /// it along with its requests.
+    fn apply_statement(
         &mut self,
         now: clock::Millis,
         ticket: ids::Ticket,
-        limit: peer::RateLimit,
+        statement: peer::Statement,
+        actions: &mut Vec<Action>,
     ) {
-        if let Some(run) = self.running.get(&ticket)
-            && let Some(target) = self.targets.get_mut(&run.target)
-        {
+        let Some(run) = self.running.get(&ticket) else {
+            return;
+        };
+        let name = run.target.clone();
+        if let Some(target) = self.targets.get_mut(&name) {
+            let limit = statement.limit;
             target.limiter.state_in_response(now, run.granted, limit);
+            target.asked_pause = statement.pause;
+        }
+        if statement.leaving {
+            self.mark_leaving(&name, actions);
         }
     }
 
-    fn apply_known_limits(&mut self, now: clock::Millis, limits: &[peer::TargetLimit]) {
-        for known in limits {
-            if let Some(target) = self.targets.get_mut(&known.target) {
-                target.limiter.state(now, now - known.age, known.limit);
+    /// Applies what an entry knows of targets from their statements, apart from their pauses.
+    fn apply_known(
+        &mut self,
+        now: clock::Millis,
+        known: &[peer::KnownTarget],
+        actions: &mut Vec<Action>,
+    ) {
+        for known in known {
+            if let Some(limit) = known.limit
+                && let Some(target) = self.targets.get_mut(&known.target)
+            {
+                let rate = peer::RateLimit::PerSecond(limit.rate);
+                target.limiter.state(now, now - limit.age, rate);
             }
+            if known.leaving {
+                self.mark_leaving(&known.target, actions);
+            }
+        }
+    }
+
+    /// Returns the shortest pause if all targets that accept requests have one for the entry that knows `known`.
+    fn pause_of_all(&self, known: &[peer::KnownTarget]) -> Option<clock::Millis> {
+        let is_open = |(name, target): (&String, &target::Target)| {
+            target.accepts_requests() && !paused_targets(known).any(|paused| paused == name)
+        };
+        if self.targets.iter().any(is_open) {
+            return None;
         }
+        let of_cell = known.iter().filter(|k| {
+            let target = self.targets.get(&k.target);
+            k.pause > clock::Millis::ZERO && target.is_some_and(target::Target::accepts_requests)
+        });
+        of_cell.map(|k| k.pause).min()
     }
 
     /// Leaves targets with a rate limit to the home that ranks first: several homes together would exceed it.
@@ -447,6 +499,12 @@
     }
 }
 
+/// Returns the names of the targets that accept no requests from the entry that knows `known`.
+fn paused_targets(known: &[peer::KnownTarget]) -> impl Iterator<Item = &str> {
+    let paused = known.iter().filter(|k| k.pause > clock::Millis::ZERO);
+    paused.map(|k| k.target.as_str())
+}
+
 fn retry_after(wait: clock::Millis) -> clock::Millis {
     wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -65,9 +65,33 @@
             target.newcomer |= is_new;
             target.total_slots = rule.slots;
             target.domain = ids::DomainId::from_name(&rule.domain);
-            target.leaving = rule.leaving;
+            target.leaving = rule.leaving || target.gone;
         }
+        let gone = self.targets.values().filter(|t| t.gone).count();
+        self.rules.max_ejections = self.rules.max_ejections.saturating_sub(gone);
+        self.enforce_floor(actions);
+        // A target that is gone is kept while it is listed, so that the list does not bring it back.
+        let is_listed = |name: &str| service.targets.iter().any(|t| t.name == name);
+        self.targets
+            .retain(|name, t| !t.leaving || t.busy > 0 || (t.gone && is_listed(name)));
+    }
+
+    /// Marks a target as leaving for good.
+    pub(super) fn mark_leaving(&mut self, name: &str, actions: &mut Vec<cell::Action>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if std::mem::replace(&mut target.gone, true) {
+            return;
+        }
+        if target.ejection.is_ejected() {
+            actions.push(cell::Action::ReleaseEjection {
+                target: name.to_owned(),
+            });
+        }
+        target.leaving = true;
+        target.ejection.reset();
+        self.rules.max_ejections = self.rules.max_ejections.saturating_sub(1);
         self.enforce_floor(actions);
-        self.targets.retain(|_, t| !t.leaving || t.busy > 0);
     }
 }
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -27,8 +27,11 @@
     pub(super) total_slots: usize,
     /// The slots in use, including those of requests that were abandoned a short time ago.
     pub(super) busy: usize,
-    /// Whether it receives no new requests because the bundle removes it.
+    /// Whether it receives no new requests because the bundle removes it, or because it is gone.
     pub(super) leaving: bool,
+    /// Whether it stated that it is leaving, or its address belongs to another target now. A bundle does not revoke
+    /// this, since a target that starts again has another name.
+    pub(super) gone: bool,
     /// The sequence number of its last grant.
     pub(super) last_grant: u64,
     /// When its last grant was made.
@@ -59,6 +62,8 @@
     pub(super) slow_start: trial::SlowStart,
     /// The rate limit that it states.
     pub(super) limiter: rate_limit::Limiter,
+    /// The pause that it asked for in its last response; zero if it asked for none.
+    pub(super) asked_pause: clock::Millis,
     paused_until: clock::Millis,
     pauses: u32,
     crash: Option<Crash>,
@@ -88,6 +93,7 @@
             total_slots: 0,
             busy: 0,
             leaving: false,
+            gone: false,
             last_grant: 0,
             last_used: clock::Millis::ZERO,
             failed_at: None,
@@ -103,6 +109,7 @@
             trial: trial::Trial::default(),
             slow_start: trial::SlowStart::new(now),
             limiter: rate_limit::Limiter::default(),
+            asked_pause: clock::Millis::ZERO,
             paused_until: clock::Millis::ZERO,
             pauses: 0,
             crash: None,
@@ -207,11 +214,20 @@
         trial.min(self.slow_start.next_slot_at(now, self.total_slots))
     }
 
-    /// Pauses it after it shed a request, because it is overloaded or draining. If it sheds with slots to spare, the
-    /// cause is a fault and not its load, and the pause does not grow.
+    /// Pauses it after it shed a request, because it is overloaded or draining.
+    ///
+    /// If it sheds with slots to spare, the cause is a fault and not its load, and the pause does not grow beyond the one
+    /// that it asked for. That one binds only the daemon that it asked: a target may shed the requests of some daemons,
+    /// or a part of all requests, so the pause of all daemons grows while it sheds each request, and starts anew after
+    /// an answer.
     pub(super) fn pause_after_shed(&mut self, now: clock::Millis) {
         let full = self.busy + 1 >= self.total_slots;
-        self.pause(now, if full { SHEDDING_DOUBLINGS } else { 0 });
+        let asked = std::mem::take(&mut self.asked_pause);
+        let asks = asked > clock::Millis::ZERO;
+        self.pause(now, if full || asks { SHEDDING_DOUBLINGS } else { 0 });
+        if asks && !full {
+            self.paused_until = self.paused_until.min(now + asked);
+        }
     }
 
     /// Pauses it after it accepted no connection; it may be restarting.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,4 +21,5 @@
 pub mod readers;
 pub mod registry;
 pub mod retry;
+pub mod statements;
 pub mod trial;
--- a/src/coordination/rate_limit.rs
+++ b/src/coordination/rate_limit.rs
@@ -1,14 +1,10 @@
-//! Rate limits that targets state in their responses: what a cell enforces, and what entries know of them.
+//! Rate limits that targets state in their responses, as a cell enforces them.
 //!
 //! A target that is short of capacity states how many requests per second it accepts from the whole fleet. The home of
-//! its cell grants its slots, so the home enforces the limit, with one [`Limiter`] per target. Entries receive the
-//! responses: they report each statement with the outcome of the try, and keep the latest ones ([`KnownLimits`]) to
-//! send them along with their requests. So a home that is new, or starts again, knows a limit from the first request
-//! of any entry that was told of it.
+//! its cell grants its slots, so the home enforces the limit, with one [`Limiter`] per target.
+//! [`crate::coordination::statements`] tells how homes learn of limits.
 
-use std::collections::BTreeMap;
-
-use crate::protocol::peer::{RateLimit, TargetLimit};
+use crate::protocol::peer::RateLimit;
 use crate::state::clock;
 
 /// The lowest rate that is enforced. A target that states less still gets requests now and then, since only a response
@@ -16,8 +12,6 @@
 const MIN_PER_SECOND: f64 = 0.2;
 /// The capacity of the token bucket; a target that accepts few requests is spared bursts.
 const BURST: f64 = 1.0;
-/// How long an entry keeps a limit without another response from the target.
-const KNOWN_SPAN: clock::Millis = clock::Millis(60_000);
 
 /// The rate limit of one target, as a token bucket.
 #[derive(Clone, Copy, Debug, Default)]
@@ -114,43 +108,3 @@
         (self.tokens + earned).min(BURST)
     }
 }
-
-/// The limits that one entry knows from the responses that it received, by target.
-#[derive(Debug, Default)]
-pub struct KnownLimits {
-    /// The rate in requests per second, and when it was stated.
-    limits: BTreeMap<String, (f64, clock::Millis)>,
-}
-
-impl KnownLimits {
-    /// Records what a response of `target` stated, and returns whether that differs from what was known.
-    pub fn record(&mut self, now: clock::Millis, target: &str, limit: RateLimit) -> bool {
-        let RateLimit::PerSecond(rate) = limit else {
-            return self.limits.remove(target).is_some();
-        };
-        self.limits
-            .retain(|_, (_, stated)| now - *stated <= KNOWN_SPAN);
-        let known = self.limits.insert(target.to_owned(), (rate, now));
-        known.is_none_or(|(known, _)| known != rate)
-    }
-
-    /// Returns the limits of those of the given targets that have one.
-    pub fn of<'a>(
-        &self,
-        now: clock::Millis,
-        targets: impl Iterator<Item = &'a str>,
-    ) -> Vec<TargetLimit> {
-        if self.limits.is_empty() {
-            return Vec::new();
-        }
-        let known = targets.filter_map(|target| {
-            let (rate, stated) = self.limits.get(target)?;
-            Some(TargetLimit {
-                target: target.to_owned(),
-                limit: RateLimit::PerSecond(*rate),
-                age: now - *stated,
-            })
-        });
-        known.filter(|known| known.age <= KNOWN_SPAN).collect()
-    }
-}
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -43,6 +43,8 @@
     Arrive {
         /// The request.
         arrival: coordination::cell::Arrival,
+        /// What its entry knows of targets from their statements.
+        known: Vec<peer::KnownTarget>,
         /// Receives its verdicts.
         verdicts: tokio_sync::mpsc::UnboundedSender<Verdict>,
     },
@@ -54,11 +56,9 @@
         ticket: ids::Ticket,
         /// The outcome of the try.
         outcome: coordination::cell::Outcome,
-        /// The rate limit that the response states; absent if there is no response of the target.
-        limit: Option<peer::RateLimit>,
+        /// What the target states in its response; absent if there is none.
+        statement: Option<peer::Statement>,
     },
-    /// The rate limits of targets that an entry knows.
-    KnownLimits(Vec<peer::TargetLimit>),
     /// Whether this daemon ranks first for the cell.
     Ranked {
         /// Whether it does.
@@ -229,24 +229,28 @@
 impl State {
     fn handle(&mut self, now: clock::Millis, message: Message) -> Vec<Action> {
         match message {
-            Message::Arrive { arrival, verdicts } => {
+            Message::Arrive {
+                arrival,
+                known,
+                verdicts,
+            } => {
                 self.verdicts.insert(arrival.ticket, verdicts);
-                self.cell.handle(now, Event::Arrive(arrival))
+                let known = &known;
+                self.cell.handle(now, Event::Arrive { arrival, known })
             }
             Message::Sent(ticket) => self.cell.handle(now, Event::Sent(ticket)),
             Message::Done {
                 ticket,
                 outcome,
-                limit,
+                statement,
             } => {
-                let mut actions = match limit {
-                    Some(limit) => self.cell.handle(now, Event::LimitStated { ticket, limit }),
+                let mut actions = match statement {
+                    Some(statement) => self.cell.handle(now, Event::Stated { ticket, statement }),
                     None => Vec::new(),
                 };
                 actions.extend(self.cell.handle(now, Event::Done { ticket, outcome }));
                 actions
             }
-            Message::KnownLimits(limits) => self.cell.handle(now, Event::KnownLimits(&limits)),
             Message::Ranked { is_first } => self.cell.handle(now, Event::Ranked { is_first }),
             Message::Release(ticket) => {
                 self.verdicts.remove(&ticket);
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -15,7 +15,7 @@
 
 use crate::coordination::homes;
 use crate::coordination::member;
-use crate::coordination::rate_limit;
+use crate::coordination::statements;
 use crate::daemon::broadcast;
 use crate::daemon::claim;
 use crate::daemon::claims::Claims;
@@ -75,7 +75,7 @@
 pub struct Entry {
     options: Options,
     selector: sync::Mutex<homes::Selector>,
-    limits: sync::Mutex<rate_limit::KnownLimits>,
+    known_targets: sync::Mutex<statements::KnownTargets>,
     indexed: sync::Mutex<sync::Arc<IndexedBundle>>,
     permits: tokio_sync::Semaphore,
 }
@@ -119,7 +119,7 @@
         Entry {
             options,
             selector: sync::Mutex::new(selector),
-            limits: sync::Mutex::default(),
+            known_targets: sync::Mutex::default(),
             indexed: sync::Mutex::default(),
             permits,
         }
@@ -383,7 +383,7 @@
             fingerprint,
             origin: ids::DomainId::from_name(&self.options.settings.domain),
             peers: Vec::new(),
-            limits: Vec::new(),
+            known: Vec::new(),
         };
         let outgoing = exchange::Outgoing {
             id,
@@ -437,20 +437,21 @@
         self.selector.lock().expect("lock is not poisoned")
     }
 
-    fn limits(&self) -> sync::MutexGuard<'_, rate_limit::KnownLimits> {
-        self.limits.lock().expect("lock is not poisoned")
+    fn known_targets(&self) -> sync::MutexGuard<'_, statements::KnownTargets> {
+        self.known_targets.lock().expect("lock is not poisoned")
     }
 
-    /// Returns the rate limits that this entry knows of a cell's targets.
-    fn known_limits(
+    /// Returns what this entry knows of a cell's targets from their statements.
+    fn known_of_cell(
         &self,
         now: clock::Millis,
         service: &bundle::Service,
         cell: &ids::CellId,
-    ) -> Vec<peer::TargetLimit> {
+    ) -> Vec<peer::KnownTarget> {
         let targets = service.targets.iter();
         let of_cell = targets.filter(|t| service.cell_of(t) == *cell);
-        self.limits().of(now, of_cell.map(|t| t.name.as_str()))
+        self.known_targets()
+            .of(now, of_cell.map(|t| t.name.as_str()))
     }
 
     /// Records whether a home answered, for the selection of homes.
@@ -485,7 +486,7 @@
             objective: parsed.objective - now,
             used: parsed.outgoing.tries,
             stamp: self.options.recorder.stamp(),
-            limits: self.known_limits(now, service, &choice.cell),
+            known: self.known_of_cell(now, service, &choice.cell),
             ..parsed.slot_request.clone()
         };
         let stream = exchange::HomeStream { recv, send };
@@ -493,12 +494,21 @@
             self.selector()
                 .record_summary(self.options.clock.now(), summary);
         };
-        let record_limit = |target: &str, limit: peer::RateLimit| {
+        let record_statement = |target: &str, statement: &peer::Statement| {
             let now = self.options.clock.now();
-            if self.limits().record(now, target, limit) {
-                log::info!(limit = format!("{limit:?}"), target = target; "the rate limit of a target changed");
+            if self.known_targets().record(now, target, statement) {
+                self.options.metrics.record_statement(&service.name);
+                log::info!(
+                    target = target, limit = format!("{:?}", statement.limit), leaving = statement.leaving,
+                    pause_ms = statement.pause.0;
+                    "a target states which requests it accepts"
+                );
             }
         };
+        let accepts = |target: &str| {
+            let now = self.options.clock.now();
+            self.known_targets().accepts(now, target)
+        };
         let claim = claim::Claim {
             claims: self.options.claims.as_ref(),
             scope: [&parsed.organisation, &service.name],
@@ -509,7 +519,8 @@
             client: &self.options.client,
             service,
             record_summary: &record_summary,
-            record_limit: &record_limit,
+            record_statement: &record_statement,
+            accepts: &accepts,
             claim: &claim,
         };
         exchange
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -193,8 +193,10 @@
     pub service: &'a bundle::Service,
     /// Records each summary of the cell that the home sends.
     pub record_summary: &'a (dyn Fn(&peer::CellSummary) + Sync),
-    /// Records the rate limit that each response of a target states.
-    pub record_limit: &'a (dyn Fn(&str, peer::RateLimit) + Sync),
+    /// Records what each response of a target states.
+    pub record_statement: &'a (dyn Fn(&str, &peer::Statement) + Sync),
+    /// Returns whether a target accepts requests from this entry, by what it stated.
+    pub accepts: &'a (dyn Fn(&str) -> bool + Sync),
     /// The claim of the request's key.
     pub claim: &'a claim::Claim<'a>,
 }
@@ -325,8 +327,8 @@
         let last = match self.send_to_target(&mut stream, outgoing, target).await {
             TryResult::Response(response) => {
                 let class = classify(self.client, outgoing, &response);
-                let limit = self.stated_limit(class, &response);
-                stream.report_outcome(outcome_of(class), limit).await;
+                let statement = self.record_statement(class, &response);
+                stream.report_outcome(outcome_of(class), statement).await;
                 if class == ResponseClass::Answered {
                     return GrantResult::Answered(self.forward(stream, *response, outgoing));
                 }
@@ -347,18 +349,18 @@
         GrantResult::Failed(last, stream)
     }
 
-    /// Records and returns the rate limit that a response states; absent if another target sent the response.
-    fn stated_limit(
+    /// Records and returns what the target states in its response; absent if another target sent the response.
+    fn record_statement(
         &self,
         class: ResponseClass,
         response: &TargetResponse,
-    ) -> Option<peer::RateLimit> {
+    ) -> Option<peer::Statement> {
         if class == ResponseClass::Misplaced {
             return None;
         }
-        let limit = self.client.dialect.rate_limit(&response.head);
-        (self.record_limit)(&response.target, limit);
-        Some(limit)
+        let statement = self.client.dialect.statement(&response.head);
+        (self.record_statement)(&response.target, &statement);
+        Some(statement)
     }
 
     /// Returns the final result of a request whose last try was `last`.
@@ -377,7 +379,8 @@
         }
     }
 
-    /// Sends the request to a target, unless the target is leaving or absent in this entry's bundle.
+    /// Sends the request to a target, unless the target is leaving or absent in this entry's bundle, or stated that it
+    /// accepts no requests.
     async fn send_to_target(
         &self,
         stream: &mut HomeStream,
@@ -386,10 +389,12 @@
     ) -> TryResult {
         let client = self.client;
         let known = self.service.targets.iter().find(|t| t.name == name);
-        let Some(target) = known.filter(|t| !t.leaving) else {
+        let began = client.clock.now();
+        let usable = known.filter(|t| !t.leaving && (self.accepts)(name));
+        let Some(target) = usable else {
+            log_try(outgoing, name, "slot returned unused", clock::Millis::ZERO);
             return TryResult::not_sent(Outcome::Unlisted);
         };
-        let began = client.clock.now();
         let acquired = client
             .pool
             .acquire(target.address, outgoing.idempotent)
@@ -666,8 +671,8 @@
     }
 
     /// Reports the outcome of a try to the home. If the stream is broken, the home frees the slot by itself.
-    async fn report_outcome(&mut self, outcome: Outcome, limit: Option<peer::RateLimit>) {
-        if let Err(e) = self.send(&ToHome::Done { outcome, limit }).await {
+    async fn report_outcome(&mut self, outcome: Outcome, statement: Option<peer::Statement>) {
+        if let Err(e) = self.send(&ToHome::Done { outcome, statement }).await {
             log::debug!("failed to report the outcome of a try to the home: {e}");
         }
     }
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -235,15 +235,15 @@
             Err(cause) => return refuse(&mut send, cause).await,
         };
         handle.send(Message::OtherCells(std::mem::take(&mut slot_request.peers)));
-        if !slot_request.limits.is_empty() {
-            handle.send(Message::KnownLimits(std::mem::take(
-                &mut slot_request.limits,
-            )));
-        }
         let ticket = ids::Ticket(self.tickets.fetch_add(1, atomic::Ordering::Relaxed));
         let (verdicts, receiver) = tokio_sync::mpsc::unbounded_channel();
         let arrival = self.arrival(ticket, &slot_request);
-        handle.send(Message::Arrive { arrival, verdicts });
+        let known = std::mem::take(&mut slot_request.known);
+        handle.send(Message::Arrive {
+            arrival,
+            known,
+            verdicts,
+        });
         let registration = Registration {
             handle,
             ticket,
@@ -317,8 +317,8 @@
                 biased;
                 verdict = verdicts.recv() => verdict.unwrap_or(CELL_STOPPED),
                 outcome = reported.recv() => match outcome {
-                    Some((outcome, limit)) => {
-                        self.report_outcome(slot_request, outcome, limit);
+                    Some((outcome, statement)) => {
+                        self.report_outcome(slot_request, outcome, statement);
                         continue;
                     }
                     None => return self.finish(reader).await,
@@ -340,7 +340,7 @@
         &mut self,
         slot_request: &peer::SlotRequest,
         outcome: peer::Outcome,
-        limit: Option<peer::RateLimit>,
+        statement: Option<peer::Statement>,
     ) {
         log::info!(
             request = slot_request.name, id = slot_request.request.to_string(), cell = slot_request.cell.to_string(),
@@ -352,7 +352,7 @@
         self.handle.send(Message::Done {
             ticket,
             outcome,
-            limit,
+            statement,
         });
     }
 
@@ -418,13 +418,13 @@
 /// Receives the outcomes from the entry until the request ends; returns whether it ended with [`peer::ToHome::Ended`].
 async fn read_outcomes(
     recv: &mut RecvHalf,
-    outcomes: tokio_sync::mpsc::Sender<(peer::Outcome, Option<peer::RateLimit>)>,
+    outcomes: tokio_sync::mpsc::Sender<(peer::Outcome, Option<peer::Statement>)>,
 ) -> bool {
     loop {
         match frame::read(recv).await {
             Ok(message) => match frame::decode(&message) {
-                Ok(peer::ToHome::Done { outcome, limit }) => {
-                    if outcomes.send((outcome, limit)).await.is_err() {
+                Ok(peer::ToHome::Done { outcome, statement }) => {
+                    if outcomes.send((outcome, statement)).await.is_err() {
                         return false;
                     }
                 }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -22,6 +22,7 @@
     duration: Histogram<f64>,
     refusals: Counter<u64>,
     restores: Counter<u64>,
+    statements: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -66,6 +67,12 @@
                 .u64_counter("peridotspread.registry.restores")
                 .with_description("Times that the platform was restored from an earlier copy")
                 .build(),
+            statements: meter
+                .u64_counter("peridotspread.entry.statements")
+                .with_description(
+                    "Changes of what targets state about the requests that they accept",
+                )
+                .build(),
             registry,
             provider,
         })
@@ -99,6 +106,12 @@
         );
     }
 
+    /// Counts a change of what a target of the service states about the requests that it accepts.
+    pub fn record_statement(&self, service: &str) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.statements.add(1, &labels);
+    }
+
     /// Counts that the platform was restored from an earlier copy.
     pub fn record_restore(&self) {
         self.restores.add(1, &[]);
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -10,6 +10,10 @@
 use crate::state::{clock, ids};
 use crate::transport::body;
 
+/// The longest pause that a target can ask for. A target that wants a longer one says so again when it refuses the
+/// next request.
+const MAX_PAUSE: clock::Millis = clock::Millis(3_600_000);
+
 /// The error when a header field of the dialect is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
 #[snafu(display("a header field is malformed"))]
@@ -85,10 +89,8 @@
     /// Classifies the response to a try by its head.
     fn classify(&self, response: &Parts, attempt: &Try<'_>) -> ResponseClass;
 
-    /// Returns what a target's response states about the rate of requests that the target accepts.
-    fn rate_limit(&self, _response: &Parts) -> peer::RateLimit {
-        peer::RateLimit::None
-    }
+    /// Returns what a target states in its response about the requests that it accepts.
+    fn statement(&self, response: &Parts) -> peer::Statement;
 
     /// Adds the dialect's header fields to a target's response before it goes to the caller.
     fn complete_response(&self, map: &mut HeaderMap, request: &RequestIdentity<'_>, target: &str);
@@ -129,6 +131,14 @@
             .unwrap_or(ResponseClass::Answered)
     }
 
+    fn statement(&self, response: &Parts) -> peer::Statement {
+        peer::Statement {
+            limit: peer::RateLimit::None,
+            leaving: is_set(&response.headers, headers::LEAVING),
+            pause: stated_pause(response),
+        }
+    }
+
     fn complete_response(&self, map: &mut HeaderMap, request: &RequestIdentity<'_>, target: &str) {
         problem::set_request_id(map, request.id);
         if let Ok(target) = HeaderValue::from_str(target) {
@@ -145,6 +155,38 @@
     }
 }
 
+/// Returns whether the header field `name` has the value `1`. Any other value is logged, and counts as absent.
+pub fn is_set(map: &HeaderMap, name: &str) -> bool {
+    let Some(value) = map.get(name) else {
+        return false;
+    };
+    let is_set = value.as_bytes().trim_ascii() == b"1";
+    if !is_set {
+        log::warn!(field = name, value = format!("{value:?}"); "a target sends a flag whose value is not 1");
+    }
+    is_set
+}
+
+/// Returns how long a target asks the sender of a refused request to pause: the `Retry-After` of a response 503, in
+/// seconds, which may have a fraction.
+///
+/// A value longer than [`MAX_PAUSE`] counts as that. One that is no number of seconds, such as a date, is logged and
+/// counts as absent: the clocks of daemons and targets may differ by more than a pause lasts.
+pub fn stated_pause(response: &Parts) -> clock::Millis {
+    let value = response.headers.get(header::RETRY_AFTER);
+    let Some(value) = value.filter(|_| response.status == StatusCode::SERVICE_UNAVAILABLE) else {
+        return clock::Millis::ZERO;
+    };
+    let seconds = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    match seconds.filter(|s: &f64| s.is_finite() && *s >= 0.0) {
+        Some(seconds) => clock::Millis((seconds * 1_000.0).ceil() as u64).min(MAX_PAUSE),
+        None => {
+            log::warn!(value = format!("{value:?}"); "a target sends a Retry-After that is no number of seconds");
+            clock::Millis::ZERO
+        }
+    }
+}
+
 /// Parses the header field `name` as a whole number of milliseconds; absent if there is no such field.
 ///
 /// # Errors
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -11,6 +11,8 @@
 pub const REQUEST: &str = "peridotspread-request";
 /// The idempotency key, by which a caller identifies resends of a non-idempotent request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Set to `1` by a target that is leaving and accepts no new requests.
+pub const LEAVING: &str = "peridotspread-leaving";
 /// The name of the target that answered.
 pub const TARGET: &str = "peridotspread-target";
 
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -44,8 +44,29 @@
     pub origin: ids::DomainId,
     /// The latest summaries that the entry has received of the service's other cells (not of peers, which are daemons).
     pub peers: Vec<CellSummary>,
-    /// The rate limits that the entry knows of the cell's targets.
-    pub limits: Vec<TargetLimit>,
+    /// What the entry knows of the cell's targets from their statements.
+    pub known: Vec<KnownTarget>,
+}
+
+/// What a target states in a response about the requests that it accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The rate of requests that it accepts.
+    pub limit: RateLimit,
+    /// Whether it is leaving and accepts no new requests.
+    pub leaving: bool,
+    /// How long it accepts no requests from the daemon that received the response; zero if it does not say so.
+    pub pause: clock::Millis,
+}
+
+impl Default for Statement {
+    fn default() -> Statement {
+        Statement {
+            limit: RateLimit::None,
+            leaving: false,
+            pause: clock::Millis::ZERO,
+        }
+    }
 }
 
 /// What a response of a target states about the rate of requests that it accepts.
@@ -57,13 +78,24 @@
     PerSecond(f64),
 }
 
-/// The rate limit of a target, as an entry knows it.
+/// What an entry knows of a target from its statements.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct TargetLimit {
+pub struct KnownTarget {
     /// The name of the target in the bundle.
     pub target: String,
-    /// The limit.
-    pub limit: RateLimit,
+    /// The rate limit; absent if the target states none.
+    pub limit: Option<KnownLimit>,
+    /// Whether the target is leaving.
+    pub leaving: bool,
+    /// How much longer the target accepts no requests from the entry.
+    pub pause: clock::Millis,
+}
+
+/// The rate limit of a target, as an entry knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnownLimit {
+    /// The rate, in requests per second.
+    pub rate: f64,
     /// The time since the target stated it.
     pub age: clock::Millis,
 }
@@ -89,7 +121,8 @@
     TimedOut,
     /// The target aborted the run because the deadline had passed.
     Expired,
-    /// The entry's bundle does not list the target, or lists it as leaving; nothing was sent.
+    /// The entry does not use the target: its bundle does not list it, or lists it as leaving, or the target stated
+    /// that it accepts no requests. Nothing was sent.
     Unlisted,
     /// The entry released the slot without using it.
     Withdrawn,
@@ -147,8 +180,8 @@
     Done {
         /// The outcome.
         outcome: Outcome,
-        /// The rate limit that the response states; absent if there is no response of the target.
-        limit: Option<RateLimit>,
+        /// What the target states in its response; absent if there is none.
+        statement: Option<Statement>,
     },
     /// Reports that the response body has ended; always the last message.
     Ended,
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -90,7 +90,10 @@
     }
 
     fn arrive(&mut self, arrival: cell::Arrival) -> Vec<Action> {
-        self.handle(Event::Arrive(arrival))
+        self.handle(Event::Arrive {
+            arrival,
+            known: &[],
+        })
     }
 
     /// Advances the time, with a tick whenever one is due.
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -165,7 +165,10 @@
                     reported: false,
                 };
                 self.requests.insert(ticket, tracked);
-                self.handle(Event::Arrive(arrival));
+                self.handle(Event::Arrive {
+                    arrival,
+                    known: &[],
+                });
             }
             Step::Advance(span) => self.advance(span),
             Step::Dispatch(i) => {
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -278,7 +278,13 @@
         };
         let cell = self.choose();
         self.open.insert(ticket, (cell, arrival, self.now, 0));
-        self.handle_event(cell, Event::Arrive(arrival));
+        self.handle_event(
+            cell,
+            Event::Arrive {
+                arrival,
+                known: &[],
+            },
+        );
     }
 
     /// Chooses the better one of two random cells, as an entry does.
--- a/tests/testsuite/service/mod.rs
+++ b/tests/testsuite/service/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod floor;
 mod limit;
+mod statements;
 mod world;
 
 /// The share of a cell's targets that the platform's adapter asks for, in percent.
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -7,7 +7,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::{Action, Event, Outcome};
-use peridotspread::coordination::{homes, member, rate_limit};
+use peridotspread::coordination::{homes, member, statements};
 use peridotspread::protocol::{peer, refusal};
 use peridotspread::state::bundle;
 use peridotspread::state::clock::Millis;
@@ -33,6 +33,10 @@
     pub(crate) refusing: Vec<(u64, u64)>,
     /// The rate that it states as its limit, in requests per second, and the span in which it does.
     pub(crate) limit: Option<(f64, (u64, u64))>,
+    /// The pause that it asks for when it refuses a request, in milliseconds.
+    pub(crate) pause: u64,
+    /// When it begins to state that it is leaving.
+    pub(crate) leaves_at: Option<u64>,
 }
 
 fn contains(spans: &[(u64, u64)], at: u64) -> bool {
@@ -44,12 +48,21 @@
         contains(&self.failing, at)
     }
 
-    /// Returns the limit that it states at `at`.
-    fn stated_limit(&self, at: u64) -> peer::RateLimit {
+    /// Returns what it states in a response at `at` that ends a try with `outcome`.
+    fn statement(&self, at: u64, outcome: Outcome) -> peer::Statement {
         let limit = self.limit.filter(|(_, span)| contains(&[*span], at));
-        limit.map_or(peer::RateLimit::None, |(rate, _)| {
+        let limit = limit.map_or(peer::RateLimit::None, |(rate, _)| {
             peer::RateLimit::PerSecond(rate)
-        })
+        });
+        let pause = match outcome {
+            Outcome::NotRun => Millis(self.pause),
+            _ => Millis::ZERO,
+        };
+        peer::Statement {
+            limit,
+            leaving: self.leaves_at.is_some_and(|from| at >= from),
+            pause,
+        }
     }
 }
 
@@ -95,8 +108,17 @@
     pub(crate) arrivals: Vec<Vec<(u64, bool)>>,
     /// For each target: when requests reached it from entries that had passed on its limit half a second before.
     pub(crate) told_arrivals: Vec<Vec<u64>>,
+    /// For each target: when requests reached it that callers had sent later than [`DRAIN`] after their entry had passed
+    /// on that it is leaving.
+    pub(crate) late_arrivals: Vec<Vec<u64>>,
+    /// For each pause: the target, and the number of requests of its entry that reached the target from
+    /// [`TOLD_SPAN`] after its beginning to its end.
+    pub(crate) paused_arrivals: Vec<(usize, usize)>,
 }
 
+/// The platform's `drain_ms`: how long after an entry passed on that a target is leaving requests may reach it.
+const DRAIN: u64 = 2_500;
+
 /// How long after an entry passed on a limit the platform counts its requests, in milliseconds.
 const TOLD_SPAN: u64 = 500;
 
@@ -127,9 +149,13 @@
     alone: BTreeMap<String, u64>,
     hidden: BTreeMap<String, u64>,
     entries: BTreeMap<String, homes::Selector>,
-    limits: BTreeMap<String, rate_limit::KnownLimits>,
+    known: BTreeMap<String, statements::KnownTargets>,
     /// When each entry first passed on the limit of a target.
     told: BTreeMap<(String, usize), u64>,
+    /// When each entry first passed on that a target is leaving.
+    told_leaving: BTreeMap<(String, usize), u64>,
+    /// The pauses that targets asked entries for: the beginning, the end, and the index in the report.
+    pauses: BTreeMap<(String, usize), Vec<(u64, u64, usize)>>,
     homes: BTreeMap<HomeKey, cell::Cell>,
     open: BTreeMap<u64, Open>,
     /// The end of each try: the time, the ticket, the number of the try, and the outcome.
@@ -200,8 +226,10 @@
             alone: BTreeMap::new(),
             hidden: BTreeMap::new(),
             entries: members.iter().map(selector).collect(),
-            limits: BTreeMap::new(),
+            known: BTreeMap::new(),
             told: BTreeMap::new(),
+            told_leaving: BTreeMap::new(),
+            pauses: BTreeMap::new(),
             homes: BTreeMap::new(),
             open: BTreeMap::new(),
             ends: BTreeSet::new(),
@@ -211,6 +239,8 @@
                 requests: Vec::new(),
                 arrivals: vec![Vec::new(); service.targets.len()],
                 told_arrivals: vec![Vec::new(); service.targets.len()],
+                late_arrivals: vec![Vec::new(); service.targets.len()],
+                paused_arrivals: Vec::new(),
             },
             members,
             service,
@@ -283,8 +313,10 @@
             let domain = &self.members[*name].domain;
             let selector = homes::Selector::new(name, domain);
             self.entries.insert((*name).clone(), selector);
-            self.limits.remove(*name);
+            self.known.remove(*name);
             self.told.retain(|(entry, _), _| entry != *name);
+            self.told_leaving.retain(|(entry, _), _| entry != *name);
+            self.pauses.retain(|(entry, _), _| entry != *name);
         }
         self.homes.retain(|(home, _), _| !names.contains(home));
         self.open.retain(|_, open| !names.contains(&open.entry));
@@ -381,11 +413,11 @@
         }
         self.handle(&key, Event::Ranked { is_first });
         let targets = self.service.targets.iter().map(|t| t.name.as_str());
-        let known = self.limits.entry(entry.clone()).or_default();
+        let known = self.known.entry(entry.clone()).or_default();
         let known = known.of(now, targets);
-        self.handle(&key, Event::KnownLimits(&known));
         self.handle(&key, Event::OtherCells(&summaries));
-        self.handle(&key, Event::Arrive(arrival));
+        let known = &known;
+        self.handle(&key, Event::Arrive { arrival, known });
     }
 
     /// Passes an event to a cell, and carries out its actions and those that follow.
@@ -431,6 +463,14 @@
             return;
         }
         self.handle(key, Event::Sent(ids::Ticket(ticket)));
+        let entry = &self.open[&ticket].entry;
+        let known = self.known.get(entry);
+        if known.is_some_and(|k| !k.accepts(Millis(self.now), target)) {
+            let outcome = Outcome::Unlisted;
+            let ticket = ids::Ticket(ticket);
+            self.handle(key, Event::Done { ticket, outcome });
+            return;
+        }
         let index: usize = target[1..].parse().expect("targets have numbers");
         let life = self.life(index);
         let (breaks, refuses) = (
@@ -451,10 +491,23 @@
             .arrivals
             .push(self.now);
         let entry = self.open[&ticket].entry.clone();
-        let told = self.told.get(&(entry, index));
-        if told.is_some_and(|at| self.now >= at + TOLD_SPAN) {
+        let sent_at = self.report.requests[ticket as usize].sent_at;
+        let path = (entry, index);
+        if self
+            .told
+            .get(&path)
+            .is_some_and(|at| self.now >= at + TOLD_SPAN)
+        {
             self.report.told_arrivals[index].push(self.now);
         }
+        let leaving = self.told_leaving.get(&path);
+        if leaving.is_some_and(|at| sent_at > at + DRAIN) {
+            self.report.late_arrivals[index].push(self.now);
+        }
+        for (from, to, pause) in self.pauses.get(&path).into_iter().flatten() {
+            let counts = (from + TOLD_SPAN..*to).contains(&self.now);
+            self.report.paused_arrivals[*pause].1 += usize::from(counts);
+        }
         let open = self.open.get_mut(&ticket).expect("the request is open");
         open.current += 1;
         open.tries += 1;
@@ -482,7 +535,7 @@
             let key = (open.choice.home.clone(), open.choice.cell.clone());
             let answered = outcome == Outcome::Answered;
             if outcome != Outcome::Broken {
-                self.state_limit(&key, ticket, usize::from(index));
+                self.pass_on(&key, ticket, usize::from(index), outcome);
             }
             if answered {
                 self.report.requests[ticket as usize].served = true;
@@ -501,23 +554,33 @@
         }
     }
 
-    /// Passes on the limit that a response of the target states.
-    fn state_limit(&mut self, key: &HomeKey, ticket: u64, target: usize) {
-        let limit = self.life(target).stated_limit(self.now);
+    /// Passes on a response of the target, with what the target states in it.
+    fn pass_on(&mut self, key: &HomeKey, ticket: u64, target: usize, outcome: Outcome) {
+        let statement = self.life(target).statement(self.now, outcome);
         let entry = self.open[&ticket].entry.clone();
         let now = self.time();
-        let known = self.limits.entry(entry.clone()).or_default();
-        known.record(now, &format!("t{target}"), limit);
-        match limit {
+        let known = self.known.entry(entry.clone()).or_default();
+        known.record(now, &format!("t{target}"), &statement);
+        let path = (entry, target);
+        match statement.limit {
             peer::RateLimit::None => {
-                self.told.remove(&(entry, target));
+                self.told.remove(&path);
             }
             peer::RateLimit::PerSecond(_) => {
-                self.told.entry((entry, target)).or_insert(self.now);
+                self.told.entry(path.clone()).or_insert(self.now);
             }
         }
+        if statement.leaving {
+            self.told_leaving.entry(path.clone()).or_insert(self.now);
+        }
+        if statement.pause > Millis::ZERO {
+            let index = self.report.paused_arrivals.len();
+            self.report.paused_arrivals.push((target, 0));
+            let pause = (self.now, self.now + statement.pause.0, index);
+            self.pauses.entry(path).or_default().push(pause);
+        }
         let ticket = ids::Ticket(ticket);
-        self.handle(key, Event::LimitStated { ticket, limit });
+        self.handle(key, Event::Stated { ticket, statement });
     }
 
     fn tick_cells(&mut self) {
