platform, protocol: a response to another request proves nothing

What callers saw: 503, which promises that the request did not run, though it ran. A target sent a second copy of a refusal, late, on a connection that was in use again. The adapter looked for the proof (Not-Executed, 421) before it compared the request's id, so the copy proved that the next request had not run: it was refused, or sent to another target and run twice.

The native dialect compares the identifier as well, where a target repeats it.

--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -122,6 +122,11 @@
     }
 
     fn classify(&self, response: &Parts, attempt: &Try<'_>) -> ResponseClass {
+        // Targets need not repeat the identifier.
+        let answered = response.headers.get(headers::REQUEST);
+        if answered.is_some_and(|id| id.as_bytes() != attempt.request.id.to_string().as_bytes()) {
+            return ResponseClass::Unusable;
+        }
         let sheds = response.status == StatusCode::SERVICE_UNAVAILABLE;
         if sheds && response.headers.contains_key(header::RETRY_AFTER) {
             return ResponseClass::Shed;
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -267,3 +267,25 @@
     let response = daemon.send(sent).await.unwrap();
     assert_eq!(response.headers()["peridotspread-outcome"], "unknown");
 }
+
+/// Responds as if to another request, which did not run.
+fn refuse_another_request(_request: Request<Incoming>) -> ResponseFuture {
+    async {
+        let mut response = Response::new(empty());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let fields = response.headers_mut();
+        fields.insert("retry-after", HeaderValue::from_static("1"));
+        let other = HeaderValue::from_static("00000000000000000000000000000001");
+        fields.insert("peridotspread-request", other);
+        response
+    }
+    .boxed()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_to_another_request_does_not_reach_the_caller() {
+    let daemon = daemon("another-request", refuse_another_request).await;
+    let sent = request("POST", "/").body(empty()).unwrap();
+    let response = daemon.send(sent).await.unwrap();
+    assert_eq!(response.headers()["peridotspread-outcome"], "unknown");
+}
