--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -23,6 +23,7 @@
     refusals: Counter<u64>,
     restores: Counter<u64>,
     statements: Counter<u64>,
+    platform_calls: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -73,6 +74,10 @@
                     "Changes of what targets state about the requests that they accept",
                 )
                 .build(),
+            platform_calls: meter
+                .u64_counter("peridotspread.platform.calls")
+                .with_description("Calls to the platform by kind and table")
+                .build(),
             registry,
             provider,
         })
@@ -112,6 +117,17 @@
         self.statements.add(1, &labels);
     }
 
+    /// Counts a call to the platform.
+    pub fn record_platform_call(&self, kind: &'static str, table: &str) {
+        self.platform_calls.add(
+            1,
+            &[
+                KeyValue::new("kind", kind),
+                KeyValue::new("table", table.to_owned()),
+            ],
+        );
+    }
+
     /// Counts that the platform was restored from an earlier copy.
     pub fn record_restore(&self) {
         self.restores.add(1, &[]);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -104,6 +104,8 @@
     pub hosts: sync::Arc<dyn platform::Hosts>,
     /// The source of rules and targets.
     pub config: ConfigSource,
+    /// The daemon's metrics.
+    pub metrics: sync::Arc<metrics::Metrics>,
 }
 
 impl Parts {
@@ -127,6 +129,7 @@
                 platform,
                 operators,
             },
+            metrics: sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?),
         })
     }
 }
@@ -223,7 +226,7 @@
             config: parts.config,
             dialect: parts.dialect,
             pool: sync::Arc::new(pool),
-            metrics: sync::Arc::new(metrics::Metrics::new().context(MetricsSnafu)?),
+            metrics: parts.metrics,
             peers,
         })
     }
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -137,6 +137,14 @@
     last: Option<Outcome>,
 }
 
+/// A pause that a target asked an entry for, in milliseconds.
+struct Pause {
+    from: u64,
+    to: u64,
+    /// Its place in [`Report::paused_arrivals`].
+    index: usize,
+}
+
 type HomeKey = (String, ids::CellId);
 
 pub(crate) struct World {
@@ -154,8 +162,8 @@
     told: BTreeMap<(String, usize), u64>,
     /// When each entry first passed on that a target is leaving.
     told_leaving: BTreeMap<(String, usize), u64>,
-    /// The pauses that targets asked entries for: the beginning, the end, and the index in the report.
-    pauses: BTreeMap<(String, usize), Vec<(u64, u64, usize)>>,
+    /// The pauses that targets asked entries for.
+    pauses: BTreeMap<(String, usize), Vec<Pause>>,
     homes: BTreeMap<HomeKey, cell::Cell>,
     open: BTreeMap<u64, Open>,
     /// The end of each try: the time, the ticket, the number of the try, and the outcome.
@@ -504,9 +512,9 @@
         if leaving.is_some_and(|at| sent_at > at + DRAIN) {
             self.report.late_arrivals[index].push(self.now);
         }
-        for (from, to, pause) in self.pauses.get(&path).into_iter().flatten() {
-            let counts = (from + TOLD_SPAN..*to).contains(&self.now);
-            self.report.paused_arrivals[*pause].1 += usize::from(counts);
+        for pause in self.pauses.get(&path).into_iter().flatten() {
+            let counts = (pause.from + TOLD_SPAN..pause.to).contains(&self.now);
+            self.report.paused_arrivals[pause.index].1 += usize::from(counts);
         }
         let open = self.open.get_mut(&ticket).expect("the request is open");
         open.current += 1;
@@ -574,9 +582,12 @@
             self.told_leaving.entry(path.clone()).or_insert(self.now);
         }
         if statement.pause > Millis::ZERO {
-            let index = self.report.paused_arrivals.len();
+            let pause = Pause {
+                from: self.now,
+                to: self.now + statement.pause.0,
+                index: self.report.paused_arrivals.len(),
+            };
             self.report.paused_arrivals.push((target, 0));
-            let pause = (self.now, self.now + statement.pause.0, index);
             self.pauses.entry(path).or_default().push(pause);
         }
         let ticket = ids::Ticket(ticket);
