transport, daemon: connections that wait to be accepted at a stop are served

What callers saw: a reset, during a planned stop, of a connection on which they had just sent a request. The server dropped its listener with the connections that the kernel had accepted and it had not, and closed those without a request read so far.

Change: a server that stops accepts what waits, and leaves open connections 200 ms for requests that are on their way, before it finishes those in flight. Servers other than the one for callers don't wait.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -16,6 +16,10 @@
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
 use crate::transport::{http, platform as client, pool, quic, tls};
 
+/// How long requests may still arrive on open connections once the daemon no longer accepts others: several round trips
+/// to a caller.
+const LAST_REQUESTS: clock::Millis = clock::Millis(200);
+
 /// An error that prevents the daemon from starting.
 #[derive(Debug, snafu::Snafu)]
 pub enum Error {
@@ -492,6 +496,7 @@
             listener: self.caller_listener,
             limits: self.limits.clone(),
             tls: self.tls.clone(),
+            last_requests: LAST_REQUESTS,
         };
         let caller_server = tokio::spawn(http::serve(
             options,
@@ -502,6 +507,7 @@
             listener: self.admin_listener,
             limits: constant(&self.settings.limits),
             tls: None,
+            last_requests: clock::Millis::ZERO,
         };
         let admin_server = tokio::spawn(http::serve(
             options,
@@ -513,6 +519,7 @@
                 listener,
                 limits: constant(&self.settings.limits),
                 tls: None,
+                last_requests: clock::Millis::ZERO,
             };
             let readiness = sync::Arc::new(admin::Readiness(self.admin.clone()));
             self.tasks
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -13,7 +13,7 @@
 use hyper_util::server::graceful;
 use tokio::{net as tcp, sync as tokio_sync, time};
 
-use crate::state::settings;
+use crate::state::{clock, settings};
 use crate::transport::body;
 
 /// Handles requests; a failure is reported in the response.
@@ -34,9 +34,13 @@
     pub limits: tokio_sync::watch::Receiver<settings::Limits>,
     /// The TLS configuration; plain HTTP if absent.
     pub tls: Option<sync::Arc<rustls::ServerConfig>>,
+    /// How long requests may still arrive on open connections after the server stops to accept others.
+    pub last_requests: clock::Millis,
 }
 
 /// Serves until `stop` becomes true, then finishes the requests in flight, for at most `limits.drain_ms`.
+///
+/// Connections that wait to be accepted at that time are accepted, since their requests may be on their way.
 pub async fn serve(
     options: Options,
     handler: sync::Arc<dyn Handler>,
@@ -47,17 +51,28 @@
     ));
     let connections = graceful::GracefulShutdown::new();
     let acceptor = options.tls.clone().map(tokio_rustls::TlsAcceptor::from);
+    let mut is_stopping = false;
     loop {
-        let (stream, from) = tokio::select! {
-            accepted = options.listener.accept() => match accepted {
-                Ok(accepted) => accepted,
-                Err(e) => {
-                    log::warn!("failed to accept a connection: {e}; trying again");
-                    time::sleep(ACCEPT_BACKOFF).await;
-                    continue;
-                }
-            },
-            () = wait_until_true(&mut stop) => break,
+        let accepted = tokio::select! {
+            biased;
+            accepted = options.listener.accept() => accepted,
+            () = std::future::ready(()), if is_stopping => break,
+            () = wait_until_true(&mut stop), if !is_stopping => {
+                is_stopping = true;
+                continue;
+            }
+        };
+        let (stream, from) = match accepted {
+            Ok(accepted) => accepted,
+            Err(e) if is_stopping => {
+                log::warn!("failed to accept the last connections: {e}");
+                break;
+            }
+            Err(e) => {
+                log::warn!("failed to accept a connection: {e}; trying again");
+                time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else {
             log::warn!(
@@ -84,6 +99,7 @@
         });
     }
     drop(options.listener);
+    time::sleep(options.last_requests.span()).await;
     let timeout = options.limits.borrow().drain_ms;
     if time::timeout(timeout.span(), connections.shutdown())
         .await
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,4 +14,5 @@
 mod registry;
 mod restore;
 mod service;
+mod shutdown;
 mod support;
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -104,6 +104,7 @@
         listener,
         limits: watch::channel(limits).1,
         tls: None,
+        last_requests: clock::Millis::ZERO,
     };
     tokio::spawn(server::serve(options, sync::Arc::new(entry), stopped));
     Daemon {
