coordination, daemon: the platform's calls do not grow with the fleet while it is in trouble

A daemon whose reader is silent (start: 56 of them) or turned away by the store polled the store itself for 3 s, and each of some 49 daemons of a failure domain did; while the targets register, ten times a second each.

One that polls in place of its reader pauses 300 ms after changes in place of 100: nobody waits for it. The list of hosts is read once a second by the fleet at most, in place of every 30 s by each daemon.

Ruled out: calls of each start (8 a daemon, 1,542 in the first second) are the smaller part here; they are not changed.

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -7,14 +7,12 @@
 
 use tokio::{sync as tokio_sync, time};
 
-use crate::coordination::member as membership;
+use crate::coordination::{member as membership, readers};
 use crate::daemon::{control, home, member};
 use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, settings};
 use crate::transport::{pool, quic};
 
-/// The time between two reads of the list of hosts.
-const HOSTS_INTERVAL: clock::Millis = clock::Millis(30_000);
 /// The time between two reads of the list of hosts while no other daemon is alive.
 const ALONE_INTERVAL: clock::Millis = clock::Millis(500);
 /// The interval at which idle connections to targets are closed if their keep-alive time has passed.
@@ -111,8 +109,9 @@
         }
         // The listed daemons need a moment to answer.
         time::sleep(ALONE_INTERVAL.span()).await;
-        if members.view().borrow().members.len() > 1 {
-            time::sleep(HOSTS_INTERVAL.span()).await;
+        let daemons = members.view().borrow().members.len();
+        if daemons > 1 {
+            time::sleep(readers::hosts_interval(daemons).span()).await;
         }
     }
 }
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -22,6 +22,9 @@
 /// The pause after a poll that returned changes, so that one call returns all further changes of the same series. It is
 /// a small part of the time within which changes must be in force.
 const POLL_PAUSE: clock::Millis = clock::Millis(100);
+/// The same pause for a daemon that polls the platform in place of its reader: no other daemon waits for its updates,
+/// and there may be many such daemons at once.
+const FALLBACK_PAUSE: clock::Millis = clock::Millis(300);
 /// How long changes are collected before a bundle is published, since each bundle costs processor time in every part of
 /// the daemon. This is a small part of the time within which changes must be in force.
 const PUBLISH_DELAY: clock::Millis = clock::Millis(60);
@@ -131,8 +134,8 @@
 enum Poll {
     /// Read the whole topic from the platform.
     Read,
-    /// Wait for changes after a revision at the platform.
-    Follow(u64),
+    /// Wait for changes after a revision at the platform, and pause for this long if there are some.
+    Follow(u64, clock::Millis),
     /// Request the updates of all topics from a peer, which may hold the reply for some time.
     Peer(String, Revisions, clock::Millis),
     /// Poll nothing for a while, unless another source is selected before.
@@ -244,9 +247,13 @@
             return;
         }
         let Ok(poll) = replied.await else { return };
+        let pause = match poll {
+            Poll::Follow(_, pause) => pause,
+            _ => POLL_PAUSE,
+        };
         let result = match poll {
             Poll::Read => PollResult::Platform(topic, source.read(topic).await),
-            Poll::Follow(revision) => PollResult::Platform(
+            Poll::Follow(revision, _) => PollResult::Platform(
                 topic,
                 source.follow(topic, revision, readers::LONG_POLL).await,
             ),
@@ -268,7 +275,7 @@
             return;
         }
         if has_changes {
-            time::sleep(POLL_PAUSE.span()).await;
+            time::sleep(pause.span()).await;
         }
     }
 }
@@ -446,14 +453,18 @@
                     };
                     return Poll::Peer(name, revisions, clock::Millis::ZERO);
                 }
-                self.platform_poll(topic)
+                let pause = match self.selector.is_reader(&view) {
+                    true => POLL_PAUSE,
+                    false => FALLBACK_PAUSE,
+                };
+                self.platform_poll(topic, pause)
             }
         }
     }
 
-    fn platform_poll(&self, topic: Topic) -> Poll {
+    fn platform_poll(&self, topic: Topic, pause: clock::Millis) -> Poll {
         match self.registry.revision(topic) {
-            Some(revision) if self.can_follow(topic, revision) => Poll::Follow(revision),
+            Some(revision) if self.can_follow(topic, revision) => Poll::Follow(revision, pause),
             _ => Poll::Read,
         }
     }
