--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod findings;
 mod freshness;
 mod homes;
+mod malformed;
 mod path;
 mod quic;
 mod readers;
