transport, daemon: a lost answer of the platform states the age of its connection, and the loss its topic

The log could not tell whether a daemon that lost the platform had called it on a connection from before a fault, which two of the hypotheses say, or had searched too long for another source.

--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -562,7 +562,7 @@
                 log::info!(topic = topic.as_str(); "the platform dropped the history of a topic; reading all of it");
                 self.history_dropped.insert(topic);
             }
-            Err(e) => self.record_loss(now, &e.to_string()),
+            Err(e) => self.record_loss(now, topic, &e.to_string()),
         }
     }
 
@@ -658,9 +658,9 @@
         }
     }
 
-    fn record_loss(&mut self, now: clock::Millis, reason: &str) {
+    fn record_loss(&mut self, now: clock::Millis, topic: Topic, reason: &str) {
         if !self.lost {
-            log::warn!(reason = reason; "platform lost");
+            log::warn!(topic = topic.as_str(), reason = reason; "platform lost");
             self.record(timeline::Kind::Platform, "lost");
             self.lost = true;
             // Waiting polls of peers return, so that the peers go on to other sources.
--- a/src/transport/channel.rs
+++ b/src/transport/channel.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use serde::{Serialize, de};
@@ -32,7 +33,69 @@
 #[derive(Debug)]
 pub struct Channel {
     address: net::SocketAddr,
-    idle: sync::Mutex<Vec<Sender>>,
+    idle: sync::Mutex<Vec<Connection>>,
+}
+
+/// A connection to the service.
+#[derive(Debug)]
+struct Connection {
+    sender: Sender,
+    opened: tokio::time::Instant,
+}
+
+impl Connection {
+    /// Sends a request and returns the response head.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`platform::Error::Lost`] if no response arrives until `deadline` or the connection breaks.
+    async fn send(
+        &mut self,
+        deadline: tokio::time::Instant,
+        request: http::Request<Body>,
+    ) -> Result<Sent, platform::Error> {
+        let sent = before(deadline, self.sender.try_send_request(request)).await;
+        match sent.map_err(|e| self.add_age(e))? {
+            Ok(response) => Ok(Sent::Response(response)),
+            Err(mut e) => match e.take_message() {
+                Some(request) => Ok(Sent::Unsent(request)),
+                None => lost(&e.into_error().to_string()).map_err(|e| self.add_age(e)),
+            },
+        }
+    }
+
+    /// Reads a body to its end.
+    async fn collect(
+        &self,
+        deadline: tokio::time::Instant,
+        body: Incoming,
+    ) -> Result<Bytes, platform::Error> {
+        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
+        let collected = before(deadline, limited.collect()).await;
+        match collected.map_err(|e| self.add_age(e))? {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(e) => lost(&e.to_string()).map_err(|e| self.add_age(e)),
+        }
+    }
+
+    /// Adds the age of the connection to an error, which tells whether it was opened before a fault began.
+    fn add_age(&self, e: platform::Error) -> platform::Error {
+        let platform::Error::Lost { reason } = e else {
+            return e;
+        };
+        let age = clock::Millis(self.opened.elapsed().as_millis() as u64);
+        platform::Error::Lost {
+            reason: format!("{reason}, on a connection opened {age} ago"),
+        }
+    }
+}
+
+/// The result of sending a request on a connection.
+enum Sent {
+    /// The response head arrived.
+    Response(http::Response<Incoming>),
+    /// The connection was closed before any part of the request was sent.
+    Unsent(http::Request<Body>),
 }
 
 /// The response to one call.
@@ -99,31 +162,21 @@
     ) -> Result<Response, platform::Error> {
         let deadline = tokio::time::Instant::now() + timeout.span();
         let request = self.request(method, path, body)?;
-        let (mut sender, request) = match self.idle_connection() {
-            Some(sender) => (sender, request),
+        let (mut connection, request) = match self.idle_connection() {
+            Some(connection) => (connection, request),
             None => (self.connect(deadline).await?, request),
         };
-        let response = match before(deadline, sender.try_send_request(request)).await? {
-            Ok(response) => response,
-            Err(mut e) => {
-                // The request is returned if the idle connection was closed before any part of it was sent.
-                let Some(request) = e.take_message() else {
-                    return lost(&e.into_error().to_string());
-                };
-                sender = self.connect(deadline).await?;
-                match before(deadline, sender.send_request(request)).await? {
-                    Ok(response) => response,
-                    Err(e) => return lost(&e.to_string()),
-                }
-            }
+        let mut sent = connection.send(deadline, request).await?;
+        if let Sent::Unsent(request) = sent {
+            connection = self.connect(deadline).await?;
+            sent = connection.send(deadline, request).await?;
+        }
+        let Sent::Response(response) = sent else {
+            return unavailable("a new connection was closed before the call was sent");
         };
         let (head, body) = response.into_parts();
-        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let body = match before(deadline, limited.collect()).await? {
-            Ok(body) => body.to_bytes(),
-            Err(e) => return lost(&e.to_string()),
-        };
-        self.release(sender);
+        let body = connection.collect(deadline, body).await?;
+        self.release(connection);
         Ok(Response {
             status: head.status,
             headers: head.headers,
@@ -162,24 +215,24 @@
             .or_else(|e| unavailable(&e.to_string()))
     }
 
-    fn idle_connection(&self) -> Option<Sender> {
+    fn idle_connection(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        while let Some(sender) = idle.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            if !connection.sender.is_closed() {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn release(&self, sender: Sender) {
+    fn release(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        if idle.len() < MAX_IDLE_CONNECTIONS && !sender.is_closed() {
-            idle.push(sender);
+        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push(connection);
         }
     }
 
-    async fn connect(&self, deadline: tokio::time::Instant) -> Result<Sender, platform::Error> {
+    async fn connect(&self, deadline: tokio::time::Instant) -> Result<Connection, platform::Error> {
         let connecting = async {
             let stream = tokio::net::TcpStream::connect(self.address)
                 .await
@@ -201,7 +254,10 @@
                 log::debug!("a connection to the platform failed: {e}");
             }
         });
-        Ok(sender)
+        Ok(Connection {
+            sender,
+            opened: tokio::time::Instant::now(),
+        })
     }
 }
 
