tests: calls to the platform after connections went silent, two of which fail

After a lost call the channel sends the next one on another connection from before the silence, and a daemon that polled a peer falls back to a connection that nobody has used since its start. Both tests fail; that a connection which answers stays in use, and that a single daemon with two connections has a change in force in time, passes.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod adoption;
 mod bundle;
 mod cell;
+mod channel;
 mod check;
 mod findings;
 mod freshness;
