transport: one silent connection to the platform costs one timeout, not one for each that was opened before

Cause: the channel trusts a pooled connection until that one has failed. After a lost call the next went out on another connection from before the fault, and a daemon whose reader was lost fell back to one that it had not used since its start. Class: a fault that is common to several resources is learned of each one separately.

Change: a lost call closes the idle connections, and a connection that was idle for a second is not used again.

Ruled out: the backoff after a loss, which is 100 ms for the first one; the search for peers, which ends 50 ms after each of them is known to be stale.

--- a/src/transport/channel.rs
+++ b/src/transport/channel.rs
@@ -20,6 +20,9 @@
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// The largest response body that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// How long a connection may have been idle to be used again. Packets may have been lost for good meanwhile, which only
+/// a call or several keep-alive probes show.
+const MAX_IDLE: time::Duration = time::Duration::from_millis(1_000);
 /// How long a connection may be quiet before the system sends a TCP keep-alive probe, and the time between two probes;
 /// an established connection can lose all packets for good while new connections work.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -33,7 +36,14 @@
 #[derive(Debug)]
 pub struct Channel {
     address: net::SocketAddr,
-    idle: sync::Mutex<Vec<Connection>>,
+    idle: sync::Mutex<Vec<Idle>>,
+}
+
+/// A connection without a call.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: tokio::time::Instant,
 }
 
 /// A connection to the service.
@@ -166,16 +176,20 @@
             Some(connection) => (connection, request),
             None => (self.connect(deadline).await?, request),
         };
-        let mut sent = connection.send(deadline, request).await?;
-        if let Sent::Unsent(request) = sent {
-            connection = self.connect(deadline).await?;
-            sent = connection.send(deadline, request).await?;
-        }
-        let Sent::Response(response) = sent else {
-            return unavailable("a new connection was closed before the call was sent");
+        let answered = async {
+            let mut sent = connection.send(deadline, request).await?;
+            if let Sent::Unsent(request) = sent {
+                connection = self.connect(deadline).await?;
+                sent = connection.send(deadline, request).await?;
+            }
+            let Sent::Response(response) = sent else {
+                return unavailable("a new connection was closed before the call was sent");
+            };
+            let (head, body) = response.into_parts();
+            let body = connection.collect(deadline, body).await?;
+            Ok((head, body))
         };
-        let (head, body) = response.into_parts();
-        let body = connection.collect(deadline, body).await?;
+        let (head, body) = answered.await.inspect_err(|_| self.close_idle())?;
         self.release(connection);
         Ok(Response {
             status: head.status,
@@ -216,22 +230,28 @@
     }
 
     fn idle_connection(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        while let Some(connection) = idle.pop() {
-            if !connection.sender.is_closed() {
-                return Some(connection);
-            }
-        }
-        None
+        let mut idle = self.idle_connections();
+        idle.retain(|i| i.since.elapsed() < MAX_IDLE && !i.connection.sender.is_closed());
+        idle.pop().map(|i| i.connection)
     }
 
     fn release(&self, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        let mut idle = self.idle_connections();
         if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
-            idle.push(connection);
+            let since = tokio::time::Instant::now();
+            idle.push(Idle { connection, since });
         }
     }
 
+    /// Closes the idle connections after a call was lost, since what broke its connection may have broken them too.
+    fn close_idle(&self) {
+        self.idle_connections().clear();
+    }
+
+    fn idle_connections(&self) -> sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     async fn connect(&self, deadline: tokio::time::Instant) -> Result<Connection, platform::Error> {
         let connecting = async {
             let stream = tokio::net::TcpStream::connect(self.address)
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -63,7 +63,7 @@
     assert!(is_answered(&channel).await);
 }
 
-// A connection from before a failed call was returned to the idle ones after that, by a call that was answered late.
+// Closing idle connections after a lost call must not keep the channel from using those that answer.
 #[tokio::test]
 async fn a_connection_that_answers_after_another_went_silent_stays_in_use() {
     let (address, generation) = start_service().await;
