daemon: a daemon that is cut off from the targets sends its requests through other daemons

Cause: the entry of a request is the only daemon that connects to targets, and homes took each connection that it failed to open as evidence against the target, whoever tried. So a cut daemon had no way to serve, and its tries at one target after the other paused all targets of a cell for everybody. Class: one observer's fault is taken for that of what it observes (differential observability).

Change: connections to targets are opened by a connector. One that is late by 100 ms, or fails, is tried through up to three other daemons, those of other failure domains first; the first path that is established carries the request, of which nothing is sent before. A relay connects directly only, refuses targets that it knows to be leaving or paused, and marks each response with what became of the request: without a mark it may have run. Two targets that relays reached and the daemon did not make it count as cut off; relays then come first, and one direct connection ends it. A failure counts against the target only if an observer that reached another target within 3 s saw it too. No probes are sent.

Weighed: homes that choose who sends (the home knows no more of the path than the entry does, and cut homes grant as before); not being ready (a zone of which half is not ready gets callers all the same, and open connections stay).

--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -202,7 +202,8 @@
             | cell::Outcome::NotRun
             | cell::Outcome::Misplaced
             | cell::Outcome::Unlisted
-            | cell::Outcome::Withdrawn => {}
+            | cell::Outcome::Withdrawn
+            | cell::Outcome::Unreachable => {}
         }
         self.handle_event(sim, location, cell::Event::Stated { ticket, statement });
         self.handle_event(sim, location, cell::Event::Done { ticket, outcome });
@@ -380,7 +381,8 @@
             | cell::Outcome::NotRun
             | cell::Outcome::Misplaced
             | cell::Outcome::Unlisted
-            | cell::Outcome::Withdrawn,
+            | cell::Outcome::Withdrawn
+            | cell::Outcome::Unreachable,
         ) => refusal::Refusal::not_run(refusal::Cause::ConnectFailed, Some(fleet::RETRY_AFTER)),
         Some(cell::Outcome::TimedOut | cell::Outcome::Expired) => {
             refusal::Refusal::unknown(refusal::Cause::TargetTimeout)
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -55,7 +55,9 @@
             cell::Outcome::Shed => self.handle_shed(now, ticket, false, actions),
             cell::Outcome::NotRun => self.handle_shed(now, ticket, true, actions),
             cell::Outcome::Misplaced => self.handle_misplaced(now, ticket, actions),
-            cell::Outcome::Unlisted => self.handle_unlisted(now, ticket, actions),
+            cell::Outcome::Unlisted | cell::Outcome::Unreachable => {
+                self.handle_unused(now, ticket, actions);
+            }
             cell::Outcome::Withdrawn => drop(self.free_slot(ticket)),
             cell::Outcome::ConnectFailed => self.handle_connect_failure(now, ticket, actions),
             cell::Outcome::Broken => self.handle_break(now, ticket, actions),
@@ -236,9 +238,9 @@
         self.handle_shed(now, ticket, true, actions);
     }
 
-    /// Handles a request whose entry knows from a newer update that the target is gone. Nothing was sent, so this is no
-    /// evidence against the target.
-    fn handle_unlisted(
+    /// Handles a request whose entry knows from a newer update that the target is gone, or found no path to it. Nothing
+    /// was sent, so this is no evidence against the target.
+    fn handle_unused(
         &mut self,
         now: clock::Millis,
         ticket: ids::Ticket,
--- a/src/coordination/failure_model.rs
+++ b/src/coordination/failure_model.rs
@@ -95,7 +95,8 @@
             | Outcome::NotRun
             | Outcome::Misplaced
             | Outcome::Unlisted
-            | Outcome::Withdrawn => return,
+            | Outcome::Withdrawn
+            | Outcome::Unreachable => return,
         };
         let before = self.decayed(now);
         let healthy = (1.0 - before.iter().sum::<f64>()) * likelihood.healthy;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod breadth;
 pub mod cell;
 pub mod claims;
+pub mod egress;
 pub mod ejection;
 pub mod evidence;
 pub mod failure_model;
--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -8,7 +8,7 @@
 use tokio::{sync as tokio_sync, time};
 
 use crate::coordination::{member as membership, readers};
-use crate::daemon::{control, home, member};
+use crate::daemon::{control, home, member, relay};
 use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, settings};
 use crate::transport::{pool, quic};
@@ -24,6 +24,7 @@
     home: sync::Arc<home::Home>,
     members: member::Handle,
     router: sync::Arc<control::ControlRouter>,
+    relay: sync::Arc<relay::Relay>,
 ) {
     while let Some(item) = incoming.recv().await {
         match item {
@@ -40,6 +41,20 @@
                     }
                 });
             }
+            quic::Incoming::Stream {
+                from,
+                purpose: peer::Purpose::Relay,
+                send,
+                recv,
+            } => {
+                let relay = relay.clone();
+                tokio::spawn(async move {
+                    let stream = Box::new(tokio::io::join(recv, send));
+                    if let Err(e) = relay.serve(stream).await {
+                        log::debug!("the stream of a relayed request from {from} failed: {e}");
+                    }
+                });
+            }
             quic::Incoming::Datagram { from, bytes } => members.deliver(from, bytes),
             quic::Incoming::Stream {
                 from,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -441,6 +441,40 @@
         self.known_targets.lock().expect("lock is not poisoned")
     }
 
+    /// Returns the bundle in force.
+    pub(super) fn bundle(&self) -> sync::Arc<bundle::Bundle> {
+        self.options.bundle.borrow().clone()
+    }
+
+    /// Returns the client of targets.
+    pub(super) fn client(&self) -> &exchange::TargetClient {
+        &self.options.client
+    }
+
+    /// Returns whether a target accepts requests from this daemon, by what it stated.
+    pub(super) fn accepts(&self, target: &str) -> bool {
+        let now = self.options.clock.now();
+        self.known_targets().accepts(now, target)
+    }
+
+    /// Records what a target of `service` stated in a response to this daemon.
+    pub(super) fn record_statement(
+        &self,
+        service: &str,
+        target: &str,
+        statement: &peer::Statement,
+    ) {
+        let now = self.options.clock.now();
+        if self.known_targets().record(now, target, statement) {
+            self.options.metrics.record_statement(service);
+            log::info!(
+                target = target, limit = format!("{:?}", statement.limit), leaving = statement.leaving,
+                pause_ms = statement.pause.0;
+                "a target states which requests it accepts"
+            );
+        }
+    }
+
     /// Returns what this entry knows of a cell's targets from their statements.
     fn known_of_cell(
         &self,
@@ -495,20 +529,9 @@
                 .record_summary(self.options.clock.now(), summary);
         };
         let record_statement = |target: &str, statement: &peer::Statement| {
-            let now = self.options.clock.now();
-            if self.known_targets().record(now, target, statement) {
-                self.options.metrics.record_statement(&service.name);
-                log::info!(
-                    target = target, limit = format!("{:?}", statement.limit), leaving = statement.leaving,
-                    pause_ms = statement.pause.0;
-                    "a target states which requests it accepts"
-                );
-            }
-        };
-        let accepts = |target: &str| {
-            let now = self.options.clock.now();
-            self.known_targets().accepts(now, target)
+            self.record_statement(&service.name, target, statement);
         };
+        let accepts = |target: &str| self.accepts(target);
         let claim = claim::Claim {
             claims: self.options.claims.as_ref(),
             scope: [&parsed.organisation, &service.name],
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -172,6 +172,8 @@
     Failed(Outcome, Refusal),
     /// The home abandoned the try while it was in flight.
     Abandoned,
+    /// This daemon reaches no target and no relay, so another grant would not help.
+    CutOff,
 }
 
 impl TryResult {
@@ -341,6 +343,12 @@
                 stream.report_outcome(outcome, None).await;
                 LastTry::Refusal(refusal)
             }
+            TryResult::CutOff => {
+                stream.report_outcome(Outcome::Withdrawn, None).await;
+                let refusal = Refusal::not_run(Cause::CutOff, Some(CONNECT_RETRY_AFTER));
+                let refusal = refusal.after_unknown_try(outgoing.unknown_cause);
+                return GrantResult::Answered(HomeResult::Refused(refusal));
+            }
             TryResult::Abandoned => {
                 outgoing.unknown_cause = Some(Cause::TargetTimeout);
                 LastTry::Refusal(Refusal::unknown(Cause::TargetTimeout))
@@ -392,24 +400,40 @@
         let began = client.clock.now();
         let usable = known.filter(|t| !t.leaving && (self.accepts)(name));
         let Some(target) = usable else {
-            log_try(outgoing, name, "slot returned unused", clock::Millis::ZERO);
+            log_try(
+                outgoing,
+                name,
+                None,
+                "slot returned unused",
+                clock::Millis::ZERO,
+            );
             return TryResult::not_sent(Outcome::Unlisted);
         };
-        let acquired = client
-            .pool
-            .acquire(target.address, outgoing.idempotent)
-            .await;
-        let mut connection = match acquired {
+        let to = pool::Destination {
+            name,
+            address: target.address,
+            idempotent: outgoing.idempotent,
+            direct: false,
+        };
+        let mut connection = match client.pool.acquire(to).await {
             Ok(connection) => connection,
             Err(e) => {
-                log_try(outgoing, name, &e.to_string(), client.clock.now() - began);
-                return TryResult::not_sent(Outcome::ConnectFailed);
+                let took = client.clock.now() - began;
+                log_try(outgoing, name, None, &e.to_string(), took);
+                return match e {
+                    pool::Error::NoPath => TryResult::CutOff,
+                    pool::Error::Unreachable { .. } => TryResult::not_sent(Outcome::Unreachable),
+                    pool::Error::Unlisted { .. } => TryResult::not_sent(Outcome::Unlisted),
+                    _ => TryResult::not_sent(Outcome::ConnectFailed),
+                };
             }
         };
         let Some(request) = outgoing.build(client, name) else {
             return TryResult::not_sent(Outcome::Withdrawn);
         };
         outgoing.tries += 1;
+        let relay = connection.relay().map(str::to_owned);
+        let relay = relay.as_deref();
         let at = client.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span();
         let sending = async {
             let sent = timers::timeout_at(at.into(), connection.send(request)).await;
@@ -419,14 +443,15 @@
             biased;
             done = sending => done,
             () = stream.wait_for_abandon() => {
-                log_try(outgoing, name, "abandoned by its home", client.clock.now() - began);
+                let took = client.clock.now() - began;
+                log_try(outgoing, name, relay, "abandoned by its home", took);
                 return TryResult::Abandoned;
             }
         };
         let took = client.clock.now() - began;
         match sent {
             Ok(Ok(response)) => {
-                log_try(outgoing, name, response.status().as_str(), took);
+                log_try(outgoing, name, relay, response.status().as_str(), took);
                 let (head, body) = response.into_parts();
                 TryResult::Response(Box::new(TargetResponse {
                     head,
@@ -436,14 +461,15 @@
                 }))
             }
             Ok(Err(e)) => {
-                log_try(outgoing, name, &e.to_string(), took);
+                log_try(outgoing, name, relay, &e.to_string(), took);
                 match e.never_sent() {
                     true => TryResult::not_sent(Outcome::ConnectFailed),
                     false => TryResult::unknown(Outcome::Broken, Cause::TargetBroke),
                 }
             }
             Err(_) => {
-                log_try(outgoing, name, "no answer before the deadline", took);
+                let result = "no answer before the deadline";
+                log_try(outgoing, name, relay, result, took);
                 TryResult::unknown(Outcome::TimedOut, Cause::TargetTimeout)
             }
         }
@@ -464,8 +490,8 @@
             keep_alive: pool::keep_alive_timeout(&received.head.headers),
             connection: received.connection,
             pool: self.client.pool.clone(),
-            stream,
-            deadline: self.client.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span(),
+            stream: Some(stream),
+            deadline: Some(self.client.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span()),
         });
         HomeResult::Response {
             response: response.map(|()| body.boxed_unsync()),
@@ -482,11 +508,17 @@
     Failed(LastTry, HomeStream),
 }
 
-/// Logs the result of one try.
-fn log_try(outgoing: &Outgoing, target: &str, result: &str, took: clock::Millis) {
+/// Logs the result of one try; `relay` is the daemon that relayed it, if one did.
+fn log_try(
+    outgoing: &Outgoing,
+    target: &str,
+    relay: Option<&str>,
+    result: &str,
+    took: clock::Millis,
+) {
     log::info!(
-        request = outgoing.name, id = outgoing.id.to_string(), target = target, result = result,
-        tries = outgoing.tries, took_ms = took.0;
+        request = outgoing.name, id = outgoing.id.to_string(), target = target,
+        relay = relay.unwrap_or_default(), result = result, tries = outgoing.tries, took_ms = took.0;
         "tried"
     );
 }
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -29,16 +29,16 @@
     pub keep_alive: clock::Millis,
     /// Takes the connection back when the body has ended.
     pub pool: sync::Arc<pool::Pool>,
-    /// The request's stream to its home.
-    pub stream: HomeStream,
-    /// When the body is truncated, if it has not ended by then.
-    pub deadline: time::Instant,
+    /// The request's stream to its home; absent for a relayed request.
+    pub stream: Option<HomeStream>,
+    /// When the body is truncated, if it has not ended by then; absent for a relayed request, whose other end does that.
+    pub deadline: Option<time::Instant>,
 }
 
 /// The body of a response; dropping it before its end closes the connection and cancels the request at its home.
 pub struct ForwardedBody {
     body: Incoming,
-    deadline: pin::Pin<Box<timers::Sleep>>,
+    deadline: Option<pin::Pin<Box<timers::Sleep>>>,
     resources: Option<Resources>,
     /// The error to return with the next poll, after which the body is truncated.
     error: Option<body::Error>,
@@ -49,7 +49,7 @@
     connection: pool::Connection,
     keep_alive: clock::Millis,
     pool: sync::Arc<pool::Pool>,
-    stream: HomeStream,
+    stream: Option<HomeStream>,
 }
 
 impl ForwardedBody {
@@ -57,7 +57,9 @@
     pub fn new(options: Options) -> ForwardedBody {
         let mut forwarded = ForwardedBody {
             body: options.body,
-            deadline: Box::pin(timers::sleep_until(options.deadline.into())),
+            deadline: options
+                .deadline
+                .map(|at| Box::pin(timers::sleep_until(at.into()))),
             resources: Some(Resources {
                 connection: options.connection,
                 keep_alive: options.keep_alive,
@@ -87,8 +89,10 @@
             return;
         };
         tokio::spawn(async move {
-            // If the stream is broken, the home frees the slot by itself.
-            let _ = resources.stream.send(&ToHome::Ended).await;
+            if let Some(stream) = &mut resources.stream {
+                // If the stream is broken, the home frees the slot by itself.
+                let _ = stream.send(&ToHome::Ended).await;
+            }
             resources
                 .pool
                 .release(resources.connection, resources.keep_alive)
@@ -109,7 +113,8 @@
             return task::Poll::Ready(Some(Err(error)));
         }
         // A body without end may be ready at each poll.
-        if self.resources.is_some() && self.deadline.as_mut().poll(cx).is_ready() {
+        let has_passed = |at: &mut pin::Pin<Box<timers::Sleep>>| at.as_mut().poll(cx).is_ready();
+        if self.resources.is_some() && self.deadline.as_mut().is_some_and(has_passed) {
             return self.truncate(cx, Box::new(body::Truncated));
         }
         let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -23,6 +23,8 @@
     refusals: Counter<u64>,
     restores: Counter<u64>,
     statements: Counter<u64>,
+    relayed: Counter<u64>,
+    cuts: Counter<u64>,
     platform_calls: Counter<u64>,
 }
 
@@ -74,6 +76,14 @@
                     "Changes of what targets state about the requests that they accept",
                 )
                 .build(),
+            relayed: meter
+                .u64_counter("peridotspread.egress.relay_tries")
+                .with_description("Tries to connect to targets through other daemons by result")
+                .build(),
+            cuts: meter
+                .u64_counter("peridotspread.egress.cuts")
+                .with_description("Times that the daemon was cut off from the targets")
+                .build(),
             platform_calls: meter
                 .u64_counter("peridotspread.platform.calls")
                 .with_description("Calls to the platform by kind and table")
@@ -117,6 +127,16 @@
         self.statements.add(1, &labels);
     }
 
+    /// Counts a try to connect to a target through another daemon.
+    pub fn record_relay_try(&self, result: &'static str) {
+        self.relayed.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts that the daemon was cut off from the targets.
+    pub fn record_cut(&self) {
+        self.cuts.add(1, &[]);
+    }
+
     /// Counts a call to the platform.
     pub fn record_platform_call(&self, kind: &'static str, table: &str) {
         self.platform_calls.add(
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,7 +5,8 @@
 //!
 //! A request is served as follows: the [`entry`] receives it, selects a cell and its [`home`], and requests a slot
 //! there; the home passes that to the actor of the [`cell`], which grants a slot at a target. The entry sends the
-//! request to the target ([`exchange`]) and streams the response to the caller ([`forward`]).
+//! request to the target ([`exchange`]) and streams the response to the caller ([`forward`]). A daemon that reaches no
+//! target opens its connections ([`egress`]) through other daemons ([`relay`]).
 
 pub mod admin;
 mod background;
@@ -14,6 +15,7 @@
 pub mod claim;
 pub mod claims;
 pub mod control;
+pub mod egress;
 pub mod entry;
 pub mod exchange;
 pub mod follower;
@@ -25,6 +27,7 @@
 pub mod metrics;
 mod node;
 pub mod registry;
+pub mod relay;
 mod stop;
 
 pub use node::{ConfigSource, Error, Parts, run, run_with, stop_signal};
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,8 +9,8 @@
 
 use crate::coordination::member as membership;
 use crate::daemon::{
-    admin, background, broadcast, cell, claims, control, entry, exchange, follower, home, lease,
-    links, member, metrics, registry,
+    admin, background, broadcast, cell, claims, control, egress, entry, exchange, follower, home,
+    lease, links, member, metrics, registry, relay,
 };
 use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
@@ -179,6 +179,7 @@
     members: member::Handle,
     home: sync::Arc<home::Home>,
     entry: sync::Arc<entry::Entry>,
+    relay: sync::Arc<relay::Relay>,
     admin: sync::Arc<admin::Admin>,
     draining: tokio_sync::watch::Receiver<bool>,
     tls: Option<sync::Arc<rustls::ServerConfig>>,
@@ -198,7 +199,6 @@
     hosts: sync::Arc<dyn platform::Hosts>,
     config: ConfigSource,
     dialect: sync::Arc<dyn dialect::Dialect>,
-    pool: sync::Arc<pool::Pool>,
     metrics: sync::Arc<metrics::Metrics>,
     peers: quic::Peers,
 }
@@ -214,7 +214,6 @@
     fn new(parts: Parts, peers: quic::Peers) -> Result<Shared, Error> {
         let (settings, incarnation) = (&parts.settings, parts.incarnation);
         let clock = clock::Clock::start();
-        let pool = pool::Pool::new(clock, settings.limits.head_bytes);
         let recorder = timeline::Recorder::new(&settings.name, incarnation);
         recorder.record(
             timeline::Kind::Started,
@@ -229,7 +228,6 @@
             hosts: parts.hosts,
             config: parts.config,
             dialect: parts.dialect,
-            pool: sync::Arc::new(pool),
             metrics: parts.metrics,
             peers,
         })
@@ -375,12 +373,29 @@
         home
     }
 
+    fn egress(&self, fleet: &Fleet) -> sync::Arc<egress::EgressConnector> {
+        let relays = egress::PeerRelays {
+            peers: self.peers.clone(),
+            view: fleet.view.clone(),
+        };
+        sync::Arc::new(egress::EgressConnector::new(egress::Options {
+            name: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
+            clock: self.clock,
+            view: fleet.view.clone(),
+            direct: sync::Arc::new(pool::TcpConnector),
+            relays: sync::Arc::new(relays),
+            metrics: self.metrics.clone(),
+        }))
+    }
+
     async fn entry(
         &self,
         fleet: &Fleet,
         bundle: &BundleReceiver,
         home: &sync::Arc<home::Home>,
         broadcaster: &sync::Arc<broadcast::Broadcaster>,
+        pool: &sync::Arc<pool::Pool>,
     ) -> Result<entry::Entry, Error> {
         let links = links::HomeLinks {
             name: self.settings.name.clone(),
@@ -399,7 +414,7 @@
             metrics: self.metrics.clone(),
             client: exchange::TargetClient {
                 clock: self.clock,
-                pool: self.pool.clone(),
+                pool: pool.clone(),
                 dialect: self.dialect.clone(),
             },
         }))
@@ -445,7 +460,17 @@
         let BundleSource { bundle, handler } = shared.bundle_source(&fleet).await?;
         let broadcaster = shared.broadcaster(&fleet);
         let home = shared.home(&fleet, &bundle, &broadcaster);
-        let entry = shared.entry(&fleet, &bundle, &home, &broadcaster).await?;
+        let egress = shared.egress(&fleet);
+        let head_bytes = shared.settings.limits.head_bytes;
+        let pool = pool::Pool::new(shared.clock, head_bytes, egress.clone());
+        let pool = sync::Arc::new(pool);
+        let entry = shared.entry(&fleet, &bundle, &home, &broadcaster, &pool);
+        let entry = sync::Arc::new(entry.await?);
+        let relay = sync::Arc::new(relay::Relay::new(relay::Options {
+            limits: shared.settings.limits.clone(),
+            entry: entry.clone(),
+            egress,
+        }));
         let admin = shared.admin(&fleet, &bundle, &home);
         let router = control::ControlRouter {
             broadcaster,
@@ -460,6 +485,7 @@
                 home.clone(),
                 members.clone(),
                 sync::Arc::new(router),
+                relay.clone(),
             )),
             tokio::spawn(background::forward_bundles(
                 bundle.clone(),
@@ -469,7 +495,7 @@
             tokio::spawn(background::forward_limits(bundle.clone(), limits)),
             tokio::spawn(background::follow_hosts(shared.hosts, members.clone())),
             tokio::spawn(background::forward_views(fleet.view, home.clone())),
-            tokio::spawn(background::close_idle_connections(shared.pool.clone())),
+            tokio::spawn(background::close_idle_connections(pool)),
         ];
         Ok(Node {
             settings: shared.settings,
@@ -477,7 +503,8 @@
             peers: shared.peers,
             members,
             home,
-            entry: sync::Arc::new(entry),
+            entry,
+            relay,
             draining: admin.draining.subscribe(),
             admin: sync::Arc::new(admin),
             tls,
@@ -544,6 +571,7 @@
         if let Err(e) = caller_server.await {
             log::error!("the server for callers failed: {e}");
         }
+        self.relay.drain().await;
         self.recorder
             .record(timeline::Kind::Stopped, timeline::Subject::default(), "");
         stop_admin.send_replace(true);
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -10,5 +10,6 @@
 pub mod platform;
 pub mod problem;
 pub mod refusal;
+pub mod relay;
 pub mod rollout;
 pub mod source;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -126,6 +126,9 @@
     Unlisted,
     /// The entry released the slot without using it.
     Withdrawn,
+    /// The entry found no path to the target, neither its own nor through a relay. Nothing was sent, and it is no
+    /// evidence against the target.
+    Unreachable,
 }
 
 impl Outcome {
@@ -239,6 +242,8 @@
     /// One [`ControlMessage`] and its reply.
     #[serde(rename = "Note")]
     Control,
+    /// One request to a target, by [`super::relay`].
+    Relay,
 }
 
 /// A message between daemons outside the path of a request.
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -79,6 +79,8 @@
     TargetTimeout,
     /// The connection to the home was lost after the request was handed to it.
     HomeLost,
+    /// This daemon reaches no target, and no other daemon relays its requests.
+    CutOff,
 }
 
 /// A refusal, as sent by homes and reported to callers.
@@ -125,7 +127,7 @@
 
 impl Cause {
     /// All causes, in the order of the reference page.
-    pub const ALL: [Cause; 22] = [
+    pub const ALL: [Cause; 23] = [
         Cause::NoBundle,
         Cause::NoRoute,
         Cause::UnknownCaller,
@@ -148,6 +150,7 @@
         Cause::TargetBroke,
         Cause::TargetTimeout,
         Cause::HomeLost,
+        Cause::CutOff,
     ];
 
     /// Returns the name that is used in problem types, the time line and metrics.
@@ -175,6 +178,7 @@
             Cause::TargetBroke => "target-broke",
             Cause::TargetTimeout => "target-timeout",
             Cause::HomeLost => "home-lost",
+            Cause::CutOff => "cut-off",
         }
     }
 
@@ -205,6 +209,7 @@
             Cause::TargetBroke => "The target broke the connection during the request",
             Cause::TargetTimeout => "The target did not answer before the deadline",
             Cause::HomeLost => "The daemon that handed the request to a target was lost",
+            Cause::CutOff => "The daemon reaches no target and no daemon that relays",
         }
     }
 
@@ -230,7 +235,8 @@
             | Cause::Quarantined
             | Cause::ClaimUnavailable
             | Cause::TargetShed
-            | Cause::ConnectFailed => StatusCode::SERVICE_UNAVAILABLE,
+            | Cause::ConnectFailed
+            | Cause::CutOff => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -1,25 +1,30 @@
 //! Connections to targets: HTTP/1.1 by `hyper`, one request at a time, pooled for reuse.
 //!
-//! A connection returns to the [`Pool`] only after its response has been read to the end; one whose request was
-//! abandoned is closed. The cell's slots limit the connections of a home to one target.
+//! A [`Connector`] opens the connections, directly or through a relay. A direct connection returns to the [`Pool`] only
+//! after its response has been read to the end; one whose request was abandoned is closed. The cell's slots limit the
+//! connections of a home to one target.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net;
 use std::sync;
 
+use futures_util::future;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use snafu::ResultExt;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::{net as tcp, task, time};
 
+use crate::protocol::relay;
 use crate::state::clock;
 use crate::transport::{body, head_limit};
 
 /// How long a target may take to accept a connection: several round trips between failure domains, and far less than
 /// a caller waits, so that the request can still be sent to another target.
-const CONNECT_TIMEOUT: clock::Millis = clock::Millis(300);
+pub const CONNECT_TIMEOUT: clock::Millis = clock::Millis(300);
 /// How long a connection may have been idle to be reused for a request that must not be sent twice.
 const NON_IDEMPOTENT_IDLE: clock::Millis = clock::Millis(500);
 /// How long an idle connection is kept.
@@ -50,9 +55,27 @@
         /// The target's address.
         address: net::SocketAddr,
     },
+    /// This daemon found no path to the target, which says nothing about the target; nothing was sent.
+    #[snafu(display("found no path to the target at {address}"))]
+    Unreachable {
+        /// The target's address.
+        address: net::SocketAddr,
+    },
+    /// This daemon is cut off from the targets, and no relay can be used; nothing was sent.
+    #[snafu(display("cut off from the targets, and no daemon relays requests"))]
+    NoPath,
+    /// The relays do not send requests to the target, by what they know of it; nothing was sent.
+    #[snafu(display("the relays do not send requests to the target at {address}"))]
+    Unlisted {
+        /// The target's address.
+        address: net::SocketAddr,
+    },
     /// The connection was closed before the request was sent.
     #[snafu(display("the connection to the target was closed before the request was sent"))]
     NotSent,
+    /// The relay's connection to the target broke, or the relay's response proves nothing.
+    #[snafu(display("the relay's connection to the target broke during the request"))]
+    RelayBroken,
     /// The connection broke after the request, or a part of it, was sent.
     #[snafu(display("the connection to the target broke during the request"))]
     Broken {
@@ -64,7 +87,72 @@
 impl Error {
     /// Returns whether it is certain that no part of the request reached the target.
     pub fn never_sent(&self) -> bool {
-        !matches!(self, Error::Broken { .. })
+        !matches!(self, Error::Broken { .. } | Error::RelayBroken)
+    }
+}
+
+/// A target to connect to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Destination<'a> {
+    /// The target's name in the bundle.
+    pub name: &'a str,
+    /// The target's address.
+    pub address: net::SocketAddr,
+    /// Whether the request may be sent on a connection that was idle for long.
+    pub idempotent: bool,
+    /// Whether the connection must be direct.
+    pub direct: bool,
+}
+
+/// A byte stream in both directions.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin> Stream for S {}
+
+/// A stream to a target that was opened.
+pub struct Opened {
+    /// The stream.
+    pub stream: Box<dyn Stream>,
+    /// The daemon that relays the request; absent for a direct connection.
+    pub relay: Option<String>,
+}
+
+/// Opens streams to targets.
+pub trait Connector: Send + Sync {
+    /// Opens a stream to a target; nothing is sent before the caller writes to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no stream could be opened in time.
+    fn connect<'a>(&'a self, to: Destination<'a>) -> future::BoxFuture<'a, Result<Opened, Error>>;
+
+    /// Returns whether direct connections that were idle may be used: they may hang if this daemon is cut off.
+    fn trusts_idle(&self) -> bool;
+}
+
+/// Opens TCP connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpConnector;
+
+impl Connector for TcpConnector {
+    fn connect<'a>(&'a self, to: Destination<'a>) -> future::BoxFuture<'a, Result<Opened, Error>> {
+        let address = to.address;
+        Box::pin(async move {
+            let connecting = tcp::TcpStream::connect(address);
+            let Ok(connected) = time::timeout(CONNECT_TIMEOUT.span(), connecting).await else {
+                return ConnectTimeoutSnafu { address }.fail();
+            };
+            let stream = connected.context(ConnectSnafu { address })?;
+            stream.set_nodelay(true).context(ConnectSnafu { address })?;
+            Ok(Opened {
+                stream: Box::new(stream),
+                relay: None,
+            })
+        })
+    }
+
+    fn trusts_idle(&self) -> bool {
+        true
     }
 }
 
@@ -72,6 +160,8 @@
 #[derive(Debug)]
 pub struct Connection {
     address: net::SocketAddr,
+    /// The daemon that relays the request; absent for a direct connection.
+    relay: Option<String>,
     sender: http1::SendRequest<body::Body>,
     /// Limits what is read until the head of a response is complete.
     limit: head_limit::HeadLimit,
@@ -86,13 +176,21 @@
 }
 
 /// The idle connections by target.
-#[derive(Debug)]
 pub struct Pool {
     clock: clock::Clock,
     head_bytes: usize,
+    connector: sync::Arc<dyn Connector>,
     idle: sync::Mutex<BTreeMap<net::SocketAddr, Vec<Idle>>>,
 }
 
+impl fmt::Debug for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pool")
+            .field("idle", &self.idle)
+            .finish_non_exhaustive()
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -109,40 +207,42 @@
 
 impl Pool {
     /// Creates an empty pool whose connections reject response heads of more than `head_bytes`.
-    pub fn new(clock: clock::Clock, head_bytes: usize) -> Pool {
+    pub fn new(
+        clock: clock::Clock,
+        head_bytes: usize,
+        connector: sync::Arc<dyn Connector>,
+    ) -> Pool {
         Pool {
             clock,
             head_bytes,
+            connector,
             idle: sync::Mutex::default(),
         }
     }
 
-    /// Returns an idle connection to the target at `address`, or a new one.
+    /// Returns an idle connection to a target, or a new one.
     ///
-    /// A request that is not `idempotent` gets a new connection or one that was idle only briefly, because a
-    /// target may close an idle connection while the request is on its way.
+    /// A request that is not idempotent gets a new connection or one that was idle only briefly, because a target may
+    /// close an idle connection while the request is on its way.
     ///
     /// # Errors
     ///
-    /// Returns an error if the target does not accept a connection in time.
+    /// Returns an error if no connection is established in time.
     ///
     /// # Panics
     ///
     /// Panics if a holder of the pool's lock panicked.
-    pub async fn acquire(
-        &self,
-        address: net::SocketAddr,
-        idempotent: bool,
-    ) -> Result<Connection, Error> {
-        let max_idle = if idempotent {
-            IDLE_TIMEOUT
-        } else {
-            NON_IDEMPOTENT_IDLE
+    pub async fn acquire(&self, to: Destination<'_>) -> Result<Connection, Error> {
+        let max_idle = match to.idempotent {
+            true => IDLE_TIMEOUT,
+            false => NON_IDEMPOTENT_IDLE,
         };
-        if let Some(connection) = self.take_idle(address, max_idle) {
+        if self.connector.trusts_idle()
+            && let Some(connection) = self.take_idle(to.address, max_idle)
+        {
             return Ok(connection);
         }
-        self.connect(address).await
+        self.connect(to).await
     }
 
     fn take_idle(&self, address: net::SocketAddr, max_idle: clock::Millis) -> Option<Connection> {
@@ -157,13 +257,9 @@
         list.pop().map(|i| i.connection)
     }
 
-    async fn connect(&self, address: net::SocketAddr) -> Result<Connection, Error> {
-        let connecting = time::timeout(CONNECT_TIMEOUT.span(), tcp::TcpStream::connect(address));
-        let Ok(connected) = connecting.await else {
-            return ConnectTimeoutSnafu { address }.fail();
-        };
-        let stream = connected.context(ConnectSnafu { address })?;
-        stream.set_nodelay(true).context(ConnectSnafu { address })?;
+    async fn connect(&self, to: Destination<'_>) -> Result<Connection, Error> {
+        let address = to.address;
+        let Opened { stream, relay } = self.connector.connect(to).await?;
         let head_bytes = self.head_bytes.max(MIN_BUFFER_BYTES);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(head_bytes);
@@ -179,6 +275,7 @@
         });
         Ok(Connection {
             address,
+            relay,
             sender,
             limit,
             head_bytes,
@@ -186,13 +283,14 @@
         })
     }
 
-    /// Returns a connection whose response has been read to the end to the pool, which reuses it for at most `keep`.
+    /// Returns a connection whose response has been read to the end to the pool, which reuses it for at most `keep`. A
+    /// relayed one is closed, since the relay itself keeps the connection to the target.
     ///
     /// # Panics
     ///
     /// Panics if a holder of the pool's lock panicked.
     pub async fn release(&self, mut connection: Connection, keep: clock::Millis) {
-        if connection.sender.ready().await.is_err() {
+        if connection.relay.is_some() || connection.sender.ready().await.is_err() {
             return;
         }
         let since = self.clock.now();
@@ -237,6 +335,11 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 impl Connection {
+    /// Returns the daemon that relays the request; absent for a direct connection.
+    pub fn relay(&self) -> Option<&str> {
+        self.relay.as_deref()
+    }
+
     /// Sends a request and returns the response head; the body is read from the connection.
     ///
     /// # Errors
@@ -251,7 +354,10 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.limit.end();
-                Ok(response)
+                match self.relay {
+                    Some(_) => check_relayed(response),
+                    None => Ok(response),
+                }
             }
             Err(mut e) => match e.take_message() {
                 Some(_) => NotSentSnafu.fail(),
@@ -260,3 +366,12 @@
         }
     }
 }
+
+/// Returns the target's response in the response of a relay.
+fn check_relayed(mut response: Response<Incoming>) -> Result<Response<Incoming>, Error> {
+    match relay::RelayResult::take(response.headers_mut()) {
+        relay::RelayResult::Answered => Ok(response),
+        relay::RelayResult::NotSent => NotSentSnafu.fail(),
+        relay::RelayResult::Broken => RelayBrokenSnafu.fail(),
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod channel;
 mod check;
+mod egress;
 mod findings;
 mod freshness;
 mod homes;
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -93,7 +93,11 @@
         metrics: sync::Arc::new(metrics::Metrics::new().unwrap()),
         client: exchange::TargetClient {
             clock,
-            pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes)),
+            pool: sync::Arc::new(pool::Pool::new(
+                clock,
+                limits.head_bytes,
+                sync::Arc::new(pool::TcpConnector),
+            )),
             dialect: sync::Arc::new(dialect::Native),
         },
     }));
