daemon: a relay replies before its daemon gives up, so that a dark target makes no relay count as unusable

A relay now gives up 40 ms earlier. With it come tests of what a daemon concludes from each reply and mark of a relay; they need no network.

--- a/src/daemon/egress.rs
+++ b/src/daemon/egress.rs
@@ -17,6 +17,9 @@
 use crate::state::clock;
 use crate::transport::pool::{self, Connector, Destination, Opened};
 
+/// How much earlier than the daemon a relay gives up, so that its reply arrives in time: several round trips.
+const REPLY_MARGIN: clock::Millis = clock::Millis(40);
+
 /// Opens streams to relays.
 pub trait Relays: Send + Sync {
     /// Opens a stream to the daemon `name`; returns `None` if it is unreachable or not known.
@@ -255,7 +258,7 @@
         let request = relay::RelayRequest {
             target: to.name.to_owned(),
             idempotent: to.idempotent,
-            timeout: clock::Millis(left.as_millis() as u64),
+            timeout: clock::Millis(left.as_millis() as u64) - REPLY_MARGIN,
         };
         // A stream that breaks makes the relay unusable, whatever the reason.
         frame::send(&mut stream, &request).await.ok()?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod readers;
 mod refusal;
 mod registry;
+mod relay;
 mod restore;
 mod service;
 mod shutdown;
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -1,4 +1,5 @@
-//! The request path of one daemon without peers: its entry, its own home, and a target whose responses a test defines.
+//! The request path of one daemon: its entry, its own home, and a target whose responses a test defines. Its only peers
+//! are relays that a test plays.
 
 use std::convert;
 use std::net;
@@ -12,7 +13,7 @@
 use hyper::service;
 use hyper_util::rt;
 use peridotspread::coordination::member;
-use peridotspread::daemon::{broadcast, cell, claims, entry, exchange, home, metrics};
+use peridotspread::daemon::{broadcast, cell, claims, egress, entry, exchange, home, metrics};
 use peridotspread::protocol::{dialect, frame, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
 use peridotspread::transport::{body, http as server, pool};
@@ -44,19 +45,40 @@
     respond: Respond,
     limits: settings::Limits,
 ) -> Daemon {
-    start(test, respond, limits, None).await
+    start(test, respond, limits, None, None).await
+}
+
+/// Starts a daemon that opens connections to its target by `direct` or through the relays `r1` and `r2`.
+pub(crate) async fn daemon_with_relays(
+    test: &str,
+    direct: sync::Arc<dyn pool::Connector>,
+    relays: sync::Arc<dyn egress::Relays>,
+) -> Daemon {
+    let limits = settings::Limits::default();
+    let never = |_| -> future::BoxFuture<'static, Response<body::Body>> {
+        Box::pin(std::future::pending())
+    };
+    start(test, never, limits, None, Some((direct, relays))).await
 }
 
 /// Starts a daemon as [`daemon`] does, whose home grants the target `grants` times for each request and is then lost.
 pub(crate) async fn daemon_with_lost_home(test: &str, respond: Respond, grants: u32) -> Daemon {
-    start(test, respond, settings::Limits::default(), Some(grants)).await
+    let limits = settings::Limits::default();
+    start(test, respond, limits, Some(grants), None).await
 }
 
+/// The direct connector and the relays of a daemon.
+type Paths = (
+    sync::Arc<dyn pool::Connector>,
+    sync::Arc<dyn egress::Relays>,
+);
+
 async fn start(
     test: &str,
     respond: Respond,
     limits: settings::Limits,
     grants: Option<u32>,
+    paths: Option<Paths>,
 ) -> Daemon {
     let target = target(respond).await;
     let mut own = fleet::files(test).settings("d1");
@@ -64,7 +86,25 @@
     let clock = clock::Clock::start();
     let recorder = sync::Arc::new(timeline::Recorder::new("d1", ids::Incarnation(1)));
     let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target)));
-    let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&own)));
+    let mut members = view_of(&own);
+    for relay in ["r1", "r2"].into_iter().filter(|_| paths.is_some()) {
+        let member = members.members["d1"].clone();
+        members.members.insert(relay.to_owned(), member);
+    }
+    let (view, view_seen) = watch::channel(sync::Arc::new(members));
+    let metrics = sync::Arc::new(metrics::Metrics::new().unwrap());
+    let connector: sync::Arc<dyn pool::Connector> = match paths {
+        None => sync::Arc::new(pool::TcpConnector),
+        Some((direct, relays)) => sync::Arc::new(egress::EgressConnector::new(egress::Options {
+            name: "d1".to_owned(),
+            domain: own.domain.clone(),
+            clock,
+            view: view_seen.clone(),
+            direct,
+            relays,
+            metrics: metrics.clone(),
+        })),
+    };
     let home = sync::Arc::new(home::Home::new(home::Options {
         name: "d1".to_owned(),
         clock,
@@ -90,14 +130,10 @@
         links: sync::Arc::new(OwnHome { home, grants }),
         claims: sync::Arc::new(claims::NoClaims),
         broadcaster,
-        metrics: sync::Arc::new(metrics::Metrics::new().unwrap()),
+        metrics,
         client: exchange::TargetClient {
             clock,
-            pool: sync::Arc::new(pool::Pool::new(
-                clock,
-                limits.head_bytes,
-                sync::Arc::new(pool::TcpConnector),
-            )),
+            pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes, connector)),
             dialect: sync::Arc::new(dialect::Native),
         },
     }));
