coordination: relays are ranked once per view, not for each connection

Each connection that a request needed hashed and sorted all live daemons, which at 2,600 of them costs more than the connection. The best 16 of a view are kept now.

--- a/src/coordination/egress.rs
+++ b/src/coordination/egress.rs
@@ -12,6 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net;
+use std::sync;
 
 use crate::coordination::{homes, member};
 use crate::state::clock;
@@ -22,6 +23,8 @@
 pub const STAGGER: clock::Millis = clock::Millis(60);
 /// The most relays that one connection is tried through.
 const MAX_RELAYS: usize = 3;
+/// The number of best relays that are kept of a view, since all others are used only if these are blocked.
+const RANKED_RELAYS: usize = 16;
 /// The number of targets that relays reached and the daemon did not, from which on it counts as cut off.
 const CUT_OFF_TARGETS: usize = 2;
 /// The time between two direct tries of a daemon that is cut off.
@@ -89,6 +92,9 @@
     /// When a direct connection is tried next while the daemon is cut off.
     next_trial: clock::Millis,
     relays: BTreeMap<String, Relay>,
+    /// The best relays of the view that they were ranked by.
+    ranked: Vec<String>,
+    ranked_by: Option<sync::Arc<member::View>>,
     /// The number of plans, by which relays take turns.
     plans: usize,
 }
@@ -112,6 +118,8 @@
             reached_at: None,
             next_trial: clock::Millis::ZERO,
             relays: BTreeMap::new(),
+            ranked: Vec::new(),
+            ranked_by: None,
             plans: 0,
         }
     }
@@ -124,8 +132,9 @@
     /// Returns the paths by which a connection that a request needs now is tried.
     ///
     /// A plan without any path means that the request cannot be sent now.
-    pub fn plan(&mut self, now: clock::Millis, view: &member::View) -> Plan {
-        let relays = self.usable_relays(now, view);
+    pub fn plan(&mut self, now: clock::Millis, view: &sync::Arc<member::View>) -> Plan {
+        self.rank_relays(view);
+        let relays = self.usable_relays(now);
         if !self.is_cut_off() {
             return Plan {
                 direct: true,
@@ -148,31 +157,41 @@
         }
     }
 
-    /// Returns the relays that may be used, best first: those of other failure domains, since a fault of the network
-    /// often affects a whole domain. The first few take turns.
-    fn usable_relays(&mut self, now: clock::Millis, view: &member::View) -> Vec<String> {
-        self.relays
-            .retain(|name, _| view.members.contains_key(name));
-        let is_usable = |name: &String, member: &member::Member| {
-            let relay = self.relays.get(name);
-            *name != self.name
-                && member.liveness == member::Liveness::Alive
-                && relay.is_none_or(|r| r.blocked_until <= now)
+    /// Ranks the live daemons as relays, if the view has changed: those of other failure domains come first, since a
+    /// fault of the network often affects a whole domain.
+    fn rank_relays(&mut self, view: &sync::Arc<member::View>) {
+        let is_current = |ranked_by: &sync::Arc<member::View>| sync::Arc::ptr_eq(ranked_by, view);
+        if self.ranked_by.as_ref().is_some_and(is_current) {
+            return;
+        }
+        let is_relay = |name: &String, member: &member::Member| {
+            *name != self.name && member.liveness == member::Liveness::Alive
         };
         let members = view.members.iter();
-        let mut usable: Vec<_> = members
-            .filter(|(name, member)| is_usable(name, member))
+        let mut ranked: Vec<_> = members
+            .filter(|(name, member)| is_relay(name, member))
             .map(|(name, member)| {
                 let rank = homes::hash(&["relay", &self.name, name]);
                 (member.domain == self.domain, rank, name)
             })
             .collect();
-        usable.sort_unstable();
-        usable.truncate(MAX_RELAYS);
-        let mut relays: Vec<_> = usable
+        ranked.sort_unstable();
+        ranked.truncate(RANKED_RELAYS);
+        self.ranked = ranked
             .into_iter()
             .map(|(_, _, name)| name.clone())
             .collect();
+        self.ranked_by = Some(view.clone());
+        self.relays
+            .retain(|name, _| view.members.contains_key(name));
+    }
+
+    /// Returns the relays that may be used, of which the first few take turns.
+    fn usable_relays(&mut self, now: clock::Millis) -> Vec<String> {
+        let is_blocked =
+            |name: &String| self.relays.get(name).is_some_and(|r| r.blocked_until > now);
+        let usable = self.ranked.iter().filter(|name| !is_blocked(name));
+        let mut relays: Vec<_> = usable.take(MAX_RELAYS).cloned().collect();
         self.plans = self.plans.wrapping_add(1);
         let turn = self.plans.checked_rem(relays.len()).unwrap_or_default();
         relays.rotate_left(turn);
--- a/tests/testsuite/egress.rs
+++ b/tests/testsuite/egress.rs
@@ -1,6 +1,7 @@
 //! Whether a daemon connects to targets itself or through other daemons.
 
 use std::net;
+use std::sync;
 
 use peridotspread::coordination::egress::{Change, Egress, Plan, RelayTry, Verdict};
 use peridotspread::coordination::member;
@@ -8,7 +9,7 @@
 use peridotspread::state::ids;
 
 /// Returns a view of daemons `a-0`, `a-1`, ... in the failure domain `a`, and so on.
-fn view(domains: &[(&str, usize)]) -> member::View {
+fn view(domains: &[(&str, usize)]) -> sync::Arc<member::View> {
     let mut view = member::View::default();
     for (domain, count) in domains {
         for n in 0..*count {
@@ -22,7 +23,7 @@
             view.members.insert(format!("{domain}-{n}"), member);
         }
     }
-    view
+    sync::Arc::new(view)
 }
 
 fn target(n: u8) -> net::SocketAddr {
