daemon: a connection that all paths refuse fails at once

The connector waited for the rest of its 300 ms once every path had failed, since the timer was the only branch left. A request to a target that had crashed was held for that time before its home granted another. Found by reading the code; the test passes now, and was not run on the code before.

--- a/src/daemon/egress.rs
+++ b/src/daemon/egress.rs
@@ -123,11 +123,14 @@
                 () = time::sleep_until(end) => break,
                 else => break,
             };
-            match self.record(tried, to, &mut failures) {
-                Some(opened) => return Ok(opened),
-                None if self.is_decided(&failures) => break,
-                None => next_relay = time::Instant::now(),
+            if let Some(opened) = self.record(tried, to, &mut failures) {
+                return Ok(opened);
             }
+            let is_exhausted = tries.is_empty() && relays.len() == 0;
+            if is_exhausted || self.is_decided(&failures) {
+                break;
+            }
+            next_relay = time::Instant::now();
         }
         drop(tries);
         Err(self.error(plan, to, failures))
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -3,6 +3,7 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use futures_util::future;
 use http::StatusCode;
@@ -12,7 +13,7 @@
 use peridotspread::transport::{body, pool};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 
-use crate::support::path::{daemon_with_relays, request};
+use crate::support::path::{connector, daemon_with_relays, request};
 
 /// What the relays of a test do with a stream.
 #[derive(Clone, Copy)]
@@ -64,7 +65,7 @@
     }
 }
 
-/// A direct connector that reaches no target.
+/// A direct connector whose connections are refused.
 struct NoTargets;
 
 impl pool::Connector for NoTargets {
@@ -73,7 +74,8 @@
         to: pool::Destination<'a>,
     ) -> future::BoxFuture<'a, Result<pool::Opened, pool::Error>> {
         let address: net::SocketAddr = to.address;
-        Box::pin(async move { Err(pool::Error::ConnectTimeout { address }) })
+        let source = std::io::ErrorKind::ConnectionRefused.into();
+        Box::pin(async move { Err(pool::Error::Connect { address, source }) })
     }
 
     fn trusts_idle(&self) -> bool {
@@ -135,6 +137,29 @@
     assert_eq!(sent, (StatusCode::BAD_GATEWAY, 1));
 }
 
+// It waited for the rest of the time that a connection may take.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_all_paths_refuse_fails_at_once() {
+    let relays = ScriptedRelays {
+        script: Script::Reply(RelayReply::ConnectFailed),
+        received: sync::Arc::default(),
+    };
+    let connector = connector(sync::Arc::new(NoTargets), sync::Arc::new(relays));
+    let to = pool::Destination {
+        name: "web-1",
+        address: "127.0.0.1:9".parse().unwrap(),
+        idempotent: false,
+        direct: false,
+    };
+    let began = time::Instant::now();
+    let failed = pool::Connector::connect(&connector, to).await.err();
+    assert!(
+        matches!(failed, Some(pool::Error::Connect { .. })),
+        "{failed:?}"
+    );
+    assert!(began.elapsed() < pool::CONNECT_TIMEOUT.span() / 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_no_relay_takes_is_refused_as_not_run() {
     for (test, reply) in [
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -86,24 +86,11 @@
     let clock = clock::Clock::start();
     let recorder = sync::Arc::new(timeline::Recorder::new("d1", ids::Incarnation(1)));
     let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target)));
-    let mut members = view_of(&own);
-    for relay in ["r1", "r2"].into_iter().filter(|_| paths.is_some()) {
-        let member = members.members["d1"].clone();
-        members.members.insert(relay.to_owned(), member);
-    }
-    let (view, view_seen) = watch::channel(sync::Arc::new(members));
+    let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&["d1"])));
     let metrics = sync::Arc::new(metrics::Metrics::new().unwrap());
-    let connector: sync::Arc<dyn pool::Connector> = match paths {
+    let pool_connector: sync::Arc<dyn pool::Connector> = match paths {
         None => sync::Arc::new(pool::TcpConnector),
-        Some((direct, relays)) => sync::Arc::new(egress::EgressConnector::new(egress::Options {
-            name: "d1".to_owned(),
-            domain: own.domain.clone(),
-            clock,
-            view: view_seen.clone(),
-            direct,
-            relays,
-            metrics: metrics.clone(),
-        })),
+        Some((direct, relays)) => sync::Arc::new(connector(direct, relays)),
     };
     let home = sync::Arc::new(home::Home::new(home::Options {
         name: "d1".to_owned(),
@@ -133,7 +120,7 @@
         metrics,
         client: exchange::TargetClient {
             clock,
-            pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes, connector)),
+            pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes, pool_connector)),
             dialect: sync::Arc::new(dialect::Native),
         },
     }));
@@ -192,19 +179,40 @@
     bundle::parse("bundle.toml", &text).unwrap()
 }
 
-fn view_of(own: &settings::Settings) -> member::View {
-    let local = member::Member {
-        peer: own.peer,
-        domain: own.domain.clone(),
+/// Returns a view of daemons of one failure domain.
+fn view_of(names: &[&str]) -> member::View {
+    let daemon = member::Member {
+        peer: "127.0.0.1:9".parse().unwrap(),
+        domain: "lahore-1".to_owned(),
         incarnation: ids::Incarnation(1),
         liveness: member::Liveness::Alive,
         version: 1,
     };
+    let members = names
+        .iter()
+        .map(|name| ((*name).to_owned(), daemon.clone()));
     member::View {
-        members: [("d1".to_owned(), local)].into(),
+        members: members.collect(),
     }
 }
 
+/// Returns the connector of the daemon `d1`, whose relays are `r1` and `r2`.
+pub(crate) fn connector(
+    direct: sync::Arc<dyn pool::Connector>,
+    relays: sync::Arc<dyn egress::Relays>,
+) -> egress::EgressConnector {
+    let view = sync::Arc::new(view_of(&["d1", "r1", "r2"]));
+    egress::EgressConnector::new(egress::Options {
+        name: "d1".to_owned(),
+        domain: "lahore-1".to_owned(),
+        clock: clock::Clock::start(),
+        view: watch::channel(view).1,
+        direct,
+        relays,
+        metrics: sync::Arc::new(metrics::Metrics::new().unwrap()),
+    })
+}
+
 struct OwnHome {
     home: sync::Arc<home::Home>,
     /// The number of grants for each request after which the home is lost; absent if it is never lost.
