protocol: messages between daemons grow by extensions, and the version is negotiated

Messages are positional and all builds offered one ALPN protocol, so a field more would have been misread by a daemon of the other build while hosts are replaced one after the other.

A message may now be followed by tagged fields. Connections offer versions 2 and 1; datagrams state their sender's version. A slot request carries its organisation, route and length in the extension.

Ruled out: fields inside the messages behind a version of the codec, which needs two forms of each message.

Not yet tested with processes of both builds.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -23,6 +23,7 @@
         leaving: false,
     });
     bundle::Service {
+        order: bundle::Order::default(),
         name: name.to_owned(),
         floor: 1,
         deadline_ms: Millis(10_000),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -289,6 +289,8 @@
 
     fn bundle(&self, targets: &target::Targets) -> bundle::Bundle {
         let organisation = |tier: &&str| bundle::Organisation {
+            burst: 0.0,
+            rate: None,
             name: format!("org-{tier}"),
             tier: (*tier).to_owned(),
             credentials: vec![digest(&token(tier))],
@@ -297,6 +299,7 @@
             name: (*name).to_owned(),
         };
         bundle::Bundle {
+            precedence: bundle::Precedence::default(),
             version: 1,
             callers: None,
             tiers: TIERS.iter().map(tier).collect(),
@@ -326,6 +329,7 @@
             })
         });
         bundle::Service {
+            order: bundle::Order::default(),
             name: service.name.clone(),
             floor: service.floor,
             deadline_ms: clock::Millis(5_000),
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -247,7 +247,7 @@
             wall: Millis(EPOCH_MS + self.now.0),
             count: 0,
         };
-        let datagram = gossip::Datagram { stamp, message };
+        let datagram = gossip::Datagram::new(stamp, message);
         let bytes = gossip::encode(&datagram).expect("every datagram can be encoded");
         self.sent.messages += 1;
         self.sent.bytes += bytes.len() as u64;
--- a/crates/lab/src/replay/scenario.rs
+++ b/crates/lab/src/replay/scenario.rs
@@ -288,6 +288,7 @@
         .ejectable
         .map_or(service.floor, |n| service.targets - n.min(service.targets));
     bundle::Service {
+        order: bundle::Order::default(),
         name: service.name.clone(),
         floor,
         deadline_ms: clock::Millis(10_000),
--- a/crates/lab/tests/testsuite/membership_properties.rs
+++ b/crates/lab/tests/testsuite/membership_properties.rs
@@ -186,7 +186,7 @@
                 let member::Action::Send { message, .. } = action else {
                     continue;
                 };
-                let datagram = gossip::Datagram { stamp: Default::default(), message };
+                let datagram = gossip::Datagram::new(Default::default(), message);
                 prop_assert!(gossip::encode(&datagram).unwrap().len() <= gossip::MAX_BYTES);
             }
             let own = table.view().members["d0"].liveness;
@@ -201,7 +201,7 @@
 
     #[test]
     fn a_datagram_decodes_to_what_was_encoded(message in message()) {
-        let datagram = gossip::Datagram { stamp: Default::default(), message };
+        let datagram = gossip::Datagram::new(Default::default(), message);
         let bytes = gossip::encode(&datagram).unwrap();
         prop_assert_eq!(gossip::decode(&bytes).unwrap(), datagram);
     }
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use crate::daemon::{broadcast, home};
-use crate::protocol::{frame, peer};
+use crate::protocol::{frame, peer, version};
 use crate::transport::quic;
 
 /// Routes control messages.
@@ -29,11 +29,16 @@
         mut send: quic::SendStream,
     ) -> Result<(), frame::Error> {
         let message = frame::receive(&mut recv).await?;
-        let reply = self.handle(from, message).await;
+        let reply = self.handle(from, send.version(), message).await;
         frame::send(&mut send, &reply).await
     }
 
-    async fn handle(&self, from: &str, message: peer::ControlMessage) -> peer::ControlMessage {
+    async fn handle(
+        &self,
+        from: &str,
+        version: version::Version,
+        message: peer::ControlMessage,
+    ) -> peer::ControlMessage {
         match message {
             peer::ControlMessage::Quarantine { fingerprint, left } => {
                 self.broadcaster.add(fingerprint, left);
@@ -42,7 +47,7 @@
             peer::ControlMessage::GetTargets => {
                 peer::ControlMessage::Targets(self.home.target_reports().await)
             }
-            other => self.handler.handle(from, other).await,
+            other => self.handler.handle(from, version, other).await,
         }
     }
 }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -313,7 +313,8 @@
         if parts.method == Method::CONNECT || parts.headers.contains_key(header::UPGRADE) {
             return Err(bad_request);
         }
-        if content_length(&parts.headers) > limits.body_bytes {
+        let length = content_length(&parts.headers);
+        if length.unwrap_or_default() > limits.body_bytes {
             return Err(Refusal::not_run(Cause::BodyTooLong, None));
         }
         let requested = self.options.client.dialect.time_limit(&parts.headers);
@@ -384,6 +385,11 @@
             origin: ids::DomainId::from_name(&self.options.settings.domain),
             peers: Vec::new(),
             known: Vec::new(),
+            context: Some(peer::RequestContext {
+                organisation: caller.organisation.to_owned(),
+                route: route.hash(),
+                length,
+            }),
         };
         let outgoing = exchange::Outgoing {
             id,
@@ -604,8 +610,7 @@
         .map(str::trim)
 }
 
-/// Returns the value of `Content-Length`, or 0 where it is absent or malformed.
-fn content_length(map: &http::HeaderMap) -> u64 {
-    let length = header_text(map, header::CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok());
-    length.unwrap_or_default()
+/// Returns the value of `Content-Length`, or nothing where it is absent or malformed.
+fn content_length(map: &http::HeaderMap) -> Option<u64> {
+    header_text(map, header::CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok())
 }
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sha2::{Digest, Sha256};
+use snafu::ResultExt;
 use tokio::time as timers;
 
 use crate::coordination::homes;
@@ -699,7 +700,8 @@
     ///
     /// Returns an error if the stream breaks; the home may have received the message nevertheless.
     pub async fn send(&mut self, message: &ToHome) -> Result<(), frame::Error> {
-        frame::send(&mut self.send, message).await
+        let extension = message.extension().context(frame::CodecSnafu)?;
+        frame::send_extended(&mut self.send, message, &extension).await
     }
 
     /// Reports the outcome of a try to the home. If the stream is broken, the home frees the slot by itself.
--- a/src/daemon/follower.rs
+++ b/src/daemon/follower.rs
@@ -15,6 +15,7 @@
 use crate::protocol::peer;
 use crate::protocol::platform;
 use crate::protocol::rollout;
+use crate::protocol::version;
 use crate::state::bundle;
 use crate::state::clock;
 use crate::state::operator;
@@ -106,6 +107,7 @@
     fn handle<'a>(
         &'a self,
         from: &'a str,
+        _version: version::Version,
         message: peer::ControlMessage,
     ) -> future::BoxFuture<'a, peer::ControlMessage> {
         Box::pin(self.handle_control(from, message))
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic;
 
 use ractor::{Actor, ActorRef};
+use snafu::ResultExt;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::{sync as tokio_sync, task, time};
 
@@ -219,7 +220,9 @@
     ///
     /// Returns an error if the stream breaks; the request is then cancelled.
     pub async fn serve(&self, mut recv: RecvHalf, mut send: SendHalf) -> Result<(), frame::Error> {
-        let peer::ToHome::SlotRequest(mut slot_request) = frame::receive(&mut recv).await? else {
+        let (mut first, extension) = frame::receive_extended::<peer::ToHome>(&mut recv).await?;
+        first.extend(&extension).context(frame::CodecSnafu)?;
+        let peer::ToHome::SlotRequest(mut slot_request) = first else {
             return frame::OutOfOrderSnafu.fail();
         };
         self.options.recorder.observe(slot_request.stamp);
--- a/src/daemon/member.rs
+++ b/src/daemon/member.rs
@@ -254,7 +254,7 @@
         message: gossip::Message,
     ) -> Option<task::JoinHandle<()>> {
         let stamp = self.options.recorder.stamp();
-        let bytes = gossip::encode(&gossip::Datagram { stamp, message });
+        let bytes = gossip::encode(&gossip::Datagram::new(stamp, message));
         let bytes = Bytes::from(
             bytes
                 .inspect_err(|e| log::error!("failed to encode a message: {e}"))
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -14,7 +14,7 @@
 use crate::coordination::{homes, member, readers};
 use crate::daemon::{metrics, stop};
 use crate::protocol::source::{self, Batch, Topic};
-use crate::protocol::{peer, platform};
+use crate::protocol::{peer, platform, version};
 use crate::state::{bundle, clock, timeline};
 
 /// How long a peer's reply may take beyond the time of the long poll: several round trips between failure domains.
@@ -78,12 +78,29 @@
 struct PeerUpdates {
     rules: Batch,
     targets: Batch,
+    /// The version of the protocol that the sender speaks.
+    #[serde(default)]
+    version: version::Version,
 }
 
 impl PeerUpdates {
     fn is_empty(&self) -> bool {
         self.rules.changes.is_empty() && self.targets.changes.is_empty()
     }
+
+    /// Returns whether the rules may lack parts that the sender does not know, such as quotas.
+    fn may_lack_rules(&self) -> bool {
+        self.version == version::Version::FIRST && !self.rules.changes.is_empty()
+    }
+
+    /// Removes the parts of the rules that a daemon of version 1 refuses.
+    fn convert_to_version_1(&mut self) {
+        for change in &mut self.rules.changes {
+            if let Some(source::Item::Rules(bundle)) = &mut change.item {
+                **bundle = bundle.for_version_1();
+            }
+        }
+    }
 }
 
 /// The result of one poll.
@@ -117,6 +134,7 @@
     /// A peer requests the updates after its revisions.
     GetUpdates {
         revisions: Revisions,
+        version: version::Version,
         reply: tokio_sync::oneshot::Sender<peer::ControlMessage>,
     },
     /// The timer fired.
@@ -185,6 +203,7 @@
     fn handle<'a>(
         &'a self,
         _from: &'a str,
+        version: version::Version,
         message: peer::ControlMessage,
     ) -> future::BoxFuture<'a, peer::ControlMessage> {
         Box::pin(async move {
@@ -199,13 +218,13 @@
             let revisions = Revisions { rules, targets };
             let mut updates = self.updates.clone();
             updates.mark_unchanged();
-            let first = self.updates_since(revisions).await;
+            let first = self.updates_since(revisions, version).await;
             if !is_current_and_empty(&first) {
                 return first;
             }
             // Without updates within that time, the reply at least states how fresh this daemon is.
             let _ = time::timeout(wait.min(readers::LONG_POLL).span(), updates.changed()).await;
-            self.updates_since(revisions).await
+            self.updates_since(revisions, version).await
         })
     }
 }
@@ -216,12 +235,20 @@
 }
 
 impl Handle {
-    async fn updates_since(&self, revisions: Revisions) -> peer::ControlMessage {
+    async fn updates_since(
+        &self,
+        revisions: Revisions,
+        version: version::Version,
+    ) -> peer::ControlMessage {
         let (reply, replied) = tokio_sync::oneshot::channel();
         if self
             .actor
             .0
-            .send_message(Message::GetUpdates { revisions, reply })
+            .send_message(Message::GetUpdates {
+                revisions,
+                version,
+                reply,
+            })
             .is_err()
         {
             return peer::ControlMessage::Ack;
@@ -303,6 +330,10 @@
         }
         Ok(peer::ControlMessage::Updates { age, changes }) => {
             match serde_json::from_slice(&changes) {
+                Ok(updates) if PeerUpdates::may_lack_rules(&updates) => {
+                    log::info!(peer = name; "passed over the rules of a peer of an older build");
+                    None
+                }
                 Ok(updates) => Some((age, updates)),
                 Err(e) => {
                     log::warn!(peer = name; "failed to decode the updates of a peer: {e}");
@@ -415,9 +446,13 @@
                 PollResult::Platform(topic, outcome) => state.handle_platform(now, topic, outcome),
                 PollResult::Peer(name, reply) => state.handle_peer(now, &name, reply),
             },
-            Message::GetUpdates { revisions, reply } => {
+            Message::GetUpdates {
+                revisions,
+                version,
+                reply,
+            } => {
                 // A peer whose poll timed out polls again.
-                let _ = reply.send(state.updates_since(now, revisions));
+                let _ = reply.send(state.updates_since(now, revisions, version));
             }
             Message::Tick => {
                 state.next_tick = clock::Millis::MAX;
@@ -617,15 +652,24 @@
     }
 
     /// Returns the updates after a peer's revisions, and how fresh they are.
-    fn updates_since(&self, now: clock::Millis, revisions: Revisions) -> peer::ControlMessage {
-        let updates = PeerUpdates {
+    fn updates_since(
+        &self,
+        now: clock::Millis,
+        revisions: Revisions,
+        version: version::Version,
+    ) -> peer::ControlMessage {
+        let mut updates = PeerUpdates {
             rules: self
                 .registry
                 .updates_since(now, Topic::Rules, revisions.rules),
             targets: self
                 .registry
                 .updates_since(now, Topic::Targets, revisions.targets),
+            version: version::Version::CURRENT,
         };
+        if version == version::Version::FIRST {
+            updates.convert_to_version_1();
+        }
         let changes = match updates.is_empty() {
             true => Ok(Vec::new()),
             false => serde_json::to_vec(&updates),
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -9,6 +9,8 @@
 use snafu::ResultExt;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::protocol::extension;
+
 /// The maximum length of a frame's payload, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
@@ -74,6 +76,20 @@
     write(to, KIND_MESSAGE, &payload).await
 }
 
+/// Writes a control message, followed by an extension.
+///
+/// # Errors
+///
+/// Returns an error in the cases of [`send`].
+pub async fn send_extended<M: Serialize>(
+    to: &mut (dyn AsyncWrite + Send + Unpin),
+    message: &M,
+    extension: &extension::Extension,
+) -> Result<(), Error> {
+    let payload = extension.encode_after(message).context(CodecSnafu)?;
+    write(to, KIND_MESSAGE, &payload).await
+}
+
 /// Writes a part of a body, split into frames of at most [`MAX_FRAME_BYTES`].
 ///
 /// # Errors
@@ -146,3 +162,18 @@
 ) -> Result<M, Error> {
     decode(&read(from).await?)
 }
+
+/// Reads the next frame, and decodes its message and the extension that follows it.
+///
+/// # Errors
+///
+/// Returns an error in the cases of [`read`], if the frame is [`Frame::Data`], or if the message or its extension cannot
+/// be decoded.
+pub async fn receive_extended<M: de::DeserializeOwned>(
+    from: &mut (dyn AsyncRead + Send + Unpin),
+) -> Result<(M, extension::Extension), Error> {
+    match read(from).await? {
+        Frame::Message(payload) => extension::Extension::decode_after(&payload).context(CodecSnafu),
+        Frame::Data(_) => OutOfOrderSnafu.fail(),
+    }
+}
--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::{extension, version};
 use crate::state::ids;
 use crate::state::timeline;
 
@@ -22,6 +23,9 @@
 /// The maximum length of an encoded address and port, in bytes.
 const ADDR_BYTES: usize = 20;
 
+/// The maximum length of the extension of a datagram, in bytes: the tag, the length and the version.
+const EXTENSION_BYTES: usize = 2 + INT_BYTES;
+
 /// The state of a member.
 ///
 /// Of two records with the same incarnation and round, the later variant takes precedence.
@@ -160,6 +164,7 @@
     pub fn remaining_bytes(&self) -> usize {
         let records: usize = self.records.iter().map(Record::max_bytes).sum();
         let head = STAMP_BYTES + self.sender.max_bytes() + self.body.max_bytes() + INT_BYTES;
+        let head = head + EXTENSION_BYTES;
         MAX_BYTES.saturating_sub(head + records)
     }
 }
@@ -171,6 +176,20 @@
     pub stamp: timeline::Stamp,
     /// The gossip message.
     pub message: Message,
+    /// The version of the protocol that the sender speaks, which the extension of the datagram holds.
+    #[serde(skip)]
+    pub version: version::Version,
+}
+
+impl Datagram {
+    /// Creates a datagram of this build.
+    pub fn new(stamp: timeline::Stamp, message: Message) -> Datagram {
+        Datagram {
+            stamp,
+            message,
+            version: version::Version::CURRENT,
+        }
+    }
 }
 
 /// Encodes a datagram.
@@ -179,7 +198,7 @@
 ///
 /// Returns an error if the codec fails to encode it.
 pub fn encode(datagram: &Datagram) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(datagram)
+    extension::Extension::of(&datagram.version)?.encode_after(datagram)
 }
 
 /// Decodes a datagram.
@@ -188,5 +207,9 @@
 ///
 /// Returns an error if the bytes are not a datagram of this protocol.
 pub fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
-    postcard::from_bytes(bytes)
+    let (datagram, extension) = extension::Extension::decode_after::<Datagram>(bytes)?;
+    Ok(Datagram {
+        version: extension.get()?.unwrap_or_default(),
+        ..datagram
+    })
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod dialect;
+pub mod extension;
 pub mod frame;
 pub mod gossip;
 pub mod headers;
@@ -13,3 +14,4 @@
 pub mod relay;
 pub mod rollout;
 pub mod source;
+pub mod version;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -7,7 +7,9 @@
 use futures_util::future;
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::extension;
 use crate::protocol::refusal;
+use crate::protocol::version;
 use crate::state::bundle::edits;
 use crate::state::clock;
 use crate::state::ids;
@@ -46,6 +48,26 @@
     pub peers: Vec<CellSummary>,
     /// What the entry knows of the cell's targets from their statements.
     pub known: Vec<KnownTarget>,
+    /// What the extension of the message holds; absent if an entry of version 1 sent it.
+    #[serde(skip)]
+    pub context: Option<RequestContext>,
+}
+
+/// What an entry states of a request in the extension of its [`SlotRequest`].
+///
+/// A request without a context has no organisation, an unknown route and an unknown length, and counts against no quota.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestContext {
+    /// The name of the caller's organisation; empty for callers without a known credential.
+    pub organisation: String,
+    /// The hash of the route's host and prefix, by which homes estimate the work of requests.
+    pub route: u64,
+    /// The length of the body in bytes; absent if it is not known before the body is read.
+    pub length: Option<u64>,
+}
+
+impl extension::Field for RequestContext {
+    const TAG: u32 = 1;
 }
 
 /// What a target states in a response about the requests that it accepts.
@@ -215,6 +237,35 @@
     Abandon,
 }
 
+impl ToHome {
+    /// Returns the extension of the message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the codec fails to encode a field.
+    pub fn extension(&self) -> Result<extension::Extension, postcard::Error> {
+        let mut extension = extension::Extension::default();
+        if let ToHome::SlotRequest(request) = self
+            && let Some(context) = &request.context
+        {
+            extension.set(context)?;
+        }
+        Ok(extension)
+    }
+
+    /// Adds the fields of an extension to the message that it followed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a field cannot be decoded.
+    pub fn extend(&mut self, extension: &extension::Extension) -> Result<(), postcard::Error> {
+        if let ToHome::SlotRequest(request) = self {
+            request.context = extension.get()?;
+        }
+        Ok(())
+    }
+}
+
 /// The state of a target, as reported by the home of its cell.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetReport {
@@ -347,10 +398,11 @@
 
 /// Handles the control messages about configuration from the platform: bundles, rules and targets.
 pub trait ControlHandler: Send + Sync {
-    /// Handles `message` from the daemon named `from`, and returns the reply.
+    /// Handles `message` from the daemon named `from`, which speaks `version`, and returns the reply.
     fn handle<'a>(
         &'a self,
         from: &'a str,
+        version: version::Version,
         message: ControlMessage,
     ) -> future::BoxFuture<'a, ControlMessage>;
 }
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -81,6 +81,10 @@
     HomeLost,
     /// This daemon reaches no target, and no other daemon relays its requests.
     CutOff,
+    /// The caller's organisation has used up its quota.
+    OverQuota,
+    /// The daemon holds as many bytes as its memory budget allows.
+    MemoryFull,
 }
 
 /// A refusal, as sent by homes and reported to callers.
@@ -127,7 +131,7 @@
 
 impl Cause {
     /// All causes, in the order of the reference page.
-    pub const ALL: [Cause; 23] = [
+    pub const ALL: [Cause; 25] = [
         Cause::NoBundle,
         Cause::NoRoute,
         Cause::UnknownCaller,
@@ -151,6 +155,8 @@
         Cause::TargetTimeout,
         Cause::HomeLost,
         Cause::CutOff,
+        Cause::OverQuota,
+        Cause::MemoryFull,
     ];
 
     /// Returns the name that is used in problem types, the time line and metrics.
@@ -179,6 +185,8 @@
             Cause::TargetTimeout => "target-timeout",
             Cause::HomeLost => "home-lost",
             Cause::CutOff => "cut-off",
+            Cause::OverQuota => "over-quota",
+            Cause::MemoryFull => "memory-full",
         }
     }
 
@@ -210,6 +218,8 @@
             Cause::TargetTimeout => "The target did not answer before the deadline",
             Cause::HomeLost => "The daemon that handed the request to a target was lost",
             Cause::CutOff => "The daemon reaches no target and no daemon that relays",
+            Cause::OverQuota => "The organisation has used up its quota",
+            Cause::MemoryFull => "The daemon's memory budget is used up",
         }
     }
 
@@ -236,7 +246,9 @@
             | Cause::ClaimUnavailable
             | Cause::TargetShed
             | Cause::ConnectFailed
-            | Cause::CutOff => StatusCode::SERVICE_UNAVAILABLE,
+            | Cause::CutOff
+            | Cause::MemoryFull => StatusCode::SERVICE_UNAVAILABLE,
+            Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -40,6 +40,31 @@
     /// The limits for callers; if absent, those of the daemon's settings apply.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub callers: Option<Callers>,
+    /// Whether the tier of a route or that of the organisation applies where both are given.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub precedence: Precedence,
+}
+
+/// Which tier applies to a request where both its route and its organisation have one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Precedence {
+    /// The tier of the route.
+    #[default]
+    Route,
+    /// The tier of the organisation.
+    Organisation,
+}
+
+/// The order in which the requests of one tier get scarce slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// By arrival and objective.
+    #[default]
+    Arrival,
+    /// By what a delay or a refusal costs callers, for the slot time that a request needs.
+    Value,
 }
 
 /// A priority class of callers.
@@ -67,7 +92,7 @@
 }
 
 /// An organisation that callers belong to.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// The name of the organisation.
@@ -77,6 +102,12 @@
     /// The SHA-256 digests of its bearer tokens, in hexadecimal.
     #[serde(default)]
     pub credentials: Vec<String>,
+    /// The quota of its callers over the whole fleet, in requests per second; absent if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<f64>,
+    /// The requests that its callers may make at once beyond `rate`.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub burst: f64,
 }
 
 /// A service: its targets and the rules for distributing requests to them.
@@ -112,6 +143,9 @@
     /// The limits of retries.
     #[serde(default)]
     pub retry: Retry,
+    /// The order in which the requests of one tier get scarce slots.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub order: Order,
     /// The targets of all failure domains.
     pub targets: Vec<Target>,
 }
@@ -216,6 +250,9 @@
     /// The services among which requests are split by weight, instead of `service`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub split: Vec<Share>,
+    /// Whether callers need no credential, even if the bundle refuses those without one.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub open: bool,
 }
 
 /// The share of a route's requests that one service receives.
@@ -243,6 +280,10 @@
     pub idle_ms: clock::Millis,
 }
 
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 fn default_deadline() -> clock::Millis {
     clock::Millis(10_000)
 }
@@ -265,6 +306,24 @@
         self.services.iter().find(|s| s.name == name)
     }
 
+    /// Returns the bundle as daemons of version 1 of the protocol read it, without the fields that they refuse. They
+    /// serve organisations without quotas, and routes that need no credential by the rule for unknown callers.
+    #[must_use]
+    pub fn for_version_1(&self) -> Bundle {
+        let mut bundle = self.clone();
+        bundle.precedence = Precedence::default();
+        for organisation in &mut bundle.organisations {
+            (organisation.rate, organisation.burst) = (None, 0.0);
+        }
+        for service in &mut bundle.services {
+            service.order = Order::default();
+        }
+        for route in &mut bundle.routes {
+            route.open = false;
+        }
+        bundle
+    }
+
     /// Returns the rank of the tier `name`; 0 is the highest priority.
     pub fn tier_rank(&self, name: &str) -> Option<u8> {
         let at = self.tiers.iter().position(|t| t.name == name)?;
@@ -290,6 +349,11 @@
         &self.service
     }
 
+    /// Returns a hash that identifies the route by its host and prefix.
+    pub fn hash(&self) -> u64 {
+        hash::hash(&[self.host.as_deref().unwrap_or_default(), &self.prefix])
+    }
+
     /// Returns whether a request with `method` may run more than once.
     pub fn is_idempotent(&self, method: &http::Method) -> bool {
         let by_method = method.is_safe() || self.idempotent.iter().any(|m| m == method.as_str());
@@ -311,6 +375,7 @@
             breadth_pct: 0.0,
             ejection: Ejection::default(),
             retry: Retry::default(),
+            order: Order::default(),
             targets: Vec::new(),
         }
     }
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -104,6 +104,9 @@
     pub idle_ms: clock::Millis,
     /// The maximum size of a request body, in bytes.
     pub body_bytes: u64,
+    /// The most bytes that the daemon holds for callers, targets and other daemons; absent if there is no limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory_bytes: Option<u64>,
 }
 
 impl Default for Limits {
@@ -119,6 +122,7 @@
             head_ms: clock::Millis(10_000),
             idle_ms: clock::Millis(10_000),
             body_bytes: u64::MAX,
+            memory_bytes: None,
         }
     }
 }
@@ -162,6 +166,8 @@
 const MAX_COUNT: u64 = 10_000_000;
 
 /// The maximum of the limits for a head and for the body buffered for retries, in bytes.
+/// The smallest memory budget, in bytes: several requests with the longest heads and buffered bodies.
+const MIN_MEMORY_BYTES: u64 = 1024 * 1024;
 const MAX_BUFFER_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Parses and checks the text of a settings file; findings refer to it by the name `file`.
@@ -305,6 +311,7 @@
         "head_ms",
         "idle_ms",
         "body_bytes",
+        "memory_bytes",
     ]);
     check_range(table, "head_bytes", 1024, MAX_BUFFER_BYTES);
     check_range(table, "head_fields", 1, MAX_COUNT);
@@ -316,6 +323,7 @@
     check_range(table, "head_ms", 1, MAX_TIME_MS);
     check_range(table, "idle_ms", 1, MAX_TIME_MS);
     check_range(table, "body_bytes", 1, u64::MAX);
+    check_range(table, "memory_bytes", MIN_MEMORY_BYTES, u64::MAX);
 }
 
 fn check_log(value: reader::Value<'_>) {
--- a/src/transport/quic/identity.rs
+++ b/src/transport/quic/identity.rs
@@ -8,15 +8,13 @@
 use sha2::Digest;
 use snafu::{OptionExt, ResultExt, ensure};
 
+use crate::protocol::version;
 use crate::state::settings;
 use crate::transport::keys;
 use crate::transport::quic::error::{
     Error, KeysSnafu, NameSnafu, SuiteSnafu, TlsSnafu, VerifierSnafu,
 };
 
-/// The ALPN protocol that both ends must offer.
-const ALPN: &[u8] = b"peridotspread/1";
-
 /// The daemon's certificate chain and private key, and the certificates of the fleet's authority.
 #[derive(Debug)]
 pub struct Identity {
@@ -26,6 +24,8 @@
     key: rustls_pki_types::PrivateKeyDer<'static>,
     /// The input of the endpoint's secrets, which stays the same across restarts of the daemon.
     stable_secret: Vec<u8>,
+    /// The versions of the protocol that connections offer, the preferred one first.
+    versions: Vec<version::Version>,
 }
 
 impl Identity {
@@ -51,9 +51,24 @@
             chain: vec![own.context(KeysSnafu)?],
             key: keys::parse_key("the daemon's key", &issued.key).context(KeysSnafu)?,
             stable_secret: stable_secret.to_vec(),
+            versions: version::Version::SPOKEN.to_vec(),
         })
     }
 
+    /// Returns the identity with other versions of the protocol, as daemons of an older build offer them.
+    #[must_use]
+    pub fn with_versions(self, versions: &[version::Version]) -> Identity {
+        Identity {
+            versions: versions.to_vec(),
+            ..self
+        }
+    }
+
+    fn alpn_protocols(&self) -> Vec<Vec<u8>> {
+        let versions = self.versions.iter();
+        versions.map(|version| version.alpn()).collect()
+    }
+
     /// Reads the key and the certificates whose files the settings name.
     ///
     /// # Errors
@@ -78,6 +93,7 @@
             roots: Arc::new(roots),
             chain,
             stable_secret: key.secret_der().to_vec(),
+            versions: version::Version::SPOKEN.to_vec(),
             key,
         })
     }
@@ -122,7 +138,7 @@
             .with_client_cert_verifier(verifier)
             .with_single_cert(self.chain.clone(), self.key.clone_key())
             .context(TlsSnafu)?;
-        tls.alpn_protocols = vec![ALPN.to_vec()];
+        tls.alpn_protocols = self.alpn_protocols();
         let crypto = QuicServerConfig::try_from(tls).context(SuiteSnafu)?;
         let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
         config.transport_config(transport.clone());
@@ -140,7 +156,7 @@
             .with_root_certificates(self.roots.clone())
             .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
             .context(TlsSnafu)?;
-        tls.alpn_protocols = vec![ALPN.to_vec()];
+        tls.alpn_protocols = self.alpn_protocols();
         let crypto = QuicClientConfig::try_from(tls).context(SuiteSnafu)?;
         let mut config = quinn::ClientConfig::new(Arc::new(crypto));
         config.transport_config(transport.clone());
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -219,7 +219,8 @@
     ) -> Result<(SendStream, RecvStream), Error> {
         let link = self.link(name, addr).await?;
         let opened = link.connection.open_bi().await;
-        let (mut send, recv) = link.streams.track(opened.context(BrokenSnafu { name })?);
+        let opened = opened.context(BrokenSnafu { name })?;
+        let (mut send, recv) = link.streams.track(opened, link.version);
         frame::send(&mut send, &purpose)
             .await
             .context(StreamSnafu { name })?;
--- a/src/transport/quic/pool.rs
+++ b/src/transport/quic/pool.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time;
 
+use crate::protocol::version;
 use crate::transport::quic::stream::StreamTracker;
 
 /// The streams that a peer may initially hold open; QUIC reserves memory for each one before it is opened.
@@ -19,6 +20,8 @@
     pub(super) peer: String,
     pub(super) connection: quinn::Connection,
     pub(super) streams: StreamTracker,
+    /// The version of the protocol that both ends agreed on.
+    pub(super) version: version::Version,
     /// The address that this daemon dialled; absent if the peer dialled.
     dialled: Option<net::SocketAddr>,
     /// The streams that the peer may currently hold open.
@@ -31,8 +34,10 @@
         connection: quinn::Connection,
         dialled: Option<net::SocketAddr>,
     ) -> Arc<Link> {
+        let version = negotiated_version(&connection);
         Arc::new(Link {
             peer: peer.to_owned(),
+            version,
             connection,
             streams: StreamTracker::default(),
             dialled,
@@ -59,6 +64,14 @@
     }
 }
 
+/// Returns the version that the handshake of a connection has selected.
+fn negotiated_version(connection: &quinn::Connection) -> version::Version {
+    let data = connection.handshake_data();
+    let data = data.and_then(|d| d.downcast::<quinn::crypto::rustls::HandshakeData>().ok());
+    let protocol = data.and_then(|d| d.protocol).unwrap_or_default();
+    version::Version::from_alpn(&protocol)
+}
+
 /// The pooled connection and the last dial of one peer.
 #[derive(Debug, Default)]
 pub(super) struct PeerState {
--- a/src/transport/quic/serve.rs
+++ b/src/transport/quic/serve.rs
@@ -100,7 +100,7 @@
     tokio::select! {
         stream = link.connection.accept_bi() => match stream {
             Ok(stream) => {
-                let (send, recv) = link.streams.track(stream);
+                let (send, recv) = link.streams.track(stream, link.version);
                 link.raise_stream_limit();
                 tokio::spawn(accept_stream(inner.clone(), from, send, recv));
                 true
--- a/src/transport/quic/stream.rs
+++ b/src/transport/quic/stream.rs
@@ -8,10 +8,13 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::protocol::version;
+
 /// The sending half of a stream; the connection is not idle until it is dropped.
 #[derive(Debug)]
 pub struct SendStream {
     inner: quinn::SendStream,
+    version: version::Version,
     _guard: Arc<()>,
 }
 
@@ -33,9 +36,11 @@
     pub(super) fn track(
         &self,
         (send, recv): (quinn::SendStream, quinn::RecvStream),
+        version: version::Version,
     ) -> (SendStream, RecvStream) {
         let send = SendStream {
             inner: send,
+            version,
             _guard: self.guard.clone(),
         };
         let recv = RecvStream {
@@ -56,6 +61,13 @@
     }
 }
 
+impl SendStream {
+    /// Returns the version of the protocol that both ends of the connection agreed on.
+    pub fn version(&self) -> version::Version {
+        self.version
+    }
+}
+
 impl ops::Deref for SendStream {
     type Target = quinn::SendStream;
 
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -29,6 +29,7 @@
         leaving: false,
     });
     bundle::Service {
+        order: bundle::Order::default(),
         name: "s".to_owned(),
         floor,
         deadline_ms: Millis(10_000),
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -173,6 +173,7 @@
         leaving: false,
     });
     bundle::Service {
+        order: bundle::Order::default(),
         name: "s".to_owned(),
         floor: scene.floor,
         deadline_ms: Millis(10_000),
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -27,6 +27,7 @@
 /// A service with one cell in each of `domains`.
 fn service(domains: &[&str]) -> bundle::Service {
     bundle::Service {
+        order: bundle::Order::default(),
         name: "timetable".to_owned(),
         floor: 1,
         deadline_ms: Millis(10_000),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,3 +20,4 @@
 mod service;
 mod shutdown;
 mod support;
+mod wire_forms;
--- a/tests/testsuite/malformed.rs
+++ b/tests/testsuite/malformed.rs
@@ -48,6 +48,7 @@
         pause: Millis(extreme(random)),
     };
     peer::SlotRequest {
+        context: None,
         request: ids::RequestId(7),
         name: "9c41".to_owned(),
         stamp: timeline::Stamp::default(),
--- a/tests/testsuite/quic.rs
+++ b/tests/testsuite/quic.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use peridotspread::protocol::peer;
+use peridotspread::protocol::version::Version;
 use peridotspread::state::clock;
 use peridotspread::transport::keys;
 use peridotspread::transport::quic;
@@ -48,6 +49,35 @@
     assert_eq!((from.as_str(), bytes), ("a", sent));
 }
 
+fn bind_older(files: &fleet::Files, name: &str) -> (quic::Peers, mpsc::Receiver<quic::Incoming>) {
+    let settings = files.settings(name);
+    let identity = quic::Identity::read(&settings).unwrap();
+    let identity = identity.with_versions(&[Version::FIRST]);
+    quic::Peers::bind_as(&identity, &settings, &quic::Timeouts::default()).unwrap()
+}
+
+/// While hosts are replaced, daemons of both builds dial each other; a build that offered only its own version would be
+/// cut off from the rest of the fleet.
+#[tokio::test]
+async fn daemons_agree_on_the_highest_version_that_both_speak() {
+    let files = fleet::files("quic-versions");
+    let (a, _from_b) = bind(&files, "a");
+    let (b, _from_a) = bind(&files, "b");
+    let (older, mut from_a_to_older) = bind_older(&files, "c");
+    let purpose = peer::Purpose::Control;
+    let (between_new, _) = a.open("b", b.local(), purpose).await.unwrap();
+    assert_eq!(between_new.version(), Version::CURRENT);
+    let (to_older, _) = a.open("c", older.local(), purpose).await.unwrap();
+    assert_eq!(to_older.version(), Version::FIRST);
+    let accepted = from_a_to_older.recv().await;
+    let Some(quic::Incoming::Stream { send, .. }) = accepted else {
+        panic!("a stream comes first");
+    };
+    assert_eq!(send.version(), Version::FIRST);
+    let (from_older, _) = older.open("b", b.local(), purpose).await.unwrap();
+    assert_eq!(from_older.version(), Version::FIRST);
+}
+
 #[tokio::test]
 async fn a_certificate_of_another_authority_is_refused_in_both_directions() {
     let files = fleet::files("quic-ours");
--- a/tests/testsuite/support/bundles.rs
+++ b/tests/testsuite/support/bundles.rs
@@ -51,12 +51,14 @@
             ..bundle::Route::default()
         };
         bundle::Bundle {
+            precedence: bundle::Precedence::default(),
             version: self.version,
             callers: None,
             tiers: ["paying", "free"].map(tier).into(),
             unknown: bundle::Unknown::default(),
             organisations: Vec::new(),
             services: vec![bundle::Service {
+                order: bundle::Order::default(),
                 name: "fees".to_owned(),
                 floor: self.floor,
                 deadline_ms: clock::Millis(10_000),
