lab: fleets of two builds, whose hosts are replaced one after the other

The lab builds the daemon of an earlier commit from the history of the repository and runs it beside this one. A message that one build misreads would show as a second run, a wrong response or a rollout that does not arrive.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use snafu::{OptionExt, ResultExt};
 
 pub mod admin;
+pub mod builds;
 mod ejections;
 pub(crate) mod files;
 pub mod process;
@@ -123,6 +124,7 @@
     platform: platform::Options,
     relayed: bool,
     seed: u64,
+    program: Option<path::PathBuf>,
 }
 
 /// Returns a builder with default values: three daemons in one failure domain and one service. `name` appears in the
@@ -137,6 +139,7 @@
         platform: platform::Options::default(),
         relayed: false,
         seed: 1,
+        program: None,
     }
 }
 
@@ -154,6 +157,8 @@
     /// The address of its admin interface.
     pub admin: net::SocketAddr,
     settings: path::PathBuf,
+    /// The program that it runs; absent for the one of this workspace.
+    program: Option<path::PathBuf>,
     process: Option<process::Process>,
 }
 
@@ -219,6 +224,14 @@
         }
     }
 
+    /// Sets the program of the daemons, in place of the one of this workspace.
+    pub fn program(self, program: path::PathBuf) -> Builder {
+        Builder {
+            program: Some(program),
+            ..self
+        }
+    }
+
     /// Sets the seed of the targets' service times.
     pub fn seed(self, seed: u64) -> Builder {
         Builder { seed, ..self }
@@ -266,6 +279,7 @@
         fleet.roll_out(&first).await?;
         let names: Vec<_> = fleet.daemons.keys().cloned().collect();
         for name in &names {
+            fleet.set_program(name, self.program.clone())?;
             fleet.start(name)?;
         }
         fleet.wait_until_settled().await?;
@@ -442,6 +456,7 @@
             peer: advertise.unwrap_or(peer),
             admin: options.admin,
             settings,
+            program: None,
             process: None,
         };
         self.daemons.insert(name.to_owned(), daemon);
@@ -509,14 +524,28 @@
     ///
     /// Returns an error if no daemon has this name or it cannot be started.
     pub fn start(&mut self, name: &str) -> Result<(), Error> {
-        let program = process::find_program("peridotspreadd").context(ProcessSnafu { name })?;
         let log = self.files.path(&format!("{name}.log"));
         let daemon = self.daemons.get_mut(name).context(NoDaemonSnafu { name })?;
+        let program = match &daemon.program {
+            Some(program) => program.clone(),
+            None => process::find_program("peridotspreadd").context(ProcessSnafu { name })?,
+        };
         let process = process::Process::start(&program, &daemon.settings, &log);
         daemon.process = Some(process.context(ProcessSnafu { name })?);
         Ok(())
     }
 
+    /// Sets the program that a daemon runs from its next start; absent for the one of this workspace.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such daemon.
+    pub fn set_program(&mut self, name: &str, program: Option<path::PathBuf>) -> Result<(), Error> {
+        let daemon = self.daemons.get_mut(name).context(NoDaemonSnafu { name })?;
+        daemon.program = program;
+        Ok(())
+    }
+
     fn process(&mut self, name: &str) -> Result<&mut process::Process, Error> {
         let daemon = self.daemons.get_mut(name);
         daemon
--- a/crates/lab/tests/processes/support.rs
+++ b/crates/lab/tests/processes/support.rs
@@ -31,7 +31,8 @@
     start(fleet::builder(name).daemons(daemons).relayed(), name, seed).await
 }
 
-async fn start(builder: fleet::Builder, name: &str, seed: u64) -> Fixture {
+/// Starts the fleet of `builder`, in two failure domains and under load.
+pub(crate) async fn start(builder: fleet::Builder, name: &str, seed: u64) -> Fixture {
     const TARGETS: usize = 6;
     const SLOTS: usize = 3;
     let permit = FLEET_PERMITS.acquire().await.unwrap();
