entry: callers are admitted by their organisation's key, which no target sees

The dialect says where the credential is, and replaces the caller's credential and organisation in the fields and trailers to targets. The entry serves open routes without a credential, answers 401 also when all its places are taken, and checks the credential again before each home. A head may exceed its limit by 68 KB where credentials are needed, so that a key of 64 KB gets 401 rather than 431; the entry itself refuses long heads of known callers.

Before: keys were passed on and not checked. The tests of the other crates have not run on this commit.

--- a/crates/lab/src/measure/slopes.rs
+++ b/crates/lab/src/measure/slopes.rs
@@ -207,7 +207,7 @@
     let tokens: Vec<_> = (0..organisations).map(token).collect();
     time_calls(LOOKUPS, |i| {
         let token = &tokens[i * 7 % organisations];
-        hint::black_box(index.caller(bundle, Some(token)));
+        hint::black_box(index.caller(bundle, None, Some(token)));
     })
 }
 
--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -8,7 +8,7 @@
 use tokio::{sync as tokio_sync, time};
 
 use crate::coordination::{member as membership, readers};
-use crate::daemon::{control, home, member, relay};
+use crate::daemon::{control, entry, home, member, relay};
 use crate::protocol::{peer, platform};
 use crate::state::{bundle, clock, settings};
 use crate::transport::{pool, quic};
@@ -94,7 +94,10 @@
     let own = limits.borrow().clone();
     while bundle.changed().await.is_ok() {
         let current = bundle.borrow_and_update().clone();
-        let next = own.with_caller_limits(current.callers.as_ref());
+        let mut next = own.with_caller_limits(current.callers.as_ref());
+        if current.unknown == bundle::Unknown::Refuse {
+            next.head_bytes += entry::LONG_CREDENTIAL_BYTES;
+        }
         limits.send_if_modified(|sent| {
             let changed = *sent != next;
             *sent = next;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::future;
-use http::{HeaderValue, Method, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, header, request};
 use hyper::body::Incoming;
 use tokio::sync as tokio_sync;
 
@@ -34,6 +34,9 @@
 const MAX_HOMES: usize = 4;
 /// The `Retry-After` of refusals while no bundle is in force, no home is reachable or the entry is full.
 const RETRY_AFTER: clock::Millis = clock::Millis(1_000);
+/// How far a head may exceed its limit where the bundle refuses unknown callers, in bytes. The server would refuse a
+/// long credential as a long head, whereas its caller is to learn that the credential is not known.
+pub const LONG_CREDENTIAL_BYTES: usize = 68 * 1024;
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -93,6 +96,8 @@
     slot_request: peer::SlotRequest,
     outgoing: exchange::Outgoing,
     organisation: String,
+    /// The digest of the credential that the request is served for, if it needs one.
+    credential: Option<String>,
     key: Option<String>,
     /// The prefix of the route.
     route: String,
@@ -100,6 +105,17 @@
     objective: clock::Millis,
 }
 
+impl ParsedRequest {
+    /// Returns whether the bundle in force no longer has the credential that the request is served for.
+    fn is_withdrawn(&self, current: &IndexedBundle) -> bool {
+        let IndexedBundle { bundle, index } = current;
+        self.credential.as_ref().is_some_and(|digest| {
+            bundle.unknown == bundle::Unknown::Refuse
+                && !index.is_credential_of(bundle, digest, &self.organisation)
+        })
+    }
+}
+
 impl server::Handler for sync::Arc<Entry> {
     fn handle(
         &self,
@@ -144,7 +160,7 @@
         };
         let served = match self.permits.try_acquire() {
             Ok(_permit) => self.serve(id, from, request, &mut record).await,
-            Err(_) => Err(Refusal::not_run(Cause::QueueFull, Some(RETRY_AFTER))),
+            Err(_) => Err(self.refusal_when_full(request)),
         };
         let took = self.options.clock.now() - began;
         let subject = timeline::Subject {
@@ -221,6 +237,10 @@
         while failed.len() < MAX_HOMES {
             // The bundle is read again for each home, since targets change while a request waits.
             let current = self.indexed_bundle();
+            if parsed.is_withdrawn(&current) {
+                let refusal = Refusal::not_run(Cause::UnknownCaller, None);
+                return Err(refusal.after_unknown_try(parsed.outgoing.unknown_cause));
+            }
             let service = current
                 .index
                 .service(&current.bundle, &parsed.slot_request.cell.service);
@@ -280,6 +300,34 @@
         current.clone()
     }
 
+    /// Returns the refusal of a request beyond the limit on requests at a time. A caller that would be refused without
+    /// that limit learns so, since coming back would not help it.
+    fn refusal_when_full(&self, request: Request<Incoming>) -> Refusal {
+        let (parts, _) = request.into_parts();
+        match self.admit(&self.indexed_bundle(), &parts) {
+            Err(refusal) if refusal.cause == Cause::UnknownCaller => refusal,
+            Ok(_) | Err(_) => Refusal::not_run(Cause::QueueFull, Some(RETRY_AFTER)),
+        }
+    }
+
+    /// Authenticates and routes a request by its head.
+    fn admit<'a>(
+        &self,
+        current: &'a IndexedBundle,
+        parts: &request::Parts,
+    ) -> Result<(index::Caller<'a>, &'a bundle::Route), Refusal> {
+        let IndexedBundle { bundle, index } = current;
+        if bundle.version == 0 {
+            return Err(Refusal::not_run(Cause::NoBundle, Some(RETRY_AFTER)));
+        }
+        let route = index.route(bundle, host(parts), parts.uri.path());
+        let credential = self.options.client.dialect.credential(&parts.headers);
+        let caller = index.caller(bundle, route, credential);
+        let caller = caller.ok_or(Refusal::not_run(Cause::UnknownCaller, None))?;
+        let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+        Ok((caller, route))
+    }
+
     /// Reads the head and the first part of the body, and authenticates and routes the request.
     async fn parse(
         &self,
@@ -291,21 +339,11 @@
         let bad_request = Refusal::not_run(Cause::BadRequest, None);
         let limits = &self.options.settings.limits;
         let limits = limits.with_caller_limits(current.bundle.callers.as_ref());
-        if current.bundle.version == 0 {
-            return Err(Refusal::not_run(Cause::NoBundle, Some(RETRY_AFTER)));
-        }
         let (parts, incoming) = request.into_parts();
-        let caller = current
-            .index
-            .caller(&current.bundle, bearer_token(&parts.headers));
-        let caller = caller.ok_or(Refusal::not_run(Cause::UnknownCaller, None))?;
-        let host = parts
-            .uri
-            .host()
-            .or_else(|| header_text(&parts.headers, header::HOST.as_str()))
-            .unwrap_or_default();
-        let route = current.index.route(&current.bundle, host, parts.uri.path());
-        let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+        let (caller, route) = self.admit(current, &parts)?;
+        if head_bytes(&parts) > limits.head_bytes {
+            return Err(Refusal::not_run(Cause::HeadTooLong, None));
+        }
         let service = current
             .index
             .service(&current.bundle, route.service_for(id.0 as u64));
@@ -332,7 +370,7 @@
             return Err(bad_request);
         }
         let prefix = exchange::read_prefix(incoming, limits.replay_bytes);
-        let prefix = self
+        let mut prefix = self
             .with_deadline(deadline, prefix)
             .await?
             .map_err(|_| bad_request)?;
@@ -352,21 +390,18 @@
             return Err(Refusal::not_run(Cause::Quarantined, Some(left)));
         }
         let mut fields = headers::forwarded_fields(&parts.headers);
-        exchange::add_forwarding_fields(&mut fields, from, host);
+        exchange::add_forwarding_fields(&mut fields, from, host(&parts));
+        let dialect = &self.options.client.dialect;
+        let has_organisations = !current.bundle.organisations.is_empty();
+        if has_organisations {
+            dialect.replace_organisation(&mut fields, caller.organisation);
+            dialect.replace_organisation(&mut prefix.trailers, "");
+        }
         if headers::accepts_trailers(&parts.headers) {
             fields.append(header::TE, HeaderValue::from_static("trailers"));
         }
         let idempotent = route.is_idempotent(&parts.method);
-        let tier = route
-            .tier
-            .as_ref()
-            .and_then(|t| current.bundle.tier_rank(t));
-        let name = self
-            .options
-            .client
-            .dialect
-            .request_name(&parts.headers)
-            .to_owned();
+        let name = dialect.request_name(&parts.headers).to_owned();
         let objective = route.objective_ms.unwrap_or(left).min(left);
         let more = prefix.rest.is_some();
         let slot_request = peer::SlotRequest {
@@ -374,7 +409,7 @@
             name: name.clone(),
             stamp: self.options.recorder.stamp(),
             cell: ids::CellId::new(&service.name, ""),
-            tier: tier.unwrap_or(caller.tier),
+            tier: caller.tier,
             left,
             objective,
             tries: route.tries.unwrap_or(u32::MAX),
@@ -401,6 +436,7 @@
             rest: prefix.rest,
             more,
             trailers: prefix.trailers,
+            drops_identity: has_organisations,
             idempotent,
             deadline,
             tries: 0,
@@ -410,6 +446,7 @@
             slot_request,
             outgoing,
             organisation: caller.organisation.to_owned(),
+            credential: caller.digest,
             key: key.filter(|_| !idempotent),
             route: route.prefix.clone(),
             objective: deadline - left + objective,
@@ -604,10 +641,21 @@
     map.get(name)?.to_str().ok()
 }
 
-fn bearer_token(map: &http::HeaderMap) -> Option<&str> {
-    header_text(map, header::AUTHORIZATION.as_str())?
-        .strip_prefix("Bearer ")
-        .map(str::trim)
+/// Returns the size of a request's head as sent over HTTP/1.1.
+fn head_bytes(parts: &request::Parts) -> usize {
+    /// The separators of the request line, the version and the empty line at the end.
+    const REQUEST_LINE: usize = " ".len() + " HTTP/1.1\r\n".len() + "\r\n".len();
+    let target = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let fields = parts.headers.iter();
+    let fields = fields.map(|(n, v)| n.as_str().len() + ": \r\n".len() + v.len());
+    REQUEST_LINE + parts.method.as_str().len() + target + fields.sum::<usize>()
+}
+
+/// Returns the host that a request is addressed to; empty if it names none.
+fn host(parts: &request::Parts) -> &str {
+    let in_uri = parts.uri.host();
+    let host = in_uri.or_else(|| header_text(&parts.headers, header::HOST.as_str()));
+    host.unwrap_or_default()
 }
 
 /// Returns the value of `Content-Length`, or nothing where it is absent or malformed.
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -73,6 +73,8 @@
     pub more: bool,
     /// The trailers of a body that was read to its end.
     pub trailers: HeaderMap,
+    /// Whether the caller's credential and organisation are also removed from trailers that are still to be read.
+    pub drops_identity: bool,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// When the caller gives up.
@@ -104,7 +106,7 @@
     fn build(&mut self, client: &TargetClient, target: &str) -> Option<Request<body::Body>> {
         let first = self.first.clone();
         let body = match self.more {
-            true => body::prefixed(first, self.rest.take()?),
+            true => self.prefixed(client, first)?,
             false => body::with_trailers(first, self.trailers.clone()),
         };
         let mut request = Request::new(body);
@@ -125,6 +127,22 @@
         Some(request)
     }
 
+    /// Returns the body that starts with `first` and goes on with its unread part; `None` if that was sent before.
+    fn prefixed(&mut self, client: &TargetClient, first: Bytes) -> Option<body::Body> {
+        let body = body::prefixed(first, self.rest.take()?);
+        if !self.drops_identity {
+            return Some(body);
+        }
+        let dialect = client.dialect.clone();
+        let filtered = body.map_frame(move |mut frame| {
+            if let Some(trailers) = frame.trailers_mut() {
+                dialect.replace_organisation(trailers, "");
+            }
+            frame
+        });
+        Some(filtered.boxed_unsync())
+    }
+
     fn as_try<'a>(&'a self, client: &TargetClient, target: &'a str) -> dialect::Try<'a> {
         dialect::Try {
             request: self.identity(),
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -76,6 +76,15 @@
     /// Returns the caller's own identifier of the request; empty if there is none.
     fn request_name<'a>(&self, map: &'a HeaderMap) -> &'a str;
 
+    /// Returns the caller's credential; absent if there is none, or not exactly one well-formed one.
+    fn credential<'a>(&self, map: &'a HeaderMap) -> Option<&'a str> {
+        bearer_token(map)
+    }
+
+    /// Removes the caller's credential and every organisation that the caller states from the fields of a request to
+    /// a target, and states `organisation` instead; none if it is empty.
+    fn replace_organisation(&self, map: &mut HeaderMap, organisation: &str);
+
     /// Returns the time limit that the caller sets for the request; absent if there is none.
     ///
     /// # Errors
@@ -112,6 +121,10 @@
         ""
     }
 
+    fn replace_organisation(&self, map: &mut HeaderMap, organisation: &str) {
+        replace_identity(map, headers::ORGANISATION, organisation);
+    }
+
     fn time_limit(&self, map: &HeaderMap) -> Result<Option<clock::Millis>, Malformed> {
         parse_millis(map, headers::DEADLINE)
     }
@@ -160,6 +173,32 @@
     }
 }
 
+/// The scheme of credentials in `Authorization`, which callers may write in any case.
+const BEARER: &str = "bearer";
+
+/// Returns the bearer token of the only `Authorization` field; absent if there is another number of such fields, or the
+/// field is malformed or of another scheme.
+pub fn bearer_token(map: &HeaderMap) -> Option<&str> {
+    let mut fields = map.get_all(header::AUTHORIZATION).iter();
+    let field = fields.next().filter(|_| fields.next().is_none())?;
+    let (scheme, token) = field.to_str().ok()?.trim().split_once(' ')?;
+    let token = token.trim_start();
+    (scheme.eq_ignore_ascii_case(BEARER) && !token.is_empty()).then_some(token)
+}
+
+/// Removes `Authorization` and the field `name` from `map`, and sets the latter to `organisation` unless that is empty.
+pub fn replace_identity(map: &mut HeaderMap, name: &'static str, organisation: &str) {
+    map.remove(header::AUTHORIZATION);
+    map.remove(name);
+    if organisation.is_empty() {
+        return;
+    }
+    match HeaderValue::from_str(organisation) {
+        Ok(value) => drop(map.insert(name, value)),
+        Err(_) => log::error!("the name of an organisation cannot be stated in a header field"),
+    }
+}
+
 /// Returns whether the header field `name` has the value `1`. Any other value is logged, and counts as absent.
 pub fn is_set(map: &HeaderMap, name: &str) -> bool {
     let Some(value) = map.get(name) else {
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -13,6 +13,8 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Set to `1` by a target that is leaving and accepts no new requests.
 pub const LEAVING: &str = "peridotspread-leaving";
+/// The name of the caller's organisation, set on requests to targets where the bundle has organisations.
+pub const ORGANISATION: &str = "peridotspread-organisation";
 /// The name of the target that answered.
 pub const TARGET: &str = "peridotspread-target";
 
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -97,7 +97,7 @@
 pub struct Organisation {
     /// The name of the organisation.
     pub name: String,
-    /// The name of the tier of its callers.
+    /// The name of the tier of its callers; empty if that of the route applies, which only adapters set.
     pub tier: String,
     /// The SHA-256 digests of its bearer tokens, in hexadecimal.
     #[serde(default)]
@@ -312,8 +312,13 @@
     pub fn for_version_1(&self) -> Bundle {
         let mut bundle = self.clone();
         bundle.precedence = Precedence::default();
+        let last_tier = self.tiers.last().map(|t| t.name.as_str());
         for organisation in &mut bundle.organisations {
             (organisation.rate, organisation.burst) = (None, 0.0);
+            if organisation.tier.is_empty() {
+                // Version 1 refuses the callers of an organisation whose tier it does not know.
+                organisation.tier = last_tier.unwrap_or_default().to_owned();
+            }
         }
         for service in &mut bundle.services {
             service.order = Order::default();
@@ -324,6 +329,11 @@
         bundle
     }
 
+    /// Returns the rank of the last tier, the one with the lowest priority.
+    pub fn last_tier(&self) -> u8 {
+        u8::try_from(self.tiers.len().saturating_sub(1)).unwrap_or(u8::MAX)
+    }
+
     /// Returns the rank of the tier `name`; 0 is the highest priority.
     pub fn tier_rank(&self, name: &str) -> Option<u8> {
         let at = self.tiers.iter().position(|t| t.name == name)?;
--- a/src/state/index.rs
+++ b/src/state/index.rs
@@ -1,6 +1,6 @@
 //! Lookup tables for the bundle in force, built once when it is adopted.
 //!
-//! For every request, the entry looks up the route of the path and the tier of the credential.
+//! For every request, the entry looks up the route of the path, and the organisation and tier of the credential.
 
 use std::collections::BTreeMap;
 
@@ -17,12 +17,15 @@
 }
 
 /// The organisation and tier of a caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Caller<'a> {
     /// The name of the organisation; empty for callers without a known credential.
     pub organisation: &'a str,
-    /// The rank of the caller's tier; 0 is served first.
+    /// The rank of the tier of the caller's request; 0 is served first.
     pub tier: u8,
+    /// The digest of the credential on which the admission of the caller depends; absent if the request would be
+    /// served without one.
+    pub digest: Option<String>,
 }
 
 /// The key of routes that match any host; a host name is never empty.
@@ -90,33 +93,57 @@
         }
     }
 
-    /// Returns the organisation and tier of a request with the bearer token `token`, if any; `None` if the token is
-    /// unknown or missing and the bundle refuses such callers.
+    /// Returns the organisation and tier of a request on `route` with the credential `token`, if any.
+    ///
+    /// Returns `None` if the token is unknown or missing, the bundle refuses such callers, and the route is not open.
     pub fn caller<'a>(
         &self,
         bundle: &'a bundle::Bundle,
+        route: Option<&bundle::Route>,
         token: Option<&str>,
     ) -> Option<Caller<'a>> {
-        let known = token.and_then(|t| self.credentials.get(&token_digest(t)));
+        let is_open = route.is_some_and(|r| r.open);
+        let of_route = route
+            .and_then(|r| r.tier.as_deref())
+            .and_then(|t| bundle.tier_rank(t));
+        let digest = token.map(token_digest);
+        let known = digest.as_ref().and_then(|d| self.credentials.get(d));
         if let Some(organisation) = known.and_then(|at| bundle.organisations.get(*at)) {
-            let tier = bundle.tier_rank(&organisation.tier)?;
+            let own = bundle.tier_rank(&organisation.tier);
+            let tier = match bundle.precedence {
+                bundle::Precedence::Route => of_route.or(own),
+                bundle::Precedence::Organisation => own.or(of_route),
+            };
+            let needs_credential = bundle.unknown == bundle::Unknown::Refuse && !is_open;
             return Some(Caller {
                 organisation: &organisation.name,
-                tier,
+                tier: tier.unwrap_or(bundle.last_tier()),
+                digest: digest.filter(|_| needs_credential),
             });
         }
-        let tier = match &bundle.unknown {
-            bundle::Unknown::Refuse => return None,
-            bundle::Unknown::Tier { tier } => bundle.tier_rank(tier)?,
-            bundle::Unknown::LastTier => {
-                u8::try_from(bundle.tiers.len().saturating_sub(1)).unwrap_or(u8::MAX)
-            }
+        let of_unknown = match &bundle.unknown {
+            bundle::Unknown::Refuse if !is_open => return None,
+            bundle::Unknown::Refuse | bundle::Unknown::LastTier => None,
+            bundle::Unknown::Tier { tier } => bundle.tier_rank(tier),
         };
         Some(Caller {
             organisation: "",
-            tier,
+            tier: of_route.or(of_unknown).unwrap_or(bundle.last_tier()),
+            digest: None,
         })
     }
+
+    /// Returns whether the credential with this digest is one of the named organisation.
+    pub fn is_credential_of(
+        &self,
+        bundle: &bundle::Bundle,
+        digest: &str,
+        organisation: &str,
+    ) -> bool {
+        let at = self.credentials.get(digest);
+        let found = at.and_then(|at| bundle.organisations.get(*at));
+        found.is_some_and(|o| o.name == organisation)
+    }
 }
 
 /// Returns the digest by which the bundle identifies a bearer token: SHA-256 in hexadecimal.
