registry: a daemon that starts serves only by confirmed rules

Cause: a daemon that starts put the first rules that it got into force, whoever sent them. A peer that the platform turns away, or a platform that was restored from a copy, may have rules before those that withdrew a credential, which would work again.

Change: the first rules come into force once the platform or a peer that it answers has confirmed them, and no alive daemon states later ones; after a restore also not before the version of another daemon is known. After 1 s they come into force all the same, since the platform may answer nobody. A daemon with later rules is polled whichever source is selected, and one after the other if there are several. Later rules count also from a peer that has not seen the restore yet.

Not mended: restore::a_daemon_that_starts_from_a_copy_ takes_the_later_rules_that_others_have_in_force fails, since its peer states no version of the protocol and rules of such peers are passed over.

--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -39,6 +39,11 @@
 /// How long another daemon may have rules of a higher version in force before they are requested from it: longer than
 /// the platform takes to tell both.
 const BEHIND_SPAN: clock::Millis = clock::Millis(800);
+/// How often rules that are not confirmed are compared with those of other daemons.
+const CONFIRM_INTERVAL: clock::Millis = clock::Millis(50);
+/// How long a daemon that starts waits for confirmation of the rules it has, before it serves by them. Other daemons
+/// answer in less if they can be reached, and callers are served by those meanwhile.
+const CONFIRM_SPAN: clock::Millis = clock::Millis(1_000);
 /// The name of the platform in log lines about the origin of updates.
 const PLATFORM: &str = "platform";
 
@@ -396,6 +401,10 @@
     era: Option<u64>,
     /// Since when another daemon has had rules of a higher version in force.
     behind_since: Option<clock::Millis>,
+    /// The number of polls of daemons with rules of a higher version, which selects the next one.
+    ahead_polls: usize,
+    /// Since when there are rules to put into force; absent before.
+    rules_since: Option<clock::Millis>,
     /// Whether the platform does not answer.
     lost: bool,
     /// When the first unpublished change occurred, and what changed.
@@ -424,6 +433,8 @@
             history_dropped: BTreeSet::new(),
             era: None,
             behind_since: None,
+            ahead_polls: 0,
+            rules_since: None,
             lost: false,
             unpublished: None,
             next_tick: clock::Millis::MAX,
@@ -459,6 +470,10 @@
                 if state.registry.tick(now) {
                     state.record_change(now, "absent targets were removed");
                 }
+                if !state.has_published() && state.registry.rules_version() > 0 {
+                    // The tasks poll a daemon with later rules at once.
+                    state.publishers.stale_peers.send_modify(|n| *n += 1);
+                }
             }
         }
         state.publish_due(now);
@@ -471,6 +486,15 @@
     /// Returns the next poll for the task of a topic. The task of the targets polls peers for all topics.
     fn next_poll(&mut self, now: clock::Millis, topic: Topic) -> Poll {
         let view = self.options.members.borrow().clone();
+        if topic == Topic::Rules
+            && let Some(name) = self.peer_ahead(now, &view)
+        {
+            let revisions = Revisions {
+                rules: 0,
+                ..self.revisions()
+            };
+            return Poll::Peer(name, revisions, clock::Millis::ZERO);
+        }
         match self.selector.next_source(now, &view) {
             readers::Source::Peer(_) if topic != Topic::Targets => Poll::Pause(readers::LONG_POLL),
             readers::Source::Peer(name) => {
@@ -479,15 +503,6 @@
             }
             readers::Source::Wait(until) => Poll::Pause(until - now + clock::Millis(1)),
             readers::Source::Platform => {
-                if topic == Topic::Rules
-                    && let Some(name) = self.peer_ahead(now, &view)
-                {
-                    let revisions = Revisions {
-                        rules: 0,
-                        ..self.revisions()
-                    };
-                    return Poll::Peer(name, revisions, clock::Millis::ZERO);
-                }
                 let pause = match self.selector.is_reader(&view) {
                     true => POLL_PAUSE,
                     false => FALLBACK_PAUSE,
@@ -510,24 +525,32 @@
         is_current && !self.history_dropped.contains(&topic)
     }
 
-    /// Returns an alive daemon that has had rules of a higher version in force for [`BEHIND_SPAN`].
+    /// Returns an alive daemon that has had rules of a higher version in force for [`BEHIND_SPAN`], or for
+    /// [`CONFIRM_INTERVAL`] if this daemon has none in force yet.
     ///
-    /// The platform has lost them if it was restored from a copy, until the operators write them again.
+    /// The platform has lost them if it was restored from a copy, until the operators write them again. It may also
+    /// turn away this daemon and the peers that it polls, but not all daemons. Each daemon ahead is polled in turn.
     fn peer_ahead(&mut self, now: clock::Millis, view: &member::View) -> Option<String> {
         let held = self.registry.rules_version();
         let is_ahead =
             |m: &member::Member| m.liveness == member::Liveness::Alive && m.version > held;
-        let ahead = view.members.iter().find(|(_, m)| is_ahead(m));
-        let Some((name, _)) = ahead.filter(|_| held > 0) else {
+        let ahead = view.members.iter().filter(|(_, m)| is_ahead(m));
+        let ahead: Vec<_> = ahead.map(|(name, _)| name).collect();
+        if held == 0 || ahead.is_empty() {
             self.behind_since = None;
             return None;
-        };
+        }
         let since = *self.behind_since.get_or_insert(now);
-        if now - since < BEHIND_SPAN {
+        let span = match self.has_published() {
+            true => BEHIND_SPAN,
+            false => CONFIRM_INTERVAL,
+        };
+        if now - since < span {
             return None;
         }
         self.behind_since = Some(now);
-        Some(name.clone())
+        self.ahead_polls += 1;
+        Some(ahead[self.ahead_polls % ahead.len()].clone())
     }
 
     /// Handles the first sign of a later era: this daemon rewrites its rows, and each topic is read again from the
@@ -628,7 +651,8 @@
             (Topic::Targets, &updates.targets),
         ] {
             // A peer without news states no revision.
-            if batch.revision == 0 || self.is_outdated(batch.revision) {
+            let is_outdated = self.is_outdated(batch.revision) && !self.has_later_rules(batch);
+            if batch.revision == 0 || is_outdated {
                 continue;
             }
             self.enter_era(now, self.options.source.era(batch.revision), name);
@@ -645,6 +669,15 @@
         self.publishers.stale_peers.send_modify(|n| *n += 1);
     }
 
+    /// Returns whether a batch has rules of a higher version than those here. They count also if the peer has not yet
+    /// seen that the platform was restored, since versions never fall.
+    fn has_later_rules(&self, batch: &Batch) -> bool {
+        let held = self.registry.rules_version();
+        batch.changes.iter().any(|change| {
+            matches!(&change.item, Some(source::Item::Rules(rules)) if rules.version > held)
+        })
+    }
+
     /// Returns whether a revision is of an era that has ended.
     fn is_outdated(&self, revision: u64) -> bool {
         let era = self.options.source.era(revision);
@@ -730,9 +763,44 @@
         self.publishers.updates.send_modify(|n| *n += 1);
     }
 
-    /// Publishes the bundle if its first unpublished change is old enough, or if no bundle is in force yet.
+    fn has_published(&self) -> bool {
+        self.publishers.bundle.borrow().version > 0
+    }
+
+    /// Returns whether the first rules may come into force: the platform or a peer that it answers has confirmed them,
+    /// and no alive daemon has later ones in force. Otherwise a caller's credential that was withdrawn long ago would
+    /// be accepted again.
+    ///
+    /// What a restored platform says may be old, so it counts only once the version of another daemon is known. After
+    /// [`CONFIRM_SPAN`], the rules come into force all the same, since the platform may answer no daemon.
+    fn is_confirmed(&mut self, now: clock::Millis) -> bool {
+        let held = self.registry.rules_version();
+        if held == 0 {
+            return true;
+        }
+        let since = *self.rules_since.get_or_insert(now);
+        if now - since >= CONFIRM_SPAN {
+            return true;
+        }
+        let view = self.options.members.borrow();
+        let alive = view
+            .members
+            .values()
+            .filter(|m| m.liveness == member::Liveness::Alive);
+        let newest = alive.map(|m| m.version).max().unwrap_or_default();
+        let may_be_copy = self.era.is_some_and(|era| era > 0);
+        self.answered.contains_key(&Topic::Rules) && newest <= held && (newest > 0 || !may_be_copy)
+    }
+
+    /// Publishes the bundle if its first unpublished change is old enough, or if no bundle is in force yet and its
+    /// rules are confirmed.
     fn publish_due(&mut self, now: clock::Millis) {
-        let first = self.publishers.bundle.borrow().version == 0;
+        let first = !self.has_published();
+        // A change before the targets are known has to be published once they are, also if there are none.
+        let has_targets = self.registry.revision(Topic::Targets).is_some();
+        if first && !(has_targets && self.is_confirmed(now)) {
+            return;
+        }
         let due = |(since, _): &mut (clock::Millis, String)| first || now - *since >= PUBLISH_DELAY;
         if let Some((_, why)) = self.unpublished.take_if(due) {
             self.publish(&why);
@@ -765,10 +833,11 @@
 
     /// Schedules the next tick, for the registry or for publishing, if it is due before the one that is scheduled.
     fn schedule_tick(&mut self, myself: &ActorRef<Message>, now: clock::Millis) {
-        let publish_at = self
-            .unpublished
-            .as_ref()
-            .map(|(since, _)| *since + PUBLISH_DELAY);
+        let unpublished = self.unpublished.as_ref();
+        let publish_at = unpublished.map(|(since, _)| match self.has_published() {
+            true => *since + PUBLISH_DELAY,
+            false => now + CONFIRM_INTERVAL,
+        });
         let due = self
             .registry
             .next_deadline()
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,3 +21,4 @@
 mod shutdown;
 mod support;
 mod wire_forms;
+mod withdrawn;
