--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -39,7 +39,10 @@
 /// The maximum number of cells of a service, or of each of its failure domains.
 const MAX_CELLS: u64 = 10_000;
 
-/// The maximum burst of retries.
+/// The maximum quota of an organisation, in requests per second.
+const MAX_RATE: f64 = 1_000_000.0;
+
+/// The maximum burst of retries, and of an organisation's requests.
 const MAX_BURST: f64 = 1_000_000.0;
 
 /// The maximum weight of a share.
@@ -80,7 +83,11 @@
         "services",
         "routes",
         "callers",
+        "precedence",
     ]);
+    if let Some(precedence) = root.optional("precedence") {
+        check_choice(precedence, &["route", "organisation"]);
+    }
     root.required("version")
         .and_then(|v| v.integer(1..=MAX_INTEGER));
     let mut declared = Declared::default();
@@ -153,7 +160,13 @@
 fn check_organisations<'a>(organisations: &[reader::Table<'a>], declared: &mut Declared<'a>) {
     let mut seen = BTreeSet::new();
     for organisation in organisations {
-        organisation.check_keys(&["name", "tier", "credentials"]);
+        organisation.check_keys(&["name", "tier", "credentials", "rate", "burst"]);
+        if let Some(rate) = organisation.optional("rate") {
+            rate.number(f64::MIN_POSITIVE..=MAX_RATE);
+        }
+        if let Some(burst) = organisation.optional("burst") {
+            burst.number(0.0..=MAX_BURST);
+        }
         let name = unique_name(*organisation, "organisation", &mut seen);
         check_reference(*organisation, "tier", "tier", &declared.tiers);
         let credentials = organisation.optional("credentials");
@@ -199,8 +212,12 @@
             "breadth_pct",
             "ejection",
             "retry",
+            "order",
             "targets",
         ]);
+        if let Some(order) = service.optional("order") {
+            check_choice(order, &["arrival", "value"]);
+        }
         unique_name(service, "service", &mut declared.services);
         check_range(service, "deadline_ms", 1, MAX_TIME_MS);
         check_range(service, "queue", 0, MAX_QUEUE);
@@ -337,7 +354,9 @@
             "tries",
             "tier",
             "split",
+            "open",
         ]);
+        route.optional("open").and_then(|o| o.boolean());
         check_destination(*route, declared);
         check_request_rules(*route, declared);
         let host = route.optional("host").and_then(check_host);
@@ -472,6 +491,18 @@
     }
 }
 
+/// Checks that a value is one of `choices`.
+fn check_choice(value: reader::Value<'_>, choices: &[&str]) {
+    let Some(chosen) = value.string() else { return };
+    if !choices.contains(&chosen.str) {
+        value.add(&format!(
+            "unknown value `{}`; expected one of: {}",
+            chosen.str,
+            choices.join(", ")
+        ));
+    }
+}
+
 fn check_range(table: reader::Table<'_>, key: &str, least: u64, most: u64) {
     if let Some(value) = table.optional(key) {
         value.integer(least..=most);
--- a/src/state/bundle/diff.rs
+++ b/src/state/bundle/diff.rs
@@ -79,6 +79,7 @@
         "callers without a credential".to_owned(),
         json(&bundle.unknown),
     );
+    entries.insert("precedence of tiers".to_owned(), json(&bundle.precedence));
     if let Some(callers) = &bundle.callers {
         entries.insert("limits of callers".to_owned(), json(callers));
     }
