tests: the fake peer of the restore tests states the version of this build

Since the version is negotiated, rules of a peer that states none are passed over: such a build drops organisations when it decodes rules. The fake stands for a daemon of this build, so it states version 2. The checks stay as they were.

--- a/tests/testsuite/restore.rs
+++ b/tests/testsuite/restore.rs
@@ -485,7 +485,7 @@
     ) -> future::BoxFuture<'a, Result<peer::ControlMessage, peer::NoReply>> {
         let rules = change(Topic::Rules, "", 2 * ERA + 41, Some(rules_item(7)));
         let rules = whole(vec![rules], 2 * ERA + 50);
-        let updates = serde_json::json!({"rules": rules, "targets": Batch::default()});
+        let updates = serde_json::json!({"rules": rules, "targets": Batch::default(), "version": 2});
         let reply = peer::ControlMessage::Updates {
             age: Some(Millis::ZERO),
             changes: updates.to_string().into_bytes(),
@@ -594,7 +594,7 @@
                 self.wait(wait).await;
             }
             let batch = self.batch();
-            let updates = serde_json::json!({"rules": batch, "targets": batch});
+            let updates = serde_json::json!({"rules": batch, "targets": batch, "version": 2});
             let is_news = targets < batch.revision;
             Ok(peer::ControlMessage::Updates {
                 age: Some(Millis::ZERO),
