quota: decisions on the quotas of organisations, without I/O

Cause: the quota of an organisation holds over all daemons, whether or not they reach each other, and most organisations have a limit of a few requests per second at up to a hundred homes.

Change: `coordination::quota` with the types `Home` (stocks, waiting requests), `Holder` (buckets, lots), `Ranking` (holder of each organisation) and `Blocks` (refusals that an entry repeats). The messages `GetTokens` and `Tokens` are appended to the control messages. `RequestContext` gains `counted`, so that a request that may have run through another home is counted once.

A request without a token waits for one round trip to the holder. The capacity is `burst` + 12. A home that cannot reach the holder asks through the next daemons by rank, which pass the request on.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod outlier;
 pub mod quarantine;
+pub mod quota;
 mod random;
 pub mod rate_limit;
 pub mod readers;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -389,6 +389,7 @@
                 organisation: caller.organisation.to_owned(),
                 route: route.hash(),
                 length,
+                counted: false,
             }),
         };
         let outgoing = exchange::Outgoing {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -64,6 +64,8 @@
     pub route: u64,
     /// The length of the body in bytes; absent if it is not known before the body is read.
     pub length: Option<u64>,
+    /// Whether an earlier try through another home may have run, so that the organisation's quota counts the request.
+    pub counted: bool,
 }
 
 impl extension::Field for RequestContext {
@@ -154,6 +156,18 @@
 }
 
 impl Outcome {
+    /// Returns whether the target may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(
+            self,
+            Outcome::Answered
+                | Outcome::Failed
+                | Outcome::Broken
+                | Outcome::TimedOut
+                | Outcome::Expired
+        )
+    }
+
     /// Returns whether the try failed because of the target or the network path to it.
     pub fn is_failure(self) -> bool {
         matches!(
@@ -350,6 +364,59 @@
         /// The changes, encoded as JSON; empty if there are none.
         changes: Vec<u8>,
     },
+    /// Requests tokens of quotas from their holder; only sent to daemons of version 2.
+    GetTokens(Box<TokenRequest>),
+    /// Carries the tokens that a holder hands out; absent if the receiver of the request knows no holder that answers.
+    Tokens(Option<Vec<TokenLot>>),
+}
+
+/// A home's request for tokens of quotas, for all organisations of one holder.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TokenRequest {
+    /// The name of the home.
+    pub home: String,
+    /// The run of the home; each start has a higher number.
+    pub run: u64,
+    /// The number of the request within the run; a repetition has the same number.
+    pub sequence: u64,
+    /// The number of the last request to the holder whose reply was received; the lots of later replies were lost.
+    pub received: u64,
+    /// Whether another daemon passed the request on; it is passed on once at most.
+    pub forwarded: bool,
+    /// What the home needs of each organisation.
+    pub needs: Vec<TokenNeed>,
+}
+
+/// The tokens of one organisation that a home holds and needs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TokenNeed {
+    /// The name of the organisation.
+    pub organisation: String,
+    /// The rate of its quota by the home's rules, in requests per second.
+    pub rate: f64,
+    /// The burst of its quota by the home's rules.
+    pub burst: f64,
+    /// The tokens in the home's stock.
+    pub held: u32,
+    /// The tokens that the home returns with this request.
+    pub returned: u32,
+    /// The number of requests that wait for a token.
+    pub waiting: u32,
+    /// The tokens that the home would keep in its stock beyond `held`.
+    pub spare: u32,
+}
+
+/// The tokens of one organisation that a holder hands out to a home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenLot {
+    /// The name of the organisation.
+    pub organisation: String,
+    /// The number of tokens.
+    pub tokens: u32,
+    /// The time until the holder has another token.
+    pub wait: clock::Millis,
+    /// The time until there is room for another request, by the requests that were refused before it.
+    pub room: clock::Millis,
 }
 
 /// A bundle with the signature that authorises its adoption.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod malformed;
 mod path;
 mod quic;
+mod quota;
 mod readers;
 mod refusal;
 mod registry;
--- a/tests/testsuite/wire_forms.rs
+++ b/tests/testsuite/wire_forms.rs
@@ -167,6 +167,7 @@
         organisation: "o-1".to_owned(),
         route: 77,
         length: Some(60_000),
+        counted: true,
     };
     let request = peer::SlotRequest {
         context: Some(context.clone()),
