quota: daemons hand out tokens, and homes spend them on requests

Cause: the decisions on quotas took no part in the request path.

The home of a cell spends a token before a request goes to the cell, keeps the entry informed while the request waits for one, and returns it if no try may have run. A refusal has the cause `OverQuota` and the time at which there is room, until which the entry refuses by itself. If no holder answers, the cause is `NoHome`, so the entry tries another home. Bundles in TOML accept `rate` and `burst`.

--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::daemon::{broadcast, home};
+use crate::daemon::{broadcast, home, quota};
 use crate::protocol::{frame, peer, version};
 use crate::transport::quic;
 
@@ -12,6 +12,8 @@
     pub broadcaster: sync::Arc<broadcast::Broadcaster>,
     /// Reports the targets of the cells of which this daemon is the home.
     pub home: sync::Arc<home::Home>,
+    /// Hands out tokens of quotas.
+    pub quotas: sync::Arc<quota::Quotas>,
     /// Handles the messages about bundles, rules and targets.
     pub handler: sync::Arc<dyn peer::ControlHandler>,
 }
@@ -47,6 +49,9 @@
             peer::ControlMessage::GetTargets => {
                 peer::ControlMessage::Targets(self.home.target_reports().await)
             }
+            peer::ControlMessage::GetTokens(request) => {
+                peer::ControlMessage::Tokens(self.quotas.answer(from, *request).await)
+            }
             other => self.handler.handle(from, version, other).await,
         }
     }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -23,6 +23,7 @@
 use crate::daemon::exchange::HomeResult;
 use crate::daemon::home;
 use crate::daemon::metrics;
+use crate::daemon::quota;
 use crate::protocol::refusal::{Cause, Refusal};
 use crate::protocol::{dialect, headers, peer};
 use crate::state::{bundle, clock, ids, index, settings, timeline};
@@ -65,6 +66,8 @@
     pub claims: sync::Arc<dyn Claims>,
     /// Looks up quarantined fingerprints.
     pub broadcaster: sync::Arc<broadcast::Broadcaster>,
+    /// Refuses the requests of organisations that are over their quotas.
+    pub quotas: sync::Arc<quota::Quotas>,
     /// The daemon's metrics.
     pub metrics: sync::Arc<metrics::Metrics>,
     /// Sends requests to targets.
@@ -249,6 +252,10 @@
                 }
                 HomeResult::Refused(refusal) => {
                     self.record_observation(&choice.home, homes::Observation::Answered);
+                    if let (Cause::OverQuota, Some(wait)) = (refusal.cause, refusal.retry_after) {
+                        let quotas = &self.options.quotas;
+                        quotas.block(&parsed.organisation, &service.name, wait);
+                    }
                     if !another_home_may_serve(refusal) || parsed.outgoing.rest_is_sent() {
                         return Err(refusal);
                     }
@@ -310,6 +317,13 @@
             .index
             .service(&current.bundle, route.service_for(id.0 as u64));
         let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+        let blocked = self
+            .options
+            .quotas
+            .blocked(caller.organisation, &service.name);
+        if let Some(left) = blocked {
+            return Err(Refusal::not_run(Cause::OverQuota, Some(left)));
+        }
         if parts.method == Method::CONNECT || parts.headers.contains_key(header::UPGRADE) {
             return Err(bad_request);
         }
@@ -521,7 +535,7 @@
             return lost;
         };
         let now = self.options.clock.now();
-        let slot_request = peer::SlotRequest {
+        let mut slot_request = peer::SlotRequest {
             cell: choice.cell.clone(),
             left: parsed.outgoing.deadline - now,
             objective: parsed.objective - now,
@@ -530,6 +544,9 @@
             known: self.known_of_cell(now, service, &choice.cell),
             ..parsed.slot_request.clone()
         };
+        if let Some(context) = &mut slot_request.context {
+            context.counted = parsed.outgoing.unknown_cause.is_some();
+        }
         let stream = exchange::HomeStream { recv, send };
         let record_summary = |summary: &peer::CellSummary| {
             self.selector()
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -13,10 +13,11 @@
 use tokio::{sync as tokio_sync, task, time};
 
 use crate::coordination::cell::Arrival;
-use crate::coordination::{homes, member};
+use crate::coordination::{homes, member, quota};
 use crate::daemon::cell;
 use crate::daemon::cell::Message;
 use crate::daemon::cell::Verdict;
+use crate::daemon::quota::{Arrival as Spending, Quotas, Token};
 use crate::protocol::{frame, peer, refusal};
 use crate::state::{bundle, clock, ids, timeline};
 
@@ -57,6 +58,8 @@
     pub budget: sync::Arc<dyn cell::EjectionBudget>,
     /// Broadcasts quarantined fingerprints to the fleet.
     pub broadcast: sync::Arc<dyn cell::Broadcast>,
+    /// Spends the tokens of organisations on their requests.
+    pub quotas: sync::Arc<Quotas>,
 }
 
 /// The cells of which this daemon is the home, or was until they are drained.
@@ -235,7 +238,14 @@
         };
         let handle = match handle {
             Ok(handle) => handle,
-            Err(cause) => return refuse(&mut send, cause).await,
+            Err(cause) => {
+                let refusal = refusal::Refusal::not_run(cause, Some(RETRY_AFTER));
+                return refuse(&mut send, refusal).await;
+            }
+        };
+        let token = match self.spend_token(&slot_request, &mut send).await? {
+            Ok(token) => token,
+            Err(refusal) => return refuse(&mut send, refusal).await,
         };
         handle.send(Message::OtherCells(std::mem::take(&mut slot_request.peers)));
         let ticket = ids::Ticket(self.tickets.fetch_add(1, atomic::Ordering::Relaxed));
@@ -251,13 +261,51 @@
             handle,
             ticket,
             answered: false,
+            ran: false,
             ended: false,
+            token,
         };
         registration
             .serve(&slot_request, recv, send, receiver)
             .await
     }
 
+    /// Spends a token of the organisation's quota on a request, and keeps its entry informed while it waits for one.
+    async fn spend_token(
+        &self,
+        slot_request: &peer::SlotRequest,
+        send: &mut SendHalf,
+    ) -> Result<Result<Option<Token>, refusal::Refusal>, frame::Error> {
+        let quotas = &self.options.quotas;
+        let verdict = match quotas.spend(slot_request.context.as_ref()) {
+            Spending::Free => return Ok(Ok(None)),
+            Spending::Decided(verdict) => verdict,
+            Spending::Waiting(mut decided) => {
+                let mut keepalives = keepalives();
+                loop {
+                    tokio::select! {
+                        verdict = &mut decided => break verdict.unwrap_or(quota::Verdict::Unknown),
+                        _ = keepalives.tick() => frame::send(send, &peer::FromHome::Queued).await?,
+                    }
+                }
+            }
+        };
+        let context = slot_request.context.as_ref();
+        let token = context.and_then(|c| quotas.token(c, verdict));
+        Ok(match verdict {
+            quota::Verdict::Go => Ok(token),
+            quota::Verdict::Refuse(room) => Err(refusal::Refusal::not_run(
+                refusal::Cause::OverQuota,
+                Some(room),
+            )),
+            // Another home may reach the holder.
+            quota::Verdict::Unknown => Err(refusal::Refusal::not_run(
+                refusal::Cause::NoHome,
+                Some(RETRY_AFTER),
+            )),
+        })
+    }
+
     fn arrival(&self, ticket: ids::Ticket, slot_request: &peer::SlotRequest) -> Arrival {
         let now = self.options.clock.now();
         Arrival {
@@ -275,9 +323,9 @@
     }
 }
 
-async fn refuse(send: &mut SendHalf, cause: refusal::Cause) -> Result<(), frame::Error> {
+async fn refuse(send: &mut SendHalf, refusal: refusal::Refusal) -> Result<(), frame::Error> {
     let refused = peer::FromHome::Refused {
-        refusal: refusal::Refusal::not_run(cause, Some(RETRY_AFTER)),
+        refusal,
         summary: None,
     };
     frame::send(send, &refused).await
@@ -289,7 +337,11 @@
     ticket: ids::Ticket,
     /// Whether the target answered, so that the entry forwards the response.
     answered: bool,
+    /// Whether a try of the request may have run.
+    ran: bool,
     ended: bool,
+    /// The token of the organisation's quota; absent if it has none.
+    token: Option<Token>,
 }
 
 impl Drop for Registration {
@@ -351,6 +403,8 @@
             "try ended"
         );
         self.answered |= outcome == peer::Outcome::Answered;
+        self.ran |= outcome.may_have_run();
+        self.set_spent(false);
         let ticket = self.ticket;
         self.handle.send(Message::Done {
             ticket,
@@ -385,6 +439,7 @@
         let (message, last) = match verdict {
             Verdict::Grant(target) => {
                 self.handle.send(Message::Sent(self.ticket));
+                self.set_spent(true);
                 let summary = self.handle.summary();
                 (peer::FromHome::Granted { target, summary }, false)
             }
@@ -402,6 +457,13 @@
         Ok(last)
     }
 
+    /// Sets whether the token is spent: from each grant to its outcome, and for good once a try may have run.
+    fn set_spent(&mut self, may_have_run: bool) {
+        if let Some(token) = &mut self.token {
+            token.set_spent(self.ran || may_have_run);
+        }
+    }
+
     /// Ends the request after the entry has closed its half of the stream.
     async fn finish(mut self, reader: AbortOnDrop) -> Result<(), frame::Error> {
         let is_complete = matches!(reader.await, Ok(true));
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -12,7 +12,8 @@
 use crate::coordination::member;
 use crate::daemon::entry;
 use crate::daemon::home;
-use crate::protocol::{frame, peer};
+use crate::daemon::quota;
+use crate::protocol::{frame, peer, version};
 use crate::state::clock;
 use crate::transport::quic;
 
@@ -99,6 +100,33 @@
     }
 }
 
+impl quota::Links for ControlLinks {
+    fn get_tokens<'a>(
+        &'a self,
+        to: &'a str,
+        request: peer::TokenRequest,
+    ) -> future::BoxFuture<'a, Result<Option<Vec<peer::TokenLot>>, quota::NoTokens>> {
+        let no_reply = quota::NoTokens::NoReply;
+        Box::pin(async move {
+            let address = self.view.borrow().members.get(to).map(|m| m.peer);
+            let address = address.ok_or_else(|| no_reply("it is not a live daemon".to_owned()))?;
+            let opened = self.peers.open(to, address, peer::Purpose::Control).await;
+            let (mut send, mut recv) = opened.map_err(|e| no_reply(e.to_string()))?;
+            if send.version() < version::Version::TOKENS {
+                return Err(quota::NoTokens::Old);
+            }
+            let message = peer::ControlMessage::GetTokens(Box::new(request));
+            let sent = frame::send(&mut send, &message).await;
+            sent.map_err(|e| no_reply(e.to_string()))?;
+            match frame::receive(&mut recv).await {
+                Ok(peer::ControlMessage::Tokens(lots)) => Ok(lots),
+                Ok(_) => Err(no_reply("the reply is of another kind".to_owned())),
+                Err(e) => Err(no_reply(e.to_string())),
+            }
+        })
+    }
+}
+
 impl ControlLinks {
     async fn request_reply(
         &self,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -26,6 +26,9 @@
     relayed: Counter<u64>,
     cuts: Counter<u64>,
     platform_calls: Counter<u64>,
+    tokens: Counter<u64>,
+    token_requests: Counter<u64>,
+    quota_refusals: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -88,6 +91,18 @@
                 .u64_counter("peridotspread.platform.calls")
                 .with_description("Calls to the platform by kind and table")
                 .build(),
+            tokens: meter
+                .u64_counter("peridotspread.quota.tokens")
+                .with_description("Tokens of quotas by event")
+                .build(),
+            token_requests: meter
+                .u64_counter("peridotspread.quota.token_requests")
+                .with_description("Requests for tokens to other daemons by result")
+                .build(),
+            quota_refusals: meter
+                .u64_counter("peridotspread.quota.refusals")
+                .with_description("Requests without a token by the part that refused them")
+                .build(),
             registry,
             provider,
         })
@@ -148,6 +163,22 @@
         );
     }
 
+    /// Counts a token of a quota that was spent or returned.
+    pub fn record_token(&self, event: &'static str) {
+        self.tokens.add(1, &[KeyValue::new("event", event)]);
+    }
+
+    /// Counts a request for tokens to another daemon.
+    pub fn record_token_request(&self, result: &'static str) {
+        let labels = [KeyValue::new("result", result)];
+        self.token_requests.add(1, &labels);
+    }
+
+    /// Counts a request that got no token, refused by an entry or a home, or because the holder is unknown.
+    pub fn record_quota_refusal(&self, by: &'static str) {
+        self.quota_refusals.add(1, &[KeyValue::new("by", by)]);
+    }
+
     /// Counts that the platform was restored from an earlier copy.
     pub fn record_restore(&self) {
         self.restores.add(1, &[]);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -26,6 +26,7 @@
 pub mod member;
 pub mod metrics;
 mod node;
+pub mod quota;
 pub mod registry;
 pub mod relay;
 mod stop;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -10,7 +10,7 @@
 use crate::coordination::member as membership;
 use crate::daemon::{
     admin, background, broadcast, cell, claims, control, egress, entry, exchange, follower, home,
-    lease, links, member, metrics, registry, relay,
+    lease, links, member, metrics, quota, registry, relay,
 };
 use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
@@ -208,6 +208,7 @@
     members: member::Handle,
     view: tokio_sync::watch::Receiver<sync::Arc<membership::View>>,
     sender: sync::Arc<dyn peer::ControlSender>,
+    tokens: sync::Arc<dyn quota::Links>,
 }
 
 impl Shared {
@@ -246,14 +247,15 @@
         };
         let members = member::spawn(options).await.context(MemberSnafu)?;
         let view = members.view();
-        let sender = links::ControlLinks {
+        let links = sync::Arc::new(links::ControlLinks {
             peers: self.peers.clone(),
             view: view.clone(),
-        };
+        });
         Ok(Fleet {
             members,
             view,
-            sender: sync::Arc::new(sender),
+            sender: links.clone(),
+            tokens: links,
         })
     }
 
@@ -359,6 +361,7 @@
         fleet: &Fleet,
         bundle: &BundleReceiver,
         broadcaster: &sync::Arc<broadcast::Broadcaster>,
+        quotas: &sync::Arc<quota::Quotas>,
     ) -> sync::Arc<home::Home> {
         let home = sync::Arc::new(home::Home::new(home::Options {
             name: self.settings.name.clone(),
@@ -368,11 +371,24 @@
             view: fleet.view.clone(),
             budget: self.budget(),
             broadcast: broadcaster.clone(),
+            quotas: quotas.clone(),
         }));
         broadcaster.attach(&home);
         home
     }
 
+    fn quotas(&self, fleet: &Fleet, bundle: &BundleReceiver) -> sync::Arc<quota::Quotas> {
+        quota::Quotas::new(quota::Options {
+            name: self.settings.name.clone(),
+            run: self.incarnation,
+            clock: self.clock,
+            bundle: bundle.clone(),
+            view: fleet.view.clone(),
+            links: fleet.tokens.clone(),
+            metrics: self.metrics.clone(),
+        })
+    }
+
     fn egress(&self, fleet: &Fleet) -> sync::Arc<egress::EgressConnector> {
         let relays = egress::PeerRelays {
             peers: self.peers.clone(),
@@ -395,6 +411,7 @@
         bundle: &BundleReceiver,
         home: &sync::Arc<home::Home>,
         broadcaster: &sync::Arc<broadcast::Broadcaster>,
+        quotas: &sync::Arc<quota::Quotas>,
         pool: &sync::Arc<pool::Pool>,
     ) -> Result<entry::Entry, Error> {
         let links = links::HomeLinks {
@@ -411,6 +428,7 @@
             links: sync::Arc::new(links),
             claims: self.claims(fleet).await?,
             broadcaster: broadcaster.clone(),
+            quotas: quotas.clone(),
             metrics: self.metrics.clone(),
             client: exchange::TargetClient {
                 clock: self.clock,
@@ -459,12 +477,13 @@
         let fleet = shared.fleet().await?;
         let BundleSource { bundle, handler } = shared.bundle_source(&fleet).await?;
         let broadcaster = shared.broadcaster(&fleet);
-        let home = shared.home(&fleet, &bundle, &broadcaster);
+        let quotas = shared.quotas(&fleet, &bundle);
+        let home = shared.home(&fleet, &bundle, &broadcaster, &quotas);
         let egress = shared.egress(&fleet);
         let head_bytes = shared.settings.limits.head_bytes;
         let pool = pool::Pool::new(shared.clock, head_bytes, egress.clone());
         let pool = sync::Arc::new(pool);
-        let entry = shared.entry(&fleet, &bundle, &home, &broadcaster, &pool);
+        let entry = shared.entry(&fleet, &bundle, &home, &broadcaster, &quotas, &pool);
         let entry = sync::Arc::new(entry.await?);
         let relay = sync::Arc::new(relay::Relay::new(relay::Options {
             limits: shared.settings.limits.clone(),
@@ -475,6 +494,7 @@
         let router = control::ControlRouter {
             broadcaster,
             home: home.clone(),
+            quotas: quotas.clone(),
             handler,
         };
         let (limits, limits_seen) = tokio_sync::watch::channel(shared.settings.limits.clone());
@@ -496,6 +516,7 @@
             tokio::spawn(background::follow_hosts(shared.hosts, members.clone())),
             tokio::spawn(background::forward_views(fleet.view, home.clone())),
             tokio::spawn(background::close_idle_connections(pool)),
+            tokio::spawn(quotas.run()),
         ];
         Ok(Node {
             settings: shared.settings,
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -45,6 +45,8 @@
 /// The maximum weight of a share.
 const MAX_WEIGHT: u64 = 1_000_000;
 
+/// The highest rate and burst of an organisation's quota.
+const MAX_QUOTA: f64 = 1_000_000.0;
 /// The length of a SHA-256 digest in hexadecimal digits.
 const DIGEST_CHARS: usize = 64;
 
@@ -153,9 +155,13 @@
 fn check_organisations<'a>(organisations: &[reader::Table<'a>], declared: &mut Declared<'a>) {
     let mut seen = BTreeSet::new();
     for organisation in organisations {
-        organisation.check_keys(&["name", "tier", "credentials"]);
+        organisation.check_keys(&["name", "tier", "credentials", "rate", "burst"]);
         let name = unique_name(*organisation, "organisation", &mut seen);
         check_reference(*organisation, "tier", "tier", &declared.tiers);
+        for key in ["rate", "burst"] {
+            let value = organisation.optional(key);
+            value.and_then(|v| v.number(0.0..=MAX_QUOTA));
+        }
         let credentials = organisation.optional("credentials");
         for credential in credentials.map_or(Vec::new(), |c| c.array()) {
             check_credential(credential, name.unwrap_or_default(), declared);
--- a/tests/testsuite/quota/mod.rs
+++ b/tests/testsuite/quota/mod.rs
@@ -5,6 +5,7 @@
 
 use world::{BEGIN, World};
 
+mod daemon;
 mod world;
 
 const SEEDS: u64 = 5;
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -13,7 +13,9 @@
 use hyper::service;
 use hyper_util::rt;
 use peridotspread::coordination::member;
-use peridotspread::daemon::{broadcast, cell, claims, egress, entry, exchange, home, metrics};
+use peridotspread::daemon::{
+    broadcast, cell, claims, egress, entry, exchange, home, metrics, quota,
+};
 use peridotspread::protocol::{dialect, frame, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
 use peridotspread::transport::{body, http as server, pool};
@@ -45,7 +47,13 @@
     respond: Respond,
     limits: settings::Limits,
 ) -> Daemon {
-    start(test, respond, limits, None, None).await
+    start(test, respond, limits, None, None, "").await
+}
+
+/// Starts a daemon as [`daemon`] does, whose bundle also holds `rules`.
+pub(crate) async fn daemon_with_rules(test: &str, respond: Respond, rules: &str) -> Daemon {
+    let limits = settings::Limits::default();
+    start(test, respond, limits, None, None, rules).await
 }
 
 /// Starts a daemon that opens connections to its target by `direct` or through the relays `r1` and `r2`.
@@ -58,13 +66,13 @@
     let never = |_| -> future::BoxFuture<'static, Response<body::Body>> {
         Box::pin(std::future::pending())
     };
-    start(test, never, limits, None, Some((direct, relays))).await
+    start(test, never, limits, None, Some((direct, relays)), "").await
 }
 
 /// Starts a daemon as [`daemon`] does, whose home grants the target `grants` times for each request and is then lost.
 pub(crate) async fn daemon_with_lost_home(test: &str, respond: Respond, grants: u32) -> Daemon {
     let limits = settings::Limits::default();
-    start(test, respond, limits, Some(grants), None).await
+    start(test, respond, limits, Some(grants), None, "").await
 }
 
 /// The direct connector and the relays of a daemon.
@@ -79,19 +87,30 @@
     limits: settings::Limits,
     grants: Option<u32>,
     paths: Option<Paths>,
+    rules: &str,
 ) -> Daemon {
     let target = target(respond).await;
     let mut own = fleet::files(test).settings("d1");
     own.limits = limits.clone();
     let clock = clock::Clock::start();
     let recorder = sync::Arc::new(timeline::Recorder::new("d1", ids::Incarnation(1)));
-    let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target)));
+    let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target, rules)));
     let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&["d1"])));
     let metrics = sync::Arc::new(metrics::Metrics::new().unwrap());
     let pool_connector: sync::Arc<dyn pool::Connector> = match paths {
         None => sync::Arc::new(pool::TcpConnector),
         Some((direct, relays)) => sync::Arc::new(connector(direct, relays)),
     };
+    let quotas = quota::Quotas::new(quota::Options {
+        name: "d1".to_owned(),
+        run: ids::Incarnation(1),
+        clock,
+        bundle: bundle_seen.clone(),
+        view: view_seen.clone(),
+        links: sync::Arc::new(NoPeers),
+        metrics: metrics.clone(),
+    });
+    tokio::spawn(quotas.clone().run());
     let home = sync::Arc::new(home::Home::new(home::Options {
         name: "d1".to_owned(),
         clock,
@@ -100,6 +119,7 @@
         view: view_seen.clone(),
         budget: sync::Arc::new(cell::NoEjectionBudget),
         broadcast: sync::Arc::new(NoBroadcast),
+        quotas: quotas.clone(),
     }));
     let broadcaster = broadcast::Broadcaster::new(broadcast::Options {
         name: "d1".to_owned(),
@@ -117,6 +137,7 @@
         links: sync::Arc::new(OwnHome { home, grants }),
         claims: sync::Arc::new(claims::NoClaims),
         broadcaster,
+        quotas,
         metrics,
         client: exchange::TargetClient {
             clock,
@@ -170,11 +191,11 @@
     address
 }
 
-fn bundle_of(target: net::SocketAddr) -> bundle::Bundle {
+fn bundle_of(target: net::SocketAddr, rules: &str) -> bundle::Bundle {
     let text = format!(
         "version = 1\n[[tiers]]\nname = \"all\"\n[[services]]\nname = \"web\"\nfloor = 1\ndeadline_ms = 5000\n\
          [[services.targets]]\nname = \"web-1\"\naddress = \"{target}\"\ndomain = \"lahore-1\"\nslots = 2\n\
-         [[routes]]\nprefix = \"/\"\nservice = \"web\"\n"
+         [[routes]]\nprefix = \"/\"\nservice = \"web\"\n{rules}"
     );
     bundle::parse("bundle.toml", &text).unwrap()
 }
@@ -266,6 +287,17 @@
 
 struct NoPeers;
 
+impl quota::Links for NoPeers {
+    fn get_tokens<'a>(
+        &'a self,
+        _to: &'a str,
+        _request: peer::TokenRequest,
+    ) -> future::BoxFuture<'a, Result<Option<Vec<peer::TokenLot>>, quota::NoTokens>> {
+        let reason = "this daemon has no peers".to_owned();
+        Box::pin(async move { Err(quota::NoTokens::NoReply(reason)) })
+    }
+}
+
 impl peer::ControlSender for NoPeers {
     fn send<'a>(
         &'a self,
