--- a/src/coordination/quota/ranking.rs
+++ b/src/coordination/quota/ranking.rs
@@ -5,9 +5,9 @@
 use crate::coordination::member;
 use crate::state::{hash, ids};
 
-/// The number of groups of organisations. Each daemon of a fleet of 100 holds 2 or 3 of them, and no daemon of a fleet of
-/// 2,600 holds more than a few.
-const GROUPS: usize = 256;
+/// The number of groups of organisations. Each daemon of a fleet of 100 holds about 10 of them, so that they share the
+/// requests for tokens evenly. A fleet of 2,600 has about 850 holders; more would cost its homes more connections.
+const GROUPS: usize = 1_024;
 
 /// Ranks the daemons for each group of organisations.
 ///
@@ -26,6 +26,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Candidate {
     liveness: member::Liveness,
+    /// The hash of the name.
+    hash: u64,
 }
 
 /// The order of daemons within a group; the lowest is the holder.
@@ -43,7 +45,8 @@
             .filter(|(name, m)| is_candidate(name, m))
             .map(|(name, m)| {
                 let liveness = m.liveness;
-                (name.clone(), Candidate { liveness })
+                let hash = hash::hash(&["quota-holder", name]);
+                (name.clone(), Candidate { liveness, hash })
             })
             .collect();
         let old = std::mem::replace(&mut self.members, next);
@@ -69,7 +72,7 @@
                 continue;
             }
             for (name, candidate) in &added {
-                let rank = rank(group, name, *candidate);
+                let rank = rank(group, *candidate);
                 if self.first[group].as_ref().is_none_or(|(r, _)| rank < *r) {
                     self.first[group] = Some((rank, name.clone()));
                 }
@@ -108,7 +111,7 @@
     fn ranked(&self, group: usize) -> Vec<(Rank, String)> {
         let members = self.members.iter();
         let mut ranked: Vec<_> = members
-            .map(|(name, c)| (rank(group, name, *c), name.clone()))
+            .map(|(name, c)| (rank(group, *c), name.clone()))
             .collect();
         ranked.sort();
         ranked
@@ -120,7 +123,7 @@
     (hash::hash(&["quota-group", organisation]) % GROUPS as u64) as usize
 }
 
-fn rank(group: usize, name: &str, candidate: Candidate) -> Rank {
-    let mixed = hash::mix(hash::hash(&["quota-holder", name]) ^ hash::mix(group as u64 + 1));
+fn rank(group: usize, candidate: Candidate) -> Rank {
+    let mixed = hash::mix(candidate.hash ^ hash::mix(group as u64 + 1));
     (candidate.liveness, std::cmp::Reverse(mixed))
 }
--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -282,7 +282,13 @@
                 });
             }
             Verdict::Refuse(_) => self.options.metrics.record_quota_refusal("home"),
-            Verdict::Unknown => self.options.metrics.record_quota_refusal("unknown"),
+            Verdict::Unknown => {
+                self.options.metrics.record_quota_refusal("unknown");
+                log::info!(
+                    organisation = context.organisation, daemon = self.options.name;
+                    "no holder of the organisation's quota answered"
+                );
+            }
         }
         None
     }
--- a/tests/testsuite/quic.rs
+++ b/tests/testsuite/quic.rs
@@ -49,7 +49,10 @@
     assert_eq!((from.as_str(), bytes), ("a", sent));
 }
 
-fn bind_older(files: &fleet::Files, name: &str) -> (quic::Peers, mpsc::Receiver<quic::Incoming>) {
+pub(crate) fn bind_older(
+    files: &fleet::Files,
+    name: &str,
+) -> (quic::Peers, mpsc::Receiver<quic::Incoming>) {
     let settings = files.settings(name);
     let identity = quic::Identity::read(&settings).unwrap();
     let identity = identity.with_versions(&[Version::FIRST]);
--- a/tests/testsuite/quota/daemon.rs
+++ b/tests/testsuite/quota/daemon.rs
@@ -1,6 +1,7 @@
 //! Quotas of running daemons: on the request path of one, and between two over their messages.
 
 use std::collections::BTreeMap;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -10,12 +11,15 @@
 use hyper::body::Incoming;
 use peridotspread::coordination::member;
 use peridotspread::coordination::quota::{Ranking, Verdict};
-use peridotspread::daemon::{metrics, quota};
-use peridotspread::protocol::peer;
+use peridotspread::daemon::quota::Links;
+use peridotspread::daemon::{links, metrics, quota};
+use peridotspread::protocol::{frame, peer};
 use peridotspread::state::{bundle, clock, ids, index};
-use peridotspread::transport::body;
+use peridotspread::transport::{body, quic};
 use tokio::sync::watch;
 
+use crate::quic::bind_older;
+use crate::support::fleet;
 use crate::support::path::{daemon_with_rules, request};
 
 fn answer(_request: Request<Incoming>) -> future::BoxFuture<'static, Response<body::Body>> {
@@ -109,15 +113,19 @@
     }
 }
 
-/// Starts the daemons `d0` and `d1`, and returns the first and an organisation whose holder is the second.
-async fn two_daemons(old: &[&str]) -> (sync::Arc<quota::Quotas>, String) {
-    let daemon = member::Member {
-        peer: "127.0.0.1:9".parse().unwrap(),
+fn member(address: net::SocketAddr) -> member::Member {
+    member::Member {
+        peer: address,
         domain: "lahore-1".to_owned(),
         incarnation: ids::Incarnation(1),
         liveness: member::Liveness::Alive,
         version: 1,
-    };
+    }
+}
+
+/// Starts the daemons `d0` and `d1`, and returns the first and an organisation whose holder is the second.
+async fn two_daemons(old: &[&str]) -> (sync::Arc<quota::Quotas>, String) {
+    let daemon = member("127.0.0.1:9".parse().unwrap());
     let names = ["d0", "d1"].map(str::to_owned);
     let members = names.iter().map(|n| (n.clone(), daemon.clone())).collect();
     let view = sync::Arc::new(member::View { members });
@@ -198,3 +206,57 @@
     let (home, organisation) = two_daemons(&["d1"]).await;
     assert_eq!(verdict(&home, &organisation).await, Some(Verdict::Go));
 }
+
+/// An older build drops a connection with a message that it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_for_tokens_are_sent_to_builds_that_know_them_only() {
+    let files = fleet::files("quota-quic");
+    let (a, _incoming) = quic::Peers::bind(&files.settings("a")).unwrap();
+    let (b, mut to_b) = quic::Peers::bind(&files.settings("b")).unwrap();
+    let (older, mut to_older) = bind_older(&files, "c");
+    let members = [("b", b.local()), ("c", older.local())];
+    let members = members.map(|(name, at)| (name.to_owned(), member(at)));
+    let view = sync::Arc::new(member::View {
+        members: members.into(),
+    });
+    let links = links::ControlLinks {
+        peers: a,
+        view: watch::channel(view).1,
+    };
+    let request = peer::TokenRequest {
+        home: "a".to_owned(),
+        run: 1,
+        sequence: 1,
+        received: 0,
+        forwarded: false,
+        needs: Vec::new(),
+    };
+    let lots = Some(vec![peer::TokenLot {
+        organisation: "o".to_owned(),
+        tokens: 2,
+        wait: clock::Millis(50),
+        room: clock::Millis(70),
+    }]);
+    let (sent, reply) = (request.clone(), lots.clone());
+    let holder = tokio::spawn(async move {
+        let Some(quic::Incoming::Stream {
+            mut send, mut recv, ..
+        }) = to_b.recv().await
+        else {
+            panic!("a stream comes first");
+        };
+        let message: peer::ControlMessage = frame::receive(&mut recv).await.unwrap();
+        assert_eq!(message, peer::ControlMessage::GetTokens(Box::new(sent)));
+        let reply = peer::ControlMessage::Tokens(reply);
+        frame::send(&mut send, &reply).await.unwrap();
+        send.finish().unwrap();
+        let _ = send.stopped().await;
+    });
+    assert_eq!(links.get_tokens("b", request.clone()).await, Ok(lots));
+    holder.await.unwrap();
+    let old = links.get_tokens("c", request).await;
+    assert_eq!(old, Err(quota::NoTokens::Old));
+    if let Some(quic::Incoming::Stream { mut recv, .. }) = to_older.recv().await {
+        assert!(frame::read(&mut recv).await.is_err(), "a message was sent");
+    }
+}
