quota: the token of a request with an abandoned try stays spent

Cause: a request whose stalled try was abandoned, and whose next try did not run, got its token back, although the abandoned try may have run.

Change: the home counts an abandoned try as one that may have run.

Failed tries: none.

Result: no test shows the fault; it was found by reading. The tests `quota::daemon`, `path`, `quic`, `wire_forms` and `malformed` pass (35).

--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -443,7 +443,10 @@
                 let summary = self.handle.summary();
                 (peer::FromHome::Granted { target, summary }, false)
             }
-            Verdict::Abandon => (peer::FromHome::Abandon, false),
+            Verdict::Abandon => {
+                self.ran = true;
+                (peer::FromHome::Abandon, false)
+            }
             Verdict::Refuse(refusal) => {
                 let summary = self.handle.summary();
                 (peer::FromHome::Refused { refusal, summary }, true)
