--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -39,15 +39,14 @@
 /// The maximum number of cells of a service, or of each of its failure domains.
 const MAX_CELLS: u64 = 10_000;
 
-/// The maximum quota of an organisation, in requests per second.
-const MAX_RATE: f64 = 1_000_000.0;
-
 /// The maximum burst of retries, and of an organisation's requests.
 const MAX_BURST: f64 = 1_000_000.0;
 
 /// The maximum weight of a share.
 const MAX_WEIGHT: u64 = 1_000_000;
 
+/// The highest rate and burst of an organisation's quota.
+const MAX_QUOTA: f64 = 1_000_000.0;
 /// The length of a SHA-256 digest in hexadecimal digits.
 const DIGEST_CHARS: usize = 64;
 
@@ -161,14 +160,12 @@
     let mut seen = BTreeSet::new();
     for organisation in organisations {
         organisation.check_keys(&["name", "tier", "credentials", "rate", "burst"]);
-        if let Some(rate) = organisation.optional("rate") {
-            rate.number(f64::MIN_POSITIVE..=MAX_RATE);
-        }
-        if let Some(burst) = organisation.optional("burst") {
-            burst.number(0.0..=MAX_BURST);
-        }
         let name = unique_name(*organisation, "organisation", &mut seen);
         check_reference(*organisation, "tier", "tier", &declared.tiers);
+        for key in ["rate", "burst"] {
+            let value = organisation.optional(key);
+            value.and_then(|v| v.number(0.0..=MAX_QUOTA));
+        }
         let credentials = organisation.optional("credentials");
         for credential in credentials.map_or(Vec::new(), |c| c.array()) {
             check_credential(credential, name.unwrap_or_default(), declared);
