coordination: work estimates by kind, and the order of service by value

Cause: one mean hold time per cell decides the expected wait, the expiry and the refusals, so a request of 20 ms is refused because of a wait that only a request of 900 ms cannot tolerate, and a flood of one organisation takes the slots of all others in the order of arrival.

Change: coordination::cost estimates the hold time by route and class of length; coordination::scarcity plans the order of service, decides on each request, and holds the order of all checks. Cells use both where the service's order is `value`. The order `arrival` takes the earlier paths.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,6 +7,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use peridotspread::coordination::cell::{Action, Arrival, Cell, Event, Outcome};
+use peridotspread::coordination::cost;
 use peridotspread::state::bundle;
 use peridotspread::state::clock::Millis;
 use peridotspread::state::ids;
@@ -87,6 +88,8 @@
             idempotent: true,
             replayable: true,
             fingerprint: ids::Fingerprint(self.next),
+            organisation: 0,
+            kind: cost::Kind::default(),
         };
         self.handle(Event::Arrive {
             arrival,
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -71,6 +71,7 @@
             let Some(request) = self.queue.remove(ticket) else {
                 return;
             };
+            self.count_delay(now, &request);
             self.grant(now, request, &target, rank == Rank::Trial, actions);
             self.update_late_share(now);
         }
@@ -81,7 +82,10 @@
 
     /// Updates the estimates of the share of slots that is left for late requests after a grant.
     fn update_late_share(&mut self, now: clock::Millis) {
-        let timely = self.queue.highest_timely(now + self.mean_hold());
+        let timely = match self.by_value() {
+            true => self.highest_timely_by_value(now),
+            false => self.queue.highest_timely(now + self.mean_hold()),
+        };
         for tier in self.queue.tiers() {
             let share = self.late_share.entry(tier).or_insert(1.0);
             let left = if timely.is_some_and(|t| t <= tier) {
@@ -117,7 +121,10 @@
         if self.queue.is_empty() || !self.targets.values().any(free) {
             return None;
         }
-        let ordered = self.queue.ordered(now + self.mean_hold());
+        let ordered = match self.by_value() {
+            true => self.ordered_by_value(now),
+            false => self.queue.ordered(now + self.mean_hold()),
+        };
         let mut searched = ordered.into_iter().take(SEARCH_DEPTH);
         searched.find_map(|request| {
             let (target, rank) = self.choose_target(now, request)?;
@@ -320,6 +327,7 @@
             other.trial.count_other_request();
         }
         if request.tries == 0 {
+            self.count_served(now, &arrival);
             self.budget.add_first_try();
             if arrival.can_be_resent() {
                 self.last_resendable = now;
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -1,5 +1,6 @@
 //! The events that a cell handles, and the actions that its home carries out.
 
+use crate::coordination::cost;
 use crate::protocol::peer;
 pub use crate::protocol::peer::Outcome;
 use crate::protocol::refusal;
@@ -31,6 +32,10 @@
     pub fingerprint: ids::Fingerprint,
     /// The failure domain of the entry that received the request.
     pub origin: ids::DomainId,
+    /// The hash of the name of the caller's organisation; 0 if the caller has none.
+    pub organisation: u64,
+    /// The kind of request by which its work is estimated.
+    pub kind: cost::Kind,
 }
 
 impl Arrival {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -129,6 +129,7 @@
     /// Frees the slot of a try that ended, and updates the mean time that slots are held.
     fn complete(&mut self, now: clock::Millis, ticket: ids::Ticket) -> Option<Running> {
         let run = self.free_slot(ticket)?;
+        self.record_work(now, &run);
         let took = (now - run.granted).0 as f64;
         let mean = self.mean_hold.unwrap_or(took);
         self.mean_hold = Some(mean + (took - mean) * super::HOLD_STEP);
@@ -377,7 +378,7 @@
         actions: &mut Vec<cell::Action>,
     ) {
         request.queued_at = now;
-        request.expiry = self.expiry(now, request.arrival.deadline);
+        request.expiry = self.expiry(now, &request.arrival);
         match retry {
             true => self.queue.push(request),
             false => actions.push(give_up(&request)),
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -3,14 +3,16 @@
 //! The home's actor passes [`Event`]s to [`Cell::handle`] and carries out the returned [`Action`]s. The cell is the
 //! only place that decides which target a request goes to. This module routes the events. `queue` and `target` hold the
 //! state, `dispatch` grants slots, `finish` handles the outcomes of tries and their retries, `health` avoids, ejects
-//! and reinstates targets by the test of [`crate::coordination::outlier`], `rules` applies a new bundle, and `watch`
-//! runs the timers.
+//! and reinstates targets by the test of [`crate::coordination::outlier`], `rules` applies a new bundle, `watch` runs
+//! the timers, and `order` applies [`crate::coordination::scarcity`] where the bundle sets the order `value`.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::coordination::cost;
 use crate::coordination::evidence;
 use crate::coordination::quarantine;
 use crate::coordination::retry;
+use crate::coordination::scarcity;
 use crate::protocol::peer;
 use crate::protocol::refusal;
 use crate::state::bundle;
@@ -21,6 +23,7 @@
 mod event;
 mod finish;
 mod health;
+mod order;
 mod queue;
 mod rules;
 mod target;
@@ -37,6 +40,8 @@
 
 /// The share of bad requests below which another cell counts as healthy.
 const HEALTHY_SHARE: f64 = 0.25;
+/// The retry-after time of a refusal because no target accepts requests.
+const NO_TARGET_RETRY: clock::Millis = clock::Millis(1_000);
 /// The shortest retry-after time of a refusal.
 const MIN_RETRY_AFTER: clock::Millis = clock::Millis(100);
 /// The longest retry-after time of a refusal.
@@ -84,6 +89,7 @@
 #[derive(Debug, Default)]
 struct Rules {
     queue: usize,
+    order: bundle::Order,
     /// Whether targets are ranked by their failure probability.
     rank_by_failure: bool,
     /// The least share of targets, from 0 to 1, that keep receiving requests.
@@ -121,6 +127,12 @@
     /// higher one that could still meet its objective. It estimates the share of the slots that is left for late
     /// requests.
     late_share: BTreeMap<u8, f64>,
+    /// The estimates of the time that a request holds a slot, by kind.
+    estimator: cost::Estimator,
+    /// How often organisations and kinds of requests are served.
+    ledger: scarcity::Ledger,
+    /// The numbers of refused and delayed requests.
+    counts: scarcity::Counts,
     draining: bool,
     /// Whether this home ranks first for the cell.
     is_first: bool,
@@ -150,6 +162,9 @@
             crash_history: quarantine::CrashHistory::default(),
             mean_hold: None,
             late_share: BTreeMap::new(),
+            estimator: cost::Estimator::default(),
+            ledger: scarcity::Ledger::default(),
+            counts: scarcity::Counts::default(),
             draining: false,
             is_first: true,
             sequence: 0,
@@ -295,21 +310,23 @@
     ) {
         self.sequence += 1;
         self.apply_known(now, known, actions);
-        match self.admit(now, &arrival, known) {
+        let request = queue::Request {
+            arrival,
+            queued_at: now,
+            expiry: self.expiry(now, &arrival),
+            sequence: self.sequence,
+            tries: arrival.prior_tries,
+            sent: arrival.prior_tries,
+            excluded: paused_targets(known).map(str::to_owned).collect(),
+            unknown_cause: None,
+            excess: self.by_value() && self.ledger.arrive(now, arrival.organisation),
+        };
+        match self.admit(now, &request, known) {
             Ok(()) => {
                 if arrival.prior_tries > 0 {
                     self.budget.take_token();
                 }
-                self.queue.push(queue::Request {
-                    arrival,
-                    queued_at: now,
-                    expiry: self.expiry(now, arrival.deadline),
-                    sequence: self.sequence,
-                    tries: arrival.prior_tries,
-                    sent: arrival.prior_tries,
-                    excluded: paused_targets(known).map(str::to_owned).collect(),
-                    unknown_cause: None,
-                });
+                self.queue.push(request);
             }
             Err(refusal) => actions.push(Action::Refuse {
                 ticket: arrival.ticket,
@@ -319,11 +336,12 @@
     }
 
     fn admit(
-        &self,
+        &mut self,
         now: clock::Millis,
-        arrival: &Arrival,
+        request: &queue::Request,
         known: &[peer::KnownTarget],
     ) -> Result<(), refusal::Refusal> {
+        let arrival = &request.arrival;
         let refuse = |cause, after| Err(refusal::Refusal::not_run(cause, after));
         if self.draining {
             return refuse(refusal::Cause::Draining, Some(clock::Millis::ZERO));
@@ -334,17 +352,24 @@
         if arrival.deadline <= now {
             return refuse(refusal::Cause::DeadlinePassed, None);
         }
-        let is_probe = self.running.is_empty() && arrival.idempotent;
-        if self.concurrency(now) == 0.0 || (self.defers(now) && !is_probe) {
-            return refuse(refusal::Cause::NoTarget, Some(clock::Millis(1_000)));
+        if self.concurrency(now) == 0.0 || (!self.by_value() && !self.may_probe(now, arrival)) {
+            return refuse(refusal::Cause::NoTarget, Some(NO_TARGET_RETRY));
         }
         if let Some(pause) = self.pause_of_all(known) {
             return refuse(refusal::Cause::TargetShed, Some(retry_after(pause)));
         }
         let wait = self.expected_wait(now, arrival.tier);
-        let hold = self.mean_hold();
-        if wait > clock::Millis::ZERO && now + wait + hold >= arrival.deadline {
-            return refuse(refusal::Cause::DeadlineTooShort, Some(retry_after(wait)));
+        if self.by_value() {
+            if let Some((check, after)) = self.failed_check(now, request) {
+                self.count_refusal(now, request, check);
+                return refuse(check.cause(), Some(retry_after(after)));
+            }
+        } else {
+            let hold = self.mean_hold();
+            if wait > clock::Millis::ZERO && now + wait + hold >= arrival.deadline {
+                self.count_refusal(now, request, scarcity::Check::Wait);
+                return refuse(refusal::Cause::DeadlineTooShort, Some(retry_after(wait)));
+            }
         }
         // The request was sent by another home before, so it counts as a retry here too.
         if arrival.prior_tries > 0 && !self.budget.has_token() {
@@ -353,20 +378,31 @@
         Ok(())
     }
 
+    /// Returns whether a request may be admitted although the cell may defer to others: it then probes whether the
+    /// targets have recovered.
+    fn may_probe(&self, now: clock::Millis, arrival: &Arrival) -> bool {
+        let is_probe = self.running.is_empty() && arrival.idempotent;
+        is_probe || !self.defers(now)
+    }
+
     /// Returns the mean hold time, which is the mean time that a request holds a slot; zero before the first answer.
     fn mean_hold(&self) -> clock::Millis {
         clock::Millis(self.mean_hold.unwrap_or_default() as u64)
     }
 
-    /// Returns when to refuse a request that starts to wait now: the mean hold time before its deadline, but not before
-    /// half of the remaining time has passed.
-    fn expiry(&self, now: clock::Millis, deadline: clock::Millis) -> clock::Millis {
-        let hold = self.mean_hold();
+    /// Returns when to refuse a request that starts to wait now: its expected hold time before its deadline, but not
+    /// before half of the remaining time has passed.
+    fn expiry(&self, now: clock::Millis, arrival: &Arrival) -> clock::Millis {
+        let hold = clock::Millis(self.work(arrival) as u64);
+        let deadline = arrival.deadline;
         deadline - hold.min(clock::Millis((deadline - now).0 / 2))
     }
 
     /// Returns the expected wait of a new request of `tier`.
     fn expected_wait(&self, now: clock::Millis, tier: u8) -> clock::Millis {
+        if self.by_value() {
+            return self.wait_by_value(now, tier);
+        }
         let ahead = self.queue.ahead(tier, now + self.mean_hold());
         if ahead == 0 && self.targets.values().any(|t| t.has_free_slot(now)) {
             return clock::Millis::ZERO;
@@ -460,9 +496,18 @@
         let limit = if defers { 0 } else { self.rules.queue };
         while self.queue.len() > limit {
             let wait = retry_after(self.expected_wait(now, u8::MAX));
-            let Some(request) = self.queue.pop_lowest() else {
+            let first = match self.by_value() && !defers {
+                true => self.first_to_leave(now).and_then(|t| self.queue.remove(t)),
+                false => self.queue.pop_lowest(),
+            };
+            let Some(request) = first else {
                 return;
             };
+            let check = match defers {
+                true => scarcity::Check::Trial,
+                false => scarcity::Check::Queue,
+            };
+            self.count_refusal(now, &request, check);
             let cause = if defers {
                 refusal::Cause::NoTarget
             } else if arrived == Some(request.arrival.ticket) {
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -32,6 +32,8 @@
     pub(super) excluded: Vec<String>,
     /// Why its outcome is unknown, if an earlier try may have run.
     pub(super) unknown_cause: Option<refusal::Cause>,
+    /// Whether it is beyond the usual rate of its organisation.
+    pub(super) excess: bool,
 }
 
 impl Request {
@@ -147,6 +149,11 @@
         self.waiting.values()
     }
 
+    /// Returns the waiting request with this ticket.
+    pub(super) fn get(&self, ticket: ids::Ticket) -> Option<&Request> {
+        self.waiting.get(self.by_ticket.get(&ticket)?)
+    }
+
     pub(super) fn remove(&mut self, ticket: ids::Ticket) -> Option<Request> {
         let key = *self.by_ticket.get(&ticket)?;
         self.remove_key(key)
--- a/src/coordination/cell/rules.rs
+++ b/src/coordination/cell/rules.rs
@@ -32,6 +32,7 @@
         let staying = service.targets.iter().filter(|t| !t.leaving).count();
         self.rules = Rules {
             queue: service.queue,
+            order: service.order,
             rank_by_failure: service.soundness,
             breadth: service.breadth_pct / 100.0,
             ejection: service.ejection.clone(),
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -4,6 +4,7 @@
 
 use crate::coordination::cell;
 use crate::coordination::evidence;
+use crate::coordination::scarcity;
 use crate::protocol::refusal;
 use crate::state::clock;
 use crate::state::ids;
@@ -153,7 +154,13 @@
     }
 
     /// Returns the refusal of a request that waited until a slot would come too late.
-    fn expiry_refusal(&self, now: clock::Millis, request: &queue::Request) -> cell::Action {
+    fn expiry_refusal(
+        &mut self,
+        now: clock::Millis,
+        request: &queue::Request,
+        check: scarcity::Check,
+    ) -> cell::Action {
+        self.count_refusal(now, request, check);
         if request.arrival.deadline <= now {
             return super::refuse(request, refusal::Cause::DeadlinePassed, None);
         }
@@ -164,6 +171,9 @@
     /// Refuses late requests that are unlikely to be served before their deadline, judged by the share of recent slots
     /// that was left for late requests. This spares their callers the wait until the deadline.
     fn refuse_unservable(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
+        if self.by_value() {
+            return self.refuse_by_value(now, actions);
+        }
         let hold = self.mean_hold();
         let late = self.queue.late(now + hold);
         let slots = self.concurrency(now).max(super::MIN_CONCURRENCY);
@@ -180,7 +190,7 @@
             .collect();
         for ticket in unservable {
             if let Some(request) = self.queue.remove(ticket) {
-                actions.push(self.expiry_refusal(now, &request));
+                actions.push(self.expiry_refusal(now, &request, scarcity::Check::Late));
             }
         }
     }
@@ -198,7 +208,7 @@
             }
         }
         while let Some(request) = self.queue.pop_expired(now) {
-            actions.push(self.expiry_refusal(now, &request));
+            actions.push(self.expiry_refusal(now, &request, scarcity::Check::Expiry));
         }
         self.refuse_unservable(now, actions);
         let cause = refusal::Cause::DeadlinePassed;
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -13,12 +13,12 @@
 use tokio::{sync as tokio_sync, task, time};
 
 use crate::coordination::cell::Arrival;
-use crate::coordination::{homes, member};
+use crate::coordination::{cost, homes, member};
 use crate::daemon::cell;
 use crate::daemon::cell::Message;
 use crate::daemon::cell::Verdict;
 use crate::protocol::{frame, peer, refusal};
-use crate::state::{bundle, clock, ids, timeline};
+use crate::state::{bundle, clock, hash, ids, timeline};
 
 /// The `Retry-After` of requests that this daemon refuses without asking the cell.
 const RETRY_AFTER: clock::Millis = clock::Millis(500);
@@ -260,6 +260,7 @@
 
     fn arrival(&self, ticket: ids::Ticket, slot_request: &peer::SlotRequest) -> Arrival {
         let now = self.options.clock.now();
+        let context = slot_request.context.clone().unwrap_or_default();
         Arrival {
             ticket,
             tier: slot_request.tier,
@@ -271,6 +272,11 @@
             replayable: slot_request.replayable,
             fingerprint: slot_request.fingerprint,
             origin: slot_request.origin,
+            organisation: match context.organisation.as_str() {
+                "" => 0,
+                name => hash::hash(&[name]),
+            },
+            kind: cost::Kind::new(context.route, context.length),
         }
     }
 }
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -2,6 +2,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::coordination::cost;
 use peridotspread::protocol::peer;
 use peridotspread::protocol::refusal;
 use peridotspread::state::bundle;
@@ -60,6 +61,8 @@
         idempotent: true,
         replayable: true,
         fingerprint: ids::Fingerprint(ticket),
+        organisation: 0,
+        kind: cost::Kind::default(),
     }
 }
 
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -154,6 +154,8 @@
                     idempotent,
                     replayable,
                     fingerprint: ids::Fingerprint(fingerprint),
+                    organisation: 0,
+                    kind: cost::Kind::default(),
                 };
                 let tracked = Tracked {
                     arrival,
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -7,6 +7,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::coordination::cost;
 use peridotspread::state::bundle;
 use peridotspread::state::clock::Millis;
 use peridotspread::state::ids;
@@ -276,6 +277,8 @@
             idempotent,
             replayable: idempotent,
             fingerprint: ids::Fingerprint(ticket),
+            organisation: 0,
+            kind: cost::Kind::default(),
         };
         let cell = self.choose();
         self.open.insert(ticket, (cell, arrival, self.now, 0));
--- a/tests/testsuite/malformed.rs
+++ b/tests/testsuite/malformed.rs
@@ -2,6 +2,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::Event;
+use peridotspread::coordination::cost;
 use peridotspread::protocol::{frame, gossip, peer};
 use peridotspread::state::clock::Millis;
 use peridotspread::state::{bundle, ids, timeline};
@@ -125,6 +126,8 @@
             idempotent: request.idempotent,
             replayable: request.replayable,
             fingerprint: request.fingerprint,
+            organisation: 0,
+            kind: cost::Kind::default(),
             origin: request.origin,
         };
         let known = &request.known;
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -7,6 +7,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::coordination::cost;
 use peridotspread::coordination::{homes, member, statements};
 use peridotspread::protocol::{peer, refusal};
 use peridotspread::state::bundle;
@@ -409,6 +410,8 @@
             idempotent: self.options.can_be_resent,
             replayable: true,
             fingerprint: ids::Fingerprint(ticket),
+            organisation: 0,
+            kind: cost::Kind::default(),
             origin: ids::DomainId::from_name(&self.members[&entry].domain),
         };
         let key = (choice.home, choice.cell);
