--- a/crates/lab/src/commands/policy.rs
+++ b/crates/lab/src/commands/policy.rs
@@ -49,6 +49,17 @@
     Ok(())
 }
 
+/// Formats the worth and the served share of each stream; empty without streams.
+fn shares(line: &measures::Line) -> String {
+    let text = |worth| {
+        format!(
+            ", worth {worth}, served by stream {:?}",
+            line.served_by_stream
+        )
+    };
+    line.worth.map_or(String::new(), text)
+}
+
 /// Formats a line of measures for people.
 fn describe(line: &measures::Line) -> String {
     let detected = line
@@ -56,7 +67,7 @@
         .map_or("-".to_owned(), |ms| format!("{ms} ms"));
     format!(
         "{:<14} {:<13} {:<9} detected p99 {:>10}, never {}/{}, harmed {}/{}, false ejections {}, floor breaches {}, \
-         ran twice {}, ran though refused {}",
+         ran twice {}, ran though refused {}{}",
         line.family,
         line.user,
         line.policy,
@@ -69,5 +80,6 @@
         line.floor_breaches,
         line.ran_twice,
         line.ran_though_refused,
+        shares(line),
     )
 }
--- a/crates/lab/src/replay/check.rs
+++ b/crates/lab/src/replay/check.rs
@@ -5,6 +5,7 @@
 use crate::replay::measures;
 use crate::replay::scenario;
 use crate::replay::trace;
+use peridotspread::state::bundle;
 
 /// Replays `trace` on every service of its fleets, `seeds` times each, and returns a message for each required bound
 /// that is missed.
@@ -21,9 +22,19 @@
         } else {
             Vec::new()
         };
+        let by_arrival = match trace.outcomes.iter().any(|o| o.worth_ratio.is_some()) {
+            true => runs(
+                &replay::OrderReplay(bundle::Order::Arrival),
+                trace,
+                fleet,
+                seeds,
+            ),
+            false => Vec::new(),
+        };
         found.extend(nonzero_counts(fleet, &fleet_runs));
         for outcome in trace.outcomes.iter().filter(|o| applies_to(o, fleet)) {
             found.extend(missed_bounds(outcome, fleet, &fleet_runs, &baseline));
+            found.extend(missed_shares(outcome, fleet, &fleet_runs, &by_arrival));
         }
     }
     found
@@ -82,6 +93,43 @@
         .collect()
 }
 
+/// Checks the bounds on the requests of streams.
+fn missed_shares(
+    outcome: &trace::Outcome,
+    fleet: &trace::Fleet,
+    runs: &[measures::Run],
+    by_arrival: &[measures::Run],
+) -> Vec<String> {
+    let mut found = Vec::new();
+    if let Some(bound) = outcome.worth_ratio {
+        let worth = |runs| measures::worth(runs).unwrap_or_default();
+        let (value, arrival) = (worth(runs), worth(by_arrival));
+        if value < bound * arrival {
+            found.push(format!(
+                "{}: worth {value:.4}, at least {bound} of {arrival:.4} in the order of arrival",
+                fleet.name
+            ));
+        }
+    }
+    if let Some(bound) = outcome.least_ratio {
+        let streams = measures::streams(runs);
+        let all = measures::Share {
+            all: streams.iter().map(|s| s.all).sum(),
+            served: streams.iter().map(|s| s.served).sum(),
+        };
+        for (stream, share) in streams.iter().enumerate() {
+            if share.value() < bound * all.value() {
+                let (share, all) = (share.value(), all.value());
+                let name = &fleet.name;
+                found.push(format!(
+                    "{name}: stream {stream}: served {share:.4}, at least {bound} of {all:.4}"
+                ));
+            }
+        }
+    }
+    found
+}
+
 fn missed_bounds(
     outcome: &trace::Outcome,
     fleet: &trace::Fleet,
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeSet;
 
 use peridotspread::coordination::cell;
+use peridotspread::coordination::cost;
 use peridotspread::protocol::peer;
 use peridotspread::protocol::refusal;
 use peridotspread::state::clock;
+use peridotspread::state::hash;
 use peridotspread::state::ids;
 
 use crate::replay::fleet;
@@ -122,6 +124,11 @@
         sim.schedule_message(FIRST_QUEUED, location.daemon, Message::QueuedDue(exchange));
         let left = details.deadline - sim.now();
         sim.schedule_message(left, location.daemon, Message::HomeDeadline(exchange));
+        let stream = details.stream.map(|s| &sim.scenario().streams[s]);
+        let organisation = stream.map_or(0, |s| hash::hash(&[&s.organisation]));
+        let kind = stream.map_or(cost::Kind::default(), |s| {
+            cost::Kind::new(hash::hash(&[&s.route]), s.length)
+        });
         let arrival = cell::Arrival {
             ticket: ids::Ticket(exchange as u64),
             tier: details.tier,
@@ -133,6 +140,8 @@
             idempotent: details.idempotent,
             replayable: true,
             fingerprint: details.fingerprint,
+            organisation,
+            kind,
         };
         let known = &[];
         self.handle_event(sim, location, cell::Event::Arrive { arrival, known });
--- a/crates/lab/src/replay/measures.rs
+++ b/crates/lab/src/replay/measures.rs
@@ -25,6 +25,10 @@
     pub harmed: usize,
     /// The requests of each tier: all of them, and those served.
     pub tiers: BTreeMap<u8, Share>,
+    /// The requests of each stream.
+    pub streams: BTreeMap<usize, Share>,
+    /// The worth of the answers to the requests of streams: 1 within the objective, and a third after it.
+    pub worth: f64,
     /// The number of requests that were not served, by tier and cause.
     pub causes: BTreeMap<(u8, &'static str), usize>,
     /// The number of requests, including resent ones.
@@ -107,6 +111,12 @@
     pub ran_though_refused: usize,
     /// The number of target restarts that requests caused.
     pub crashes: usize,
+    /// The mean worth of the answers to the requests of streams; absent without streams.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub worth: Option<f64>,
+    /// The share of requests served in each stream.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub served_by_stream: Vec<f64>,
     /// The number of requests that were not served, by tier and cause.
     pub causes: BTreeMap<String, usize>,
     /// The number of runs that the line aggregates.
@@ -141,6 +151,8 @@
             ran_twice: count(|r| r.ran_twice),
             ran_though_refused: count(|r| r.ran_though_refused),
             crashes: count(|r| r.crashes),
+            worth: worth(runs).map(rounded),
+            served_by_stream: streams(runs).iter().map(|s| rounded(s.value())).collect(),
             causes: causes(runs),
             seeds: runs.len(),
         }
@@ -178,6 +190,24 @@
     tiers.values().map(Share::value).collect()
 }
 
+/// Returns the requests of each stream over all runs.
+pub fn streams(runs: &[Run]) -> Vec<Share> {
+    let mut streams = BTreeMap::<usize, Share>::new();
+    for (stream, share) in runs.iter().flat_map(|r| &r.streams) {
+        let sum = streams.entry(*stream).or_default();
+        sum.all += share.all;
+        sum.served += share.served;
+    }
+    streams.into_values().collect()
+}
+
+/// Returns the mean worth of the answers to the requests of streams over all runs; `None` if there are none.
+pub fn worth(runs: &[Run]) -> Option<f64> {
+    let requests: usize = streams(runs).iter().map(|s| s.all).sum();
+    let sum: f64 = runs.iter().map(|r| r.worth).sum();
+    (requests > 0).then(|| sum / requests as f64)
+}
+
 /// Returns the number of requests that were not served over all runs, by tier and cause.
 fn causes(runs: &[Run]) -> BTreeMap<String, usize> {
     let mut sums = BTreeMap::new();
--- a/crates/lab/src/replay/mod.rs
+++ b/crates/lab/src/replay/mod.rs
@@ -6,6 +6,8 @@
 //! the file formats,
 //! `docs/design/detection.md` the results.
 
+use peridotspread::state::bundle;
+
 mod baseline;
 pub mod check;
 pub mod curve;
@@ -43,6 +45,24 @@
     }
 }
 
+/// The policy of the fleet with the given order of service.
+#[derive(Debug)]
+pub struct OrderReplay(pub bundle::Order);
+
+impl Replay for OrderReplay {
+    fn name(&self) -> &'static str {
+        match self.0 {
+            bundle::Order::Arrival => "arrival",
+            bundle::Order::Value => "value",
+        }
+    }
+
+    fn run(&self, mut scenario: scenario::Scenario, seed: u64) -> measures::Run {
+        scenario.service.order = self.0;
+        FleetReplay.run(scenario, seed)
+    }
+}
+
 /// The policy for comparison, in which each daemon decides on its own.
 #[derive(Debug)]
 pub struct BaselineReplay;
@@ -60,7 +80,14 @@
     }
 }
 
-/// Returns the policies to compare: the policy of the fleet, then the baseline.
-pub fn policies() -> Vec<Box<dyn Replay>> {
+/// Returns the policies to compare on a trace: the policy of the fleet, then the baseline. On a trace with streams, these
+/// are the two orders of service.
+pub fn policies(trace: &trace::Trace) -> Vec<Box<dyn Replay>> {
+    if !trace.streams.is_empty() {
+        return vec![
+            Box::new(OrderReplay(bundle::Order::Value)),
+            Box::new(OrderReplay(bundle::Order::Arrival)),
+        ];
+    }
     vec![Box::new(FleetReplay), Box::new(BaselineReplay)]
 }
--- a/crates/lab/src/replay/policy.rs
+++ b/crates/lab/src/replay/policy.rs
@@ -36,9 +36,9 @@
     print: &mut dyn FnMut(&measures::Line),
 ) -> Result<(), trace::Error> {
     let all = trace::load_all(&options.dir)?;
-    let policies = replay::policies();
     let selected = |t: &trace::Trace| options.only.as_ref().is_none_or(|o| t.family.contains(o));
     for (trace, fleets) in all.iter().filter(|(t, _)| selected(t)) {
+        let policies = replay::policies(trace);
         for fleet in fleets {
             for policy in &policies {
                 let run_seed = |seed| check::run(policy.as_ref(), trace, fleet, seed);
--- a/crates/lab/src/replay/scenario.rs
+++ b/crates/lab/src/replay/scenario.rs
@@ -34,6 +34,8 @@
     Failures = 3,
     /// The choice of the entries to which requests are resent.
     Resends = 4,
+    /// The times and properties of the requests of streams.
+    Streams = 5,
 }
 
 /// Returns the random number generator of a run for one purpose.
@@ -68,6 +70,8 @@
     pub crash: bool,
     /// The number of times that its caller may still resend it.
     pub resends: u32,
+    /// The index of the stream that it belongs to.
+    pub stream: Option<usize>,
 }
 
 /// A fault of a daemon, its links or the platform's table.
@@ -96,6 +100,8 @@
     pub target_faults: Vec<Vec<target::FaultWindow>>,
     /// The faults of daemons, their links and the platform's table.
     pub daemon_faults: Vec<DaemonFault>,
+    /// The streams of the trace.
+    pub streams: Vec<trace::Stream>,
     /// The requests in the order of their arrival; resent ones are appended during the run.
     pub requests: Vec<Request>,
     /// The delay beyond its own service time from which a served request counts as harmed.
@@ -123,6 +129,7 @@
             daemon_domains,
             hop: fleet.hop_ms,
             daemon_faults: Vec::new(),
+            streams: trace.streams.clone(),
             requests: requests(trace, fleet, service, seed),
             harm: trace.harm_ms,
             span: trace.span_ms,
@@ -288,7 +295,10 @@
         .ejectable
         .map_or(service.floor, |n| service.targets - n.min(service.targets));
     bundle::Service {
-        order: bundle::Order::default(),
+        order: match trace.streams.is_empty() {
+            true => bundle::Order::Arrival,
+            false => bundle::Order::Value,
+        },
         name: service.name.clone(),
         floor,
         deadline_ms: clock::Millis(10_000),
@@ -313,6 +323,7 @@
     if let Some(arrivals) = &trace.arrivals {
         requests.extend(generated_requests(trace, arrivals, fleet, service, seed));
     }
+    requests.extend(streamed_requests(trace, fleet, service, seed));
     requests.sort_by_key(|r| r.at);
     requests
 }
@@ -351,6 +362,7 @@
             work: draw_work(&mut rng, service),
             crash: false,
             resends: arrivals.resends,
+            stream: None,
         });
         at += rng.exponential(1.0 / rate);
     }
@@ -382,11 +394,61 @@
             work: r.work_ms.unwrap_or(drawn_work),
             crash: r.crash,
             resends: r.resends,
+            stream: None,
         }
     });
     requests.collect()
 }
 
+fn streamed_requests(
+    trace: &trace::Trace,
+    fleet: &trace::Fleet,
+    service: &trace::Service,
+    seed: u64,
+) -> Vec<Request> {
+    /// The offset of keys and fingerprints of each stream, to tell them from those of other requests.
+    const OFFSET: u64 = 1 << 44;
+    /// The share of requests that take longer, and by which factor.
+    const TAIL: (f64, f64) = (0.03, 7.0);
+    let mut rng = random(seed, Purpose::Streams);
+    let slots = (service.targets * service.slots) as f64;
+    let spread = (service.spread * service.spread / 2.0).exp();
+    let mut requests = Vec::new();
+    for (index, stream) in trace.streams.iter().enumerate() {
+        let mean = stream.work_ms.0 as f64 * spread * (1.0 + TAIL.0 * (TAIL.1 - 1.0));
+        let mut at = 0.0;
+        loop {
+            let surge = stream
+                .surge
+                .filter(|s| s.from_ms.0 as f64 <= at && at < s.to_ms.0 as f64);
+            let rate = stream.load * surge.map_or(1.0, |s| s.factor) * slots / mean;
+            at += rng.exponential(1.0 / rate);
+            if at >= trace.span_ms.0 as f64 {
+                break;
+            }
+            let number = OFFSET * (index as u64 + 1) + requests.len() as u64;
+            let now = clock::Millis(at as u64);
+            let factor = if rng.unit() < TAIL.0 { TAIL.1 } else { 1.0 };
+            let work = rng.lognormal(stream.work_ms.0 as f64, service.spread) * factor;
+            requests.push(Request {
+                at: now,
+                entry: rng.below(fleet.daemons),
+                tier: stream.tier,
+                idempotent: stream.idempotent,
+                key: (!stream.idempotent).then_some(number),
+                fingerprint: ids::Fingerprint(number),
+                deadline: now + stream.deadline_ms,
+                objective: now + stream.objective_ms,
+                work: clock::Millis((work as u64).max(1)),
+                crash: false,
+                resends: 0,
+                stream: Some(index),
+            });
+        }
+    }
+    requests
+}
+
 fn draw_work(rng: &mut rng::Rng, service: &trace::Service) -> clock::Millis {
     let drawn = rng.lognormal(service.work_ms.0 as f64, service.spread);
     clock::Millis((drawn as u64).max(1))
--- a/crates/lab/src/replay/sim.rs
+++ b/crates/lab/src/replay/sim.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use peridotspread::coordination::cell;
+use peridotspread::coordination::scarcity;
 use peridotspread::protocol::{peer, refusal};
 use peridotspread::state::clock;
 
@@ -413,6 +414,13 @@
             share.served += usize::from(served);
             let late = self.now > request.at + request.work + self.scenario.harm;
             self.measured.harmed += usize::from(!served || late);
+            if let Some(stream) = request.stream {
+                let share = self.measured.streams.entry(stream).or_default();
+                share.all += 1;
+                share.served += usize::from(served);
+                let value = scarcity::value(self.now, request.objective, request.deadline);
+                self.measured.worth += if served { value } else { 0.0 };
+            }
             if !served {
                 let cause = failure_cause(self.records[at].answer);
                 *self
--- a/crates/lab/src/replay/trace.rs
+++ b/crates/lab/src/replay/trace.rs
@@ -34,6 +34,10 @@
     /// The requests to generate at random.
     #[serde(default)]
     pub arrivals: Option<Arrivals>,
+    /// The streams of requests of organisations and routes. A trace with streams is replayed under both orders of
+    /// service, instead of the baseline.
+    #[serde(default, rename = "stream")]
+    pub streams: Vec<Stream>,
     /// The requests that the trace lists one by one.
     #[serde(default, rename = "request")]
     pub requests: Vec<ListedRequest>,
@@ -65,6 +69,48 @@
     pub resends: u32,
 }
 
+/// Requests of one organisation and route that arrive at random, independently of each other. Of these, 3 in 100 take
+/// seven times as long.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stream {
+    /// The name of the organisation.
+    pub organisation: String,
+    /// The name of the route.
+    pub route: String,
+    /// The length of the body, in bytes.
+    #[serde(default)]
+    pub length: Option<u64>,
+    /// The tier; tier 0 has the highest priority.
+    #[serde(default)]
+    pub tier: u8,
+    /// Whether the requests are idempotent.
+    pub idempotent: bool,
+    /// The load as a share of the capacity of all slots of the service.
+    pub load: f64,
+    /// The median service time on a healthy target, in milliseconds.
+    pub work_ms: clock::Millis,
+    /// The time from arrival to the objective of a request, in milliseconds.
+    pub objective_ms: clock::Millis,
+    /// The time from arrival to the deadline of a request, in milliseconds.
+    pub deadline_ms: clock::Millis,
+    /// A time of higher load.
+    #[serde(default)]
+    pub surge: Option<Surge>,
+}
+
+/// A time during which the load of a stream is higher.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Surge {
+    /// The start, in milliseconds.
+    pub from_ms: clock::Millis,
+    /// The end, in milliseconds.
+    pub to_ms: clock::Millis,
+    /// The factor by which the load is higher.
+    pub factor: f64,
+}
+
 /// A request that the trace lists.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -179,6 +225,10 @@
     pub harm_ratio: Option<f64>,
     /// The maximum number of target restarts that requests cause in one run.
     pub crashes: Option<usize>,
+    /// The minimum worth of the answers, as a multiple of that under the order of arrival in the same runs.
+    pub worth_ratio: Option<f64>,
+    /// The minimum served share of each stream, as a share of that of all requests.
+    pub least_ratio: Option<f64>,
 }
 
 /// The fleet of a user: its daemons, failure domains, services and rules.
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -284,10 +284,10 @@
     /// time, or for [`MAX_TARGET_WAIT`] if that is shorter.
     ///
     /// By then a normal target is likely to have had a free slot, unless sustained load keeps all slots in use. Returns
-    /// zero if no target is normal, since there is nothing to wait for, and [`clock::Millis::MAX`] if no request waits.
+    /// zero if no target is normal, since there is nothing to wait for, or if the cell is short of capacity, and [`clock::Millis::MAX`] if no request waits.
     pub(super) fn avoided_allowed_at(&self) -> clock::Millis {
         let normal = |t: &target::Target| t.is_normal() && !t.leaving;
-        if !self.targets.values().any(normal) {
+        if self.is_short() || !self.targets.values().any(normal) {
             return clock::Millis::ZERO;
         }
         let hold = clock::Millis(self.mean_hold.unwrap_or_default().ceil() as u64);
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -133,6 +133,8 @@
     ledger: scarcity::Ledger,
     /// The numbers of refused and delayed requests.
     counts: scarcity::Counts,
+    /// When a request was last refused for lack of capacity.
+    last_shortage: Option<clock::Millis>,
     draining: bool,
     /// Whether this home ranks first for the cell.
     is_first: bool,
@@ -165,6 +167,7 @@
             estimator: cost::Estimator::default(),
             ledger: scarcity::Ledger::default(),
             counts: scarcity::Counts::default(),
+            last_shortage: None,
             draining: false,
             is_first: true,
             sequence: 0,
--- a/src/coordination/cell/order.rs
+++ b/src/coordination/cell/order.rs
@@ -12,6 +12,9 @@
 use super::queue;
 use super::{Cell, Running};
 
+/// How long after such a refusal a cell counts as short of capacity.
+const SHORTAGE_SPAN: clock::Millis = clock::Millis(1_000);
+
 impl Cell {
     /// Returns the numbers of requests that were refused or delayed since the last call, by tier and check.
     pub fn take_counts(&mut self) -> BTreeMap<scarcity::Event, u64> {
@@ -144,6 +147,9 @@
             check,
             refused: true,
         });
+        if check != scarcity::Check::Trial {
+            self.last_shortage = Some(now);
+        }
         if self.by_value() && request.tries == 0 {
             self.ledger
                 .end(now, tier, arrival.organisation, arrival.kind, false);
@@ -172,6 +178,13 @@
         }
     }
 
+    /// Returns whether requests were refused for lack of capacity a short time ago. Since this happens at once, the wait
+    /// of the oldest request does not show it.
+    pub(super) fn is_short(&self) -> bool {
+        let recent = |at| self.last_event - at <= SHORTAGE_SPAN;
+        self.by_value() && self.last_shortage.is_some_and(recent)
+    }
+
     fn is_owed(&self, arrival: &cell::Arrival) -> bool {
         self.ledger
             .is_owed(arrival.tier, arrival.organisation, arrival.kind)
--- a/src/coordination/scarcity.rs
+++ b/src/coordination/scarcity.rs
@@ -36,6 +36,8 @@
 const USUAL_AGE: clock::Millis = clock::Millis(3_000);
 /// The multiple of the usual rate that does not count as excess.
 const USUAL_MULTIPLE: f64 = 1.5;
+/// The rate in requests per ms that is no excess, however low the usual rate is: low rates cannot be told from chance.
+const MIN_RATE: f64 = 0.002;
 /// The requests that an organisation may send at once without excess, however low its usual rate is.
 const MIN_CREDIT: f64 = 4.0;
 /// The time whose usual requests an organisation may send at once without excess.
@@ -382,8 +384,8 @@
 struct Usual {
     since: clock::Millis,
     at: clock::Millis,
-    /// The number of its requests, which fades over [`USUAL_SPAN`].
-    count: f64,
+    /// The requests per ms, without those beyond the usual rate, so that a surge does not become usual.
+    rate: f64,
     /// The requests that it may send without excess.
     credit: f64,
 }
@@ -393,7 +395,7 @@
         Usual {
             since: now,
             at: now,
-            count: 0.0,
+            rate: 0.0,
             credit: MIN_CREDIT,
         }
     }
@@ -401,23 +403,21 @@
     /// Counts a request and returns whether it is beyond the usual rate.
     fn add(&mut self, now: clock::Millis) -> bool {
         let passed = now - self.at;
-        let age = now - self.since;
-        self.count *= fade(passed, USUAL_SPAN);
         self.at = now;
-        // The expected count of a constant rate since the organisation was first seen, for each request per ms.
-        let span = USUAL_SPAN.0 as f64 * (1.0 - fade(age, USUAL_SPAN));
-        let rate = USUAL_MULTIPLE * self.count / span.max(1.0);
-        self.count += 1.0;
-        let most = (rate * CREDIT_SPAN).max(MIN_CREDIT);
-        self.credit = (self.credit + rate * passed.0 as f64).min(most);
-        if age < USUAL_AGE {
+        if now - self.since < USUAL_AGE {
+            self.rate += 1.0 / USUAL_AGE.0 as f64;
             return false;
         }
-        let excess = self.credit < 1.0;
-        if !excess {
-            self.credit -= 1.0;
+        self.rate *= fade(passed, USUAL_SPAN);
+        let allowed = (self.rate * USUAL_MULTIPLE).max(MIN_RATE);
+        let most = (allowed * CREDIT_SPAN).max(MIN_CREDIT);
+        self.credit = (self.credit + allowed * passed.0 as f64).min(most);
+        if self.credit < 1.0 {
+            return true;
         }
-        excess
+        self.credit -= 1.0;
+        self.rate += 1.0 / USUAL_SPAN.0 as f64;
+        false
     }
 }
 
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -9,6 +9,7 @@
 
 use crate::coordination;
 use crate::coordination::cell::{Action, Event};
+use crate::daemon::metrics;
 use crate::protocol::peer;
 use crate::protocol::refusal;
 use crate::state::bundle;
@@ -154,6 +155,8 @@
     pub budget: sync::Arc<dyn EjectionBudget>,
     /// Broadcasts quarantined fingerprints to the fleet.
     pub broadcast: sync::Arc<dyn Broadcast>,
+    /// The daemon's metrics.
+    pub metrics: sync::Arc<metrics::Metrics>,
     /// Where the cell's latest summary is published.
     pub summary: sync::Arc<sync::RwLock<peer::CellSummary>>,
 }
@@ -218,6 +221,10 @@
             myself.stop(None);
         }
         state.publish(now);
+        for (event, count) in state.cell.take_counts() {
+            let service = &state.options.id.service;
+            state.options.metrics.record_scarcity(service, event, count);
+        }
         if ticked {
             state.log_usage(now);
         }
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -17,6 +17,7 @@
 use crate::daemon::cell;
 use crate::daemon::cell::Message;
 use crate::daemon::cell::Verdict;
+use crate::daemon::metrics;
 use crate::protocol::{frame, peer, refusal};
 use crate::state::{bundle, clock, hash, ids, timeline};
 
@@ -57,6 +58,8 @@
     pub budget: sync::Arc<dyn cell::EjectionBudget>,
     /// Broadcasts quarantined fingerprints to the fleet.
     pub broadcast: sync::Arc<dyn cell::Broadcast>,
+    /// The daemon's metrics.
+    pub metrics: sync::Arc<metrics::Metrics>,
 }
 
 /// The cells of which this daemon is the home, or was until they are drained.
@@ -195,6 +198,7 @@
             recorder: self.options.recorder.clone(),
             budget: self.options.budget.clone(),
             broadcast: self.options.broadcast.clone(),
+            metrics: self.options.metrics.clone(),
             summary: summary.clone(),
         };
         let (actor, _) = Actor::spawn(None, cell::CellActor, options).await.ok()?;
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
 
+use crate::coordination::scarcity;
 use crate::state::clock;
 
 /// The bucket boundaries of duration histograms, in seconds.
@@ -26,6 +27,7 @@
     relayed: Counter<u64>,
     cuts: Counter<u64>,
     platform_calls: Counter<u64>,
+    scarcity: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -88,6 +90,10 @@
                 .u64_counter("peridotspread.platform.calls")
                 .with_description("Calls to the platform by kind and table")
                 .build(),
+            scarcity: meter
+                .u64_counter("peridotspread.cell.scarcity")
+                .with_description("Requests that a cell refused or delayed, by tier and check")
+                .build(),
             registry,
             provider,
         })
@@ -148,6 +154,17 @@
         );
     }
 
+    /// Counts requests of a service that a cell at this home refused or delayed.
+    pub fn record_scarcity(&self, service: &str, event: scarcity::Event, count: u64) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("tier", i64::from(event.tier)),
+            KeyValue::new("check", event.check.as_str()),
+            KeyValue::new("result", if event.refused { "refused" } else { "delayed" }),
+        ];
+        self.scarcity.add(count, &labels);
+    }
+
     /// Counts that the platform was restored from an earlier copy.
     pub fn record_restore(&self) {
         self.restores.add(1, &[]);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -368,6 +368,7 @@
             view: fleet.view.clone(),
             budget: self.budget(),
             broadcast: broadcaster.clone(),
+            metrics: self.metrics.clone(),
         }));
         broadcaster.attach(&home);
         home
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -199,6 +199,7 @@
             "breadth_pct",
             "ejection",
             "retry",
+            "order",
             "targets",
         ]);
         unique_name(service, "service", &mut declared.services);
@@ -210,6 +211,9 @@
         if let Some(breadth) = service.optional("breadth_pct") {
             breadth.number(0.0..=100.0);
         }
+        if let Some(order) = service.optional("order") {
+            check_order(order);
+        }
         if let Some(table) = service.optional("ejection").and_then(|e| e.table()) {
             check_ejection(table);
         }
@@ -224,6 +228,15 @@
     }
 }
 
+fn check_order(order: reader::Value<'_>) {
+    match order.string().map(|o| o.str) {
+        Some("arrival" | "value") | None => {}
+        Some(other) => order.add(&format!(
+            "unknown order `{other}`; expected one of: arrival, value"
+        )),
+    }
+}
+
 fn check_floor(floor: reader::Value<'_>, targets: usize) {
     if let Some(n) = floor.integer(0..=MAX_INTEGER)
         && n > targets as u64
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod random;
 mod retry;
+mod scarcity;
 pub(crate) mod scene;
 mod scenes;
 mod soundness;
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -100,6 +100,7 @@
         view: view_seen.clone(),
         budget: sync::Arc::new(cell::NoEjectionBudget),
         broadcast: sync::Arc::new(NoBroadcast),
+        metrics: metrics.clone(),
     }));
     let broadcaster = broadcast::Broadcaster::new(broadcast::Options {
         name: "d1".to_owned(),
