scarcity: requests within the usual rate of a flooding organisation count half

Cause: in a cell of ten slots, the requests within the usual rate of an organisation that floods filled the queue, and a small organisation was served 0.79 of the time (cell::scarcity::an_organisation_that_floods_takes_room_from_itself).

Change: for 2 s after a request beyond its usual rate, the other requests of the organisation count half.

--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -322,7 +322,10 @@
             sent: arrival.prior_tries,
             excluded: paused_targets(known).map(str::to_owned).collect(),
             unknown_cause: None,
-            excess: self.by_value() && self.ledger.arrive(now, arrival.organisation),
+            weight: match self.by_value() {
+                true => self.ledger.arrive(now, arrival.organisation),
+                false => 1.0,
+            },
         };
         match self.admit(now, &request, known) {
             Ok(()) => {
--- a/src/coordination/cell/order.rs
+++ b/src/coordination/cell/order.rs
@@ -209,7 +209,7 @@
             objective: request.arrival.objective,
             deadline: request.arrival.deadline,
             work: self.work(&request.arrival),
-            excess: request.excess,
+            weight: request.weight,
             owed: self.is_owed(&request.arrival),
         };
         let waiting: Vec<_> = self.queue.iter().chain(new).map(waiting).collect();
--- a/src/coordination/cell/queue.rs
+++ b/src/coordination/cell/queue.rs
@@ -32,8 +32,8 @@
     pub(super) excluded: Vec<String>,
     /// Why its outcome is unknown, if an earlier try may have run.
     pub(super) unknown_cause: Option<refusal::Cause>,
-    /// Whether it is beyond the usual rate of its organisation.
-    pub(super) excess: bool,
+    /// The weight of its value under the order by value.
+    pub(super) weight: f64,
 }
 
 impl Request {
--- a/src/coordination/scarcity.rs
+++ b/src/coordination/scarcity.rs
@@ -25,6 +25,11 @@
 pub const FLOOR: f64 = 0.35;
 /// The value of a request beyond the usual rate of its organisation, relative to others.
 const EXCESS_WEIGHT: f64 = 0.1;
+/// The value of a request within the usual rate of an organisation that sends more than that. With the full value, a
+/// flood filled a small cell with requests within the usual rate, and a small organisation was served 0.8 of the time.
+const FLOOD_WEIGHT: f64 = 0.5;
+/// How long after a request beyond its usual rate an organisation counts as sending more than that.
+const FLOOD_SPAN: clock::Millis = clock::Millis(2_000);
 /// The share of the time that a request can wait which [`plan`] leaves free, since estimates of waits vary. A request
 /// that needs it waits among the late ones.
 const MARGIN: f64 = 0.3;
@@ -150,8 +155,8 @@
     pub deadline: clock::Millis,
     /// The slot time that it is expected to need, in milliseconds.
     pub work: f64,
-    /// Whether it is beyond the usual rate of its organisation.
-    pub excess: bool,
+    /// The weight of its value, which is less than 1 if its organisation sends more than usual.
+    pub weight: f64,
     /// Whether one of its groups is served below the fairness bound.
     pub owed: bool,
 }
@@ -159,9 +164,8 @@
 impl Waiting {
     /// Returns the value of its answer if it got a slot now, for each millisecond of slot time.
     fn density(&self, now: clock::Millis) -> f64 {
-        let weight = if self.excess { EXCESS_WEIGHT } else { 1.0 };
         let value = value(now + millis(self.work), self.objective, self.deadline);
-        weight * value / self.work.max(1.0)
+        self.weight * value / self.work.max(1.0)
     }
 
     /// Returns whether its answer, `wait` from now, is expected within the objective and leaves the margin.
@@ -388,6 +392,8 @@
     rate: f64,
     /// The requests that it may send without excess.
     credit: f64,
+    /// When it last sent a request beyond its usual rate.
+    exceeded: Option<clock::Millis>,
 }
 
 impl Usual {
@@ -397,27 +403,30 @@
             at: now,
             rate: 0.0,
             credit: MIN_CREDIT,
+            exceeded: None,
         }
     }
 
-    /// Counts a request and returns whether it is beyond the usual rate.
-    fn add(&mut self, now: clock::Millis) -> bool {
+    /// Counts a request and returns the weight of its value.
+    fn add(&mut self, now: clock::Millis) -> f64 {
         let passed = now - self.at;
         self.at = now;
         if now - self.since < USUAL_AGE {
             self.rate += 1.0 / USUAL_AGE.0 as f64;
-            return false;
+            return 1.0;
         }
         self.rate *= fade(passed, USUAL_SPAN);
         let allowed = (self.rate * USUAL_MULTIPLE).max(MIN_RATE);
         let most = (allowed * CREDIT_SPAN).max(MIN_CREDIT);
         self.credit = (self.credit + allowed * passed.0 as f64).min(most);
         if self.credit < 1.0 {
-            return true;
+            self.exceeded = Some(now);
+            return EXCESS_WEIGHT;
         }
         self.credit -= 1.0;
         self.rate += 1.0 / USUAL_SPAN.0 as f64;
-        false
+        let floods = self.exceeded.is_some_and(|at| now - at < FLOOD_SPAN);
+        if floods { FLOOD_WEIGHT } else { 1.0 }
     }
 }
 
@@ -436,11 +445,11 @@
 }
 
 impl Ledger {
-    /// Counts the arrival of a request and returns whether it is beyond the usual rate of its organisation.
-    pub fn arrive(&mut self, now: clock::Millis, organisation: u64) -> bool {
+    /// Counts the arrival of a request and returns the weight of its value.
+    pub fn arrive(&mut self, now: clock::Millis, organisation: u64) -> f64 {
         self.sweep(now);
         if organisation == 0 {
-            return false;
+            return 1.0;
         }
         let usual = self.usual.entry(organisation);
         usual.or_insert_with(|| Usual::new(now)).add(now)
