scarcity: requests of less weight leave a larger margin

Cause: the slots of a cell vary by a fifth as targets are avoided and reinstated. Requests of less weight filled the queue to the same limit as others, so when slots were lost, others did not fit either.

Change: the margin is 0.2 of the time that a request can wait, and 0.5 for requests of less weight.

--- a/src/coordination/scarcity.rs
+++ b/src/coordination/scarcity.rs
@@ -32,7 +32,9 @@
 const FLOOD_SPAN: clock::Millis = clock::Millis(2_000);
 /// The share of the time that a request can wait which [`plan`] leaves free, since estimates of waits vary. A request
 /// that needs it waits among the late ones.
-const MARGIN: f64 = 0.3;
+const MARGIN: f64 = 0.2;
+/// The same for requests with less than the full weight, so that others find room although the estimates of waits vary.
+const REDUCED_MARGIN: f64 = 0.5;
 /// The time over which the counts of served requests fade.
 const TALLY_SPAN: clock::Millis = clock::Millis(10_000);
 /// The time over which the usual rate of an organisation is measured; several times the length of an ordinary surge.
@@ -173,7 +175,11 @@
         let run = millis(self.work);
         // Subtraction saturates, so a request that cannot meet its objective has no slack.
         let slack = (self.objective - run) - self.queued_at;
-        let latest = self.objective - slack.scaled(MARGIN);
+        let margin = match self.weight < 1.0 {
+            true => REDUCED_MARGIN,
+            false => MARGIN,
+        };
+        let latest = self.objective - slack.scaled(margin);
         let can_meet = now + run <= self.objective;
         can_meet && (wait <= 0.0 || now + millis(wait) + run <= latest)
     }
