--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -13,13 +13,14 @@
 use tokio::{sync as tokio_sync, task, time};
 
 use crate::coordination::cell::Arrival;
-use crate::coordination::{homes, member, quota};
+use crate::coordination::{cost, homes, member, quota};
 use crate::daemon::cell;
 use crate::daemon::cell::Message;
 use crate::daemon::cell::Verdict;
+use crate::daemon::metrics;
 use crate::daemon::quota::{Arrival as Spending, Quotas, Token};
 use crate::protocol::{frame, peer, refusal};
-use crate::state::{bundle, clock, ids, timeline};
+use crate::state::{bundle, clock, hash, ids, timeline};
 
 /// The `Retry-After` of requests that this daemon refuses without asking the cell.
 const RETRY_AFTER: clock::Millis = clock::Millis(500);
@@ -60,6 +61,8 @@
     pub broadcast: sync::Arc<dyn cell::Broadcast>,
     /// Spends the tokens of organisations on their requests.
     pub quotas: sync::Arc<Quotas>,
+    /// The daemon's metrics.
+    pub metrics: sync::Arc<metrics::Metrics>,
 }
 
 /// The cells of which this daemon is the home, or was until they are drained.
@@ -198,6 +201,7 @@
             recorder: self.options.recorder.clone(),
             budget: self.options.budget.clone(),
             broadcast: self.options.broadcast.clone(),
+            metrics: self.options.metrics.clone(),
             summary: summary.clone(),
         };
         let (actor, _) = Actor::spawn(None, cell::CellActor, options).await.ok()?;
@@ -308,6 +312,7 @@
 
     fn arrival(&self, ticket: ids::Ticket, slot_request: &peer::SlotRequest) -> Arrival {
         let now = self.options.clock.now();
+        let context = slot_request.context.clone().unwrap_or_default();
         Arrival {
             ticket,
             tier: slot_request.tier,
@@ -319,6 +324,11 @@
             replayable: slot_request.replayable,
             fingerprint: slot_request.fingerprint,
             origin: slot_request.origin,
+            organisation: match context.organisation.as_str() {
+                "" => 0,
+                name => hash::hash(&[name]),
+            },
+            kind: cost::Kind::new(context.route, context.length),
         }
     }
 }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
 
+use crate::coordination::scarcity;
 use crate::state::clock;
 
 /// The bucket boundaries of duration histograms, in seconds.
@@ -29,6 +30,7 @@
     tokens: Counter<u64>,
     token_requests: Counter<u64>,
     quota_refusals: Counter<u64>,
+    scarcity: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -103,6 +105,10 @@
                 .u64_counter("peridotspread.quota.refusals")
                 .with_description("Requests without a token by the part that refused them")
                 .build(),
+            scarcity: meter
+                .u64_counter("peridotspread.cell.scarcity")
+                .with_description("Requests that a cell refused or delayed, by tier and check")
+                .build(),
             registry,
             provider,
         })
@@ -179,6 +185,17 @@
         self.quota_refusals.add(1, &[KeyValue::new("by", by)]);
     }
 
+    /// Counts requests of a service that a cell at this home refused or delayed.
+    pub fn record_scarcity(&self, service: &str, event: scarcity::Event, count: u64) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("tier", i64::from(event.tier)),
+            KeyValue::new("check", event.check.as_str()),
+            KeyValue::new("result", if event.refused { "refused" } else { "delayed" }),
+        ];
+        self.scarcity.add(count, &labels);
+    }
+
     /// Counts that the platform was restored from an earlier copy.
     pub fn record_restore(&self) {
         self.restores.add(1, &[]);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -372,6 +372,7 @@
             budget: self.budget(),
             broadcast: broadcaster.clone(),
             quotas: quotas.clone(),
+            metrics: self.metrics.clone(),
         }));
         broadcaster.attach(&home);
         home
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -224,6 +224,9 @@
         if let Some(breadth) = service.optional("breadth_pct") {
             breadth.number(0.0..=100.0);
         }
+        if let Some(order) = service.optional("order") {
+            check_order(order);
+        }
         if let Some(table) = service.optional("ejection").and_then(|e| e.table()) {
             check_ejection(table);
         }
@@ -238,6 +241,15 @@
     }
 }
 
+fn check_order(order: reader::Value<'_>) {
+    match order.string().map(|o| o.str) {
+        Some("arrival" | "value") | None => {}
+        Some(other) => order.add(&format!(
+            "unknown order `{other}`; expected one of: arrival, value"
+        )),
+    }
+}
+
 fn check_floor(floor: reader::Value<'_>, targets: usize) {
     if let Some(n) = floor.integer(0..=MAX_INTEGER)
         && n > targets as u64
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -2,6 +2,7 @@
 
 use peridotspread::coordination::cell;
 use peridotspread::coordination::cell::{Action, Event, Outcome};
+use peridotspread::coordination::cost;
 use peridotspread::protocol::peer;
 use peridotspread::protocol::refusal;
 use peridotspread::state::bundle;
@@ -14,6 +15,7 @@
 mod overload;
 mod random;
 mod retry;
+mod scarcity;
 pub(crate) mod scene;
 mod scenes;
 mod soundness;
@@ -60,6 +62,8 @@
         idempotent: true,
         replayable: true,
         fingerprint: ids::Fingerprint(ticket),
+        organisation: 0,
+        kind: cost::Kind::default(),
     }
 }
 
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -120,6 +120,7 @@
         budget: sync::Arc::new(cell::NoEjectionBudget),
         broadcast: sync::Arc::new(NoBroadcast),
         quotas: quotas.clone(),
+        metrics: metrics.clone(),
     }));
     let broadcaster = broadcast::Broadcaster::new(broadcast::Options {
         name: "d1".to_owned(),
