--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -1,16 +1,20 @@
 //! Selection of the source from which a daemon polls updates: the platform, its failure domain's reader or another
 //! peer.
 //!
-//! The reader is the one daemon of each failure domain that polls the platform. All other daemons of the domain poll
-//! the reader, so the number of calls to the platform does not grow with the fleet. The reader is the alive daemon that
-//! ranks first by hash, without an election: while membership views differ there are two, which only costs calls. A
-//! daemon whose reader does not answer, or whose reader has lost the platform, polls the reader of another failure
-//! domain for a while, and the platform itself only if that one fails too. If the platform does not answer either, it
-//! polls any other daemon.
+//! Each failure domain has one reader, which all other daemons of the domain poll. The readers of [`PRIMARIES`] failure
+//! domains poll the platform; the other readers poll one of them. So the number of calls to the platform grows neither
+//! with the fleet nor with its failure domains. The reader is the alive daemon that ranks first by hash, without an
+//! election: while membership views differ there are more, which only costs calls. A daemon whose reader does not
+//! answer, or whose reader has lost the platform, polls the reader of another failure domain for a while, and the
+//! platform itself only if that one fails too. If the platform does not answer either, it polls any other daemon.
+//!
+//! A daemon that starts receives rules and targets from a peer that the platform answers, and reads the platform only if
+//! it finds none in time. See `docs/design/store-calls.md`.
 //!
 //! Load pattern: the platform turns some daemons away, readers among them. If all daemons of their failure domains polled
 //! the platform instead, its calls would grow with the fleet just while it is in trouble.
 
+use std::cmp;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::coordination::{homes, member, random};
@@ -22,16 +26,31 @@
 /// A peer's updates count as fresh for this long after the platform last answered the peer: one long poll plus a slow
 /// answer.
 pub const FRESH_SPAN: clock::Millis = clock::Millis(1_100);
+/// The same for a daemon that polls the reader of its failure domain, which may itself poll another reader: the reader
+/// needs up to 300 ms more to notice that its own source is stale and to poll another one.
+pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_450);
+/// The failure domains whose readers poll the platform: one more than needed, so that the loss of one costs no time.
+const PRIMARIES: usize = 2;
 /// How long a peer that failed or was stale is not polled.
 const STALE_PEER_SPAN: clock::Millis = clock::Millis(3_000);
 /// The backoff after the platform first fails to answer; doubles with each further failure.
 const INITIAL_BACKOFF: clock::Millis = clock::Millis(100);
-/// The longest backoff after the platform failed to answer.
+/// The longest backoff of a reader after the platform failed to answer.
 const MAX_BACKOFF: clock::Millis = clock::Millis(800);
-/// The time after the start in which a daemon knows too few others to rely on a reader. It reads the platform once
-/// itself, so that it can serve at once, and does not keep polling: each change in this time would cost one call per
-/// daemon.
+/// The same for other daemons, which meanwhile poll peers and so learn from a reader that the platform is back.
+const MAX_FALLBACK_BACKOFF: clock::Millis = clock::Millis(3_200);
+/// The time after the start in which a daemon knows too few others to rely on a reader. It obtains rules and targets
+/// once and does not keep polling: each change in this time would cost one call per daemon.
 const STARTUP_SPAN: clock::Millis = clock::Millis(700);
+/// The time after the start in which a daemon does not count as a reader, since its view of the others is incomplete.
+const SETTLE_SPAN: clock::Millis = clock::Millis(120);
+/// The time after the start in which a daemon obtains rules and targets only from peers. It is ready later by up to this
+/// time if no peer has any; a longer time would cost callers more than the calls do.
+const PEER_SPAN: clock::Millis = clock::Millis(250);
+/// How long a peer that has no data yet may hold the poll of a daemon that starts.
+pub const PEER_START_WAIT: clock::Millis = clock::Millis(60);
+/// The time between two looks for a peer within [`PEER_SPAN`], and for which a peer without data is not asked again.
+pub const PEER_INTERVAL: clock::Millis = clock::Millis(20);
 
 /// The shortest time for which a poll asks a peer to wait.
 const MIN_PEER_WAIT: clock::Millis = clock::Millis(50);
@@ -49,16 +68,23 @@
 }
 
 /// Returns the longest time by which a daemon that polls a peer can lag behind, if its own path to the platform works:
-/// the reply that shows that the peer is stale arrives at most [`MIN_PEER_WAIT`] after [`FRESH_SPAN`].
+/// the reply that shows that the peer is stale arrives at most [`MIN_PEER_WAIT`] after [`RELAYED_FRESH_SPAN`].
 pub fn max_staleness() -> clock::Millis {
-    FRESH_SPAN + MIN_PEER_WAIT
+    RELAYED_FRESH_SPAN + MIN_PEER_WAIT
+}
+
+/// Returns how long the platform may hold a poll of a reader whose topic was last answered at an age, if it was. The
+/// answer comes while the updates are fresh, so that no peer leaves a daemon that has just become a reader.
+pub fn platform_poll_wait(age: Option<clock::Millis>) -> clock::Millis {
+    peer_poll_wait(age, FRESH_SPAN)
 }
 
-/// Returns how long a peer may hold a poll, for a daemon whose updates have the given age; absent if that is unknown.
+/// Returns how long a peer may hold a poll, for a daemon whose updates have the given age, absent if that is unknown,
+/// and stay fresh for `fresh_span`.
 ///
 /// If the platform does not answer the peer meanwhile, the reply comes when the updates stop being fresh.
-pub fn peer_poll_wait(age: Option<clock::Millis>) -> clock::Millis {
-    let left = FRESH_SPAN - age.unwrap_or_default();
+pub fn peer_poll_wait(age: Option<clock::Millis>, fresh_span: clock::Millis) -> clock::Millis {
+    let left = fresh_span - age.unwrap_or_default();
     left.clamp(MIN_PEER_WAIT, LONG_POLL)
 }
 
@@ -79,12 +105,16 @@
     name: String,
     domain: String,
     start: clock::Millis,
-    /// Whether the platform has answered at least once.
+    /// Whether rules and targets were obtained at least once, from the platform or from a peer that it answers.
     has_read: bool,
+    /// Whether the platform has failed to answer since the start.
+    has_failed: bool,
     /// The peers that are not polled, each until a time.
     stale_peers: BTreeMap<String, clock::Millis>,
     /// When the platform may be polled again.
     platform_retry_at: clock::Millis,
+    /// Whether this daemon was the reader of its failure domain when it last selected a source.
+    was_reader: bool,
     /// The backoff after the platform's next failure.
     backoff: clock::Millis,
     random: random::Random,
@@ -98,8 +128,10 @@
             domain: domain.to_owned(),
             start: now,
             has_read: false,
+            has_failed: false,
             stale_peers: BTreeMap::new(),
             platform_retry_at: clock::Millis::ZERO,
+            was_reader: false,
             backoff: INITIAL_BACKOFF,
             random: random::Random::new(homes::hash(&["readers", name])),
         }
@@ -110,17 +142,30 @@
         self.stale_peers.retain(|_, until| *until > now);
         let reader = reader(&self.domain, view);
         let reads_itself = reader.is_none_or(|r| r == self.name);
-        let started = now - self.start >= STARTUP_SPAN;
-        let usable = |r: &&str| started && *r != self.name && !self.stale_peers.contains_key(*r);
+        self.was_reader = reads_itself;
+        let age = now - self.start;
+        let started = age >= STARTUP_SPAN;
+        if !started && self.has_read {
+            return Source::Wait(self.start + STARTUP_SPAN);
+        }
+        let asks_peers = started || age < PEER_SPAN;
+        let usable = |r: &&str| asks_peers && *r != self.name && !self.stale_peers.contains_key(*r);
         if let Some(reader) = reader.filter(usable) {
             return Source::Peer(reader.to_owned());
         }
-        let other = self.other_reader(view).filter(usable);
-        if let Some(other) = other.filter(|_| !reads_itself) {
+        let is_primary = reads_itself && self.is_primary(view);
+        let mut others = self.other_readers(view).into_iter().filter(usable);
+        let other = others.next();
+        if let Some(other) = other.filter(|_| !is_primary || !started) {
             return Source::Peer(other.to_owned());
         }
-        if !started && self.has_read {
-            return Source::Wait(self.start + STARTUP_SPAN);
+        let waits = if reads_itself && view.members.len() > 1 {
+            age < SETTLE_SPAN
+        } else {
+            age < PEER_SPAN
+        };
+        if waits && !self.has_failed {
+            return Source::Wait(now + PEER_INTERVAL);
         }
         if self.platform_retry_at <= now {
             return Source::Platform;
@@ -132,35 +177,90 @@
             .map_or(Source::Wait(self.platform_retry_at), Source::Peer)
     }
 
-    /// Returns whether this daemon polls the platform for others: it is the reader of its failure domain.
+    /// Returns whether other daemons poll this one: it is the reader of its failure domain.
     pub fn is_reader(&self, view: &member::View) -> bool {
         view.members.len() > 1 && reader(&self.domain, view) == Some(&self.name)
     }
 
+    /// Returns the age up to which updates of a peer count as fresh.
+    pub fn fresh_span(&self, view: &member::View) -> clock::Millis {
+        match self.is_reader(view) {
+            true => FRESH_SPAN,
+            false => RELAYED_FRESH_SPAN,
+        }
+    }
+
+    /// Returns whether updates of a peer that has lost the platform may be applied. A daemon that starts first tries the
+    /// platform, since rules of such a peer may have been withdrawn.
+    pub fn accepts_stale(&self) -> bool {
+        self.has_read || self.has_failed
+    }
+
+    /// Records that a peer which the platform answers has sent all rules and targets.
+    pub fn record_peer_data(&mut self) {
+        self.has_read = true;
+    }
+
     /// Records that `peer` did not answer, or that its updates were stale.
     pub fn record_stale_peer(&mut self, now: clock::Millis, peer: &str) {
-        self.stale_peers
-            .insert(peer.to_owned(), now + STALE_PEER_SPAN);
+        // A peer that starts at the same time has data soon.
+        let starts = now - self.start < STARTUP_SPAN;
+        let span = if starts {
+            PEER_INTERVAL
+        } else {
+            STALE_PEER_SPAN
+        };
+        self.stale_peers.insert(peer.to_owned(), now + span);
     }
 
     /// Records whether the platform answered a poll.
     pub fn record_platform(&mut self, now: clock::Millis, answered: bool) {
         self.has_read |= answered;
+        self.has_failed |= !answered;
         if answered {
             self.platform_retry_at = clock::Millis::ZERO;
             self.backoff = INITIAL_BACKOFF;
             return;
         }
         self.platform_retry_at = now + self.backoff;
-        self.backoff = clock::Millis(self.backoff.0 * 2).min(MAX_BACKOFF);
+        let longest = match self.was_reader {
+            true => MAX_BACKOFF,
+            false => MAX_FALLBACK_BACKOFF,
+        };
+        self.backoff = clock::Millis(self.backoff.0 * 2).min(longest);
+    }
+
+    /// Returns whether this daemon's failure domain is one of those whose readers poll the platform.
+    fn is_primary(&self, view: &member::View) -> bool {
+        self.primaries(view).contains(&self.domain.as_str())
+    }
+
+    /// Returns the failure domains whose readers poll the platform: those that rank first by hash among the ones that
+    /// have a reader. A daemon that is not in its own view counts as one.
+    fn primaries<'a>(&'a self, view: &'a member::View) -> Vec<&'a str> {
+        let others = domains(view).into_iter();
+        let others = others.filter(|d| *d != self.domain && reader(d, view).is_some());
+        let mut ranked: Vec<_> = others.chain([self.domain.as_str()]).collect();
+        ranked.sort_by_key(|domain| cmp::Reverse(homes::hash(&["primary", domain])));
+        ranked.truncate(PRIMARIES);
+        ranked
     }
 
-    /// Returns the reader of another failure domain. Daemons of one failure domain choose different ones.
-    fn other_reader<'a>(&self, view: &'a member::View) -> Option<&'a str> {
-        let domains: BTreeSet<_> = view.members.values().map(|m| m.domain.as_str()).collect();
+    /// Returns the readers of other failure domains to poll, the first choice first. A reader polls those that poll the
+    /// platform. Any other daemon has one choice, which differs within a failure domain.
+    fn other_readers<'a>(&'a self, view: &'a member::View) -> Vec<&'a str> {
+        let reads_itself = reader(&self.domain, view).is_none_or(|r| r == self.name);
+        let domains = match reads_itself {
+            true => self.primaries(view),
+            false => domains(view).into_iter().collect(),
+        };
         let others = domains.into_iter().filter(|d| *d != self.domain);
-        let rank = |domain: &&str| homes::hash(&["other reader", domain, &self.name]);
-        reader(others.max_by_key(rank)?, view)
+        let mut others: Vec<_> = others.collect();
+        others
+            .sort_by_key(|domain| cmp::Reverse(homes::hash(&["other reader", domain, &self.name])));
+        let choices = if reads_itself { PRIMARIES } else { 1 };
+        let readers = others.into_iter().take(choices);
+        readers.filter_map(|domain| reader(domain, view)).collect()
     }
 
     /// Returns a random other daemon that is alive and not stale.
@@ -179,7 +279,12 @@
     }
 }
 
-/// Returns the daemon that polls the platform for a failure domain.
+/// Returns the failure domains of a view.
+fn domains(view: &member::View) -> BTreeSet<&str> {
+    view.members.values().map(|m| m.domain.as_str()).collect()
+}
+
+/// Returns the daemon that other daemons of a failure domain poll.
 fn reader<'a>(domain: &str, view: &'a member::View) -> Option<&'a str> {
     let members = view.members.iter();
     let candidates =
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -19,12 +19,15 @@
 
 /// How long a peer's reply may take beyond the time of the long poll: several round trips between failure domains.
 const REPLY_TIMEOUT: clock::Millis = clock::Millis(300);
-/// The pause after a poll that returned changes, so that one call returns all further changes of the same series. It is
-/// a small part of the time within which changes must be in force.
-const POLL_PAUSE: clock::Millis = clock::Millis(100);
+/// The pause after a poll of a peer that returned changes, so that one reply contains all further changes of the same
+/// series. It is a small part of the time within which changes must be in force.
+const PEER_PAUSE: clock::Millis = clock::Millis(100);
+/// The same pause of a reader after a poll of the platform, each of which has a price. With two pauses of peers it stays
+/// below a fifth of the time within which changes must be in force.
+const PLATFORM_PAUSE: clock::Millis = clock::Millis(250);
 /// The same pause for a daemon that polls the platform in place of its reader: no other daemon waits for its updates,
 /// and there may be many such daemons at once.
-const FALLBACK_PAUSE: clock::Millis = clock::Millis(300);
+const FALLBACK_PAUSE: clock::Millis = clock::Millis(400);
 /// How long changes are collected before a bundle is published, since each bundle costs processor time in every part of
 /// the daemon. This is a small part of the time within which changes must be in force.
 const PUBLISH_DELAY: clock::Millis = clock::Millis(60);
@@ -152,8 +155,14 @@
 enum Poll {
     /// Read the whole topic from the platform.
     Read,
-    /// Wait for changes after a revision at the platform, and pause for this long if there are some.
-    Follow(u64, clock::Millis),
+    /// Wait for changes after a revision at the platform.
+    Follow {
+        revision: u64,
+        /// How long the platform may hold the call.
+        wait: clock::Millis,
+        /// The pause if there are changes.
+        pause: clock::Millis,
+    },
     /// Request the updates of all topics from a peer, which may hold the reply for some time.
     Peer(String, Revisions, clock::Millis),
     /// Poll nothing for a while, unless another source is selected before.
@@ -219,7 +228,9 @@
             let mut updates = self.updates.clone();
             updates.mark_unchanged();
             let first = self.updates_since(revisions, version).await;
-            if !is_current_and_empty(&first) {
+            // A daemon that starts waits until this one has something, if it starts too.
+            let both_start = rules == 0 && targets == 0 && is_empty(&first);
+            if !is_current_and_empty(&first) && !both_start {
                 return first;
             }
             // Without updates within that time, the reply at least states how fresh this daemon is.
@@ -234,6 +245,11 @@
     matches!(reply, peer::ControlMessage::Updates { age: Some(_), changes } if changes.is_empty())
 }
 
+/// Returns whether a reply has no changes.
+fn is_empty(reply: &peer::ControlMessage) -> bool {
+    matches!(reply, peer::ControlMessage::Updates { changes, .. } if changes.is_empty())
+}
+
 impl Handle {
     async fn updates_since(
         &self,
@@ -275,15 +291,14 @@
         }
         let Ok(poll) = replied.await else { return };
         let pause = match poll {
-            Poll::Follow(_, pause) => pause,
-            _ => POLL_PAUSE,
+            Poll::Follow { pause, .. } => pause,
+            _ => PEER_PAUSE,
         };
         let result = match poll {
             Poll::Read => PollResult::Platform(topic, source.read(topic).await),
-            Poll::Follow(revision, _) => PollResult::Platform(
-                topic,
-                source.follow(topic, revision, readers::LONG_POLL).await,
-            ),
+            Poll::Follow { revision, wait, .. } => {
+                PollResult::Platform(topic, source.follow(topic, revision, wait).await)
+            }
             Poll::Peer(name, revisions, wait) => {
                 let reply = poll_peer(peers.as_ref(), &name, revisions, wait).await;
                 PollResult::Peer(name, reply)
@@ -394,6 +409,8 @@
     history_dropped: BTreeSet<Topic>,
     /// The latest era of a revision; absent before the first batch.
     era: Option<u64>,
+    /// Whether the platform was the last source that was selected.
+    polls_platform: bool,
     /// Since when another daemon has had rules of a higher version in force.
     behind_since: Option<clock::Millis>,
     /// Whether the platform does not answer.
@@ -423,6 +440,7 @@
             answered: BTreeMap::new(),
             history_dropped: BTreeSet::new(),
             era: None,
+            polls_platform: false,
             behind_since: None,
             lost: false,
             unpublished: None,
@@ -472,9 +490,21 @@
     fn next_poll(&mut self, now: clock::Millis, topic: Topic) -> Poll {
         let view = self.options.members.borrow().clone();
         match self.selector.next_source(now, &view) {
-            readers::Source::Peer(_) if topic != Topic::Targets => Poll::Pause(readers::LONG_POLL),
+            // A daemon that starts may go on to the platform at any time, for all topics.
+            readers::Source::Peer(_) if topic != Topic::Targets => {
+                Poll::Pause(match self.registry.bundle().is_some() {
+                    true => readers::LONG_POLL,
+                    false => readers::PEER_INTERVAL,
+                })
+            }
             readers::Source::Peer(name) => {
-                let wait = readers::peer_poll_wait(self.age(now));
+                // A peer that has rules and targets answers a daemon that has none at once. One that starts itself is
+                // asked again.
+                let wait = match self.registry.bundle().is_some() {
+                    true => readers::peer_poll_wait(self.age(now), self.selector.fresh_span(&view)),
+                    false => readers::PEER_START_WAIT,
+                };
+                self.polls_platform = false;
                 Poll::Peer(name, self.revisions(), wait)
             }
             readers::Source::Wait(until) => Poll::Pause(until - now + clock::Millis(1)),
@@ -489,17 +519,28 @@
                     return Poll::Peer(name, revisions, clock::Millis::ZERO);
                 }
                 let pause = match self.selector.is_reader(&view) {
-                    true => POLL_PAUSE,
+                    true => PLATFORM_PAUSE,
                     false => FALLBACK_PAUSE,
                 };
-                self.platform_poll(topic, pause)
+                // The task of the rules pauses while peers are polled.
+                if !std::mem::replace(&mut self.polls_platform, true) {
+                    self.publishers.stale_peers.send_modify(|n| *n += 1);
+                }
+                self.platform_poll(now, topic, pause)
             }
         }
     }
 
-    fn platform_poll(&self, topic: Topic, pause: clock::Millis) -> Poll {
+    fn platform_poll(&self, now: clock::Millis, topic: Topic, pause: clock::Millis) -> Poll {
         match self.registry.revision(topic) {
-            Some(revision) if self.can_follow(topic, revision) => Poll::Follow(revision, pause),
+            Some(revision) if self.can_follow(topic, revision) => {
+                let age = self.answered.get(&topic).map(|at| now - *at);
+                Poll::Follow {
+                    revision,
+                    wait: readers::platform_poll_wait(age),
+                    pause,
+                }
+            }
             _ => Poll::Read,
         }
     }
@@ -611,7 +652,8 @@
             self.record_stale_peer(now, name);
             return;
         };
-        let fresh = age.filter(|age| *age <= readers::FRESH_SPAN);
+        let span = self.selector.fresh_span(&self.options.members.borrow());
+        let fresh = age.filter(|age| *age <= span);
         match fresh {
             Some(age) => {
                 for topic in Topic::ALL {
@@ -620,7 +662,12 @@
                 }
                 self.record_contact(now);
             }
-            None => self.record_stale_peer(now, name),
+            None => {
+                self.record_stale_peer(now, name);
+                if !self.selector.accepts_stale() {
+                    return;
+                }
+            }
         }
         let mut changed = false;
         for (topic, batch) in [
@@ -635,6 +682,9 @@
             self.log_changes(topic, batch, name);
             changed |= self.registry.apply_peer(now, topic, batch);
         }
+        if fresh.is_some() && self.registry.bundle().is_some() {
+            self.selector.record_peer_data();
+        }
         if changed {
             self.record_change(now, "updates from a peer");
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,5 +19,6 @@
 mod restore;
 mod service;
 mod shutdown;
+mod store_calls;
 mod support;
 mod wire_forms;
