retry: the budget holds in each window, and is spent on the requests that lose most without it

Cause: a token bucket forgets what first tries earn while it is full. While targets shed half of their requests, two thirds of what the platform's rule allows were spent, first come first served.

Change: - With `retry.window_ms`, a cell counts first tries and retries of the window. Its retries stay within the ratio of the first tries and the cell's part of the slack. The slack is still divided equally over cells; the ratio follows demand by itself. - Daemons that are no readers back off faster from a store that does not answer.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::coordination::breadth;
 use crate::coordination::cell;
 use crate::coordination::evidence;
+use crate::coordination::retry;
 use crate::protocol::refusal;
 use crate::state::clock;
 use crate::state::ids;
@@ -107,7 +108,7 @@
         actions: &mut Vec<cell::Action>,
     ) {
         if let Some((target, _)) = self.choose_target(now, &request) {
-            self.budget.take_token();
+            self.budget.take_token(now);
             self.grant(now, request, &target, false, actions);
         }
     }
@@ -320,7 +321,7 @@
             other.trial.count_other_request();
         }
         if request.tries == 0 {
-            self.budget.add_first_try();
+            self.budget.add_first_try(now);
             if arrival.can_be_resent() {
                 self.last_resendable = now;
             }
@@ -375,8 +376,9 @@
         let in_time = now + self.mean_hold() < request.arrival.deadline;
         if in_time
             && self.has_try_left(now, &request)
-            && self.budget.has_token()
             && self.has_retry_slot(now, &request)
+            // It may still be answered, so that it does not compete with requests that failed.
+            && self.budget.has_token(now, retry::Need::Low)
         {
             self.abandon(now, ticket);
             if let Some(target) = self.targets.get_mut(&name) {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -3,6 +3,7 @@
 use crate::coordination::cell;
 use crate::coordination::evidence;
 use crate::coordination::quarantine;
+use crate::coordination::retry;
 use crate::protocol::refusal;
 use crate::state::clock;
 use crate::state::ids;
@@ -180,8 +181,8 @@
         request.excluded.push(name);
         request.unknown_cause = Some(refusal::Cause::TargetBroke);
         if self.may_repeat(now, &request)
-            && self.budget.has_token()
             && self.has_retry_slot(now, &request)
+            && self.has_token(now, &request)
         {
             self.complete(now, ticket);
             self.grant_retry(now, request, actions);
@@ -220,7 +221,7 @@
         request.excluded.push(run.target);
         let repeatable = request.arrival.replayable && (not_run || request.arrival.idempotent);
         let retry = repeatable && self.has_try_left(now, &request);
-        let retry = retry && self.budget.has_token() && self.has_queue_room();
+        let retry = retry && self.has_queue_room() && self.has_token(now, &request);
         self.retry_or_give_up(now, request, retry, actions);
     }
 
@@ -312,7 +313,7 @@
         let mut request = run.request;
         request.excluded.push(name);
         let retry = !quarantined && self.may_repeat(now, &request);
-        let retry = retry && self.budget.has_token() && self.has_queue_room();
+        let retry = retry && self.has_queue_room() && self.has_token(now, &request);
         if retry {
             request.unknown_cause = Some(refusal::Cause::TargetBroke);
         }
@@ -363,7 +364,7 @@
         actions: &mut Vec<cell::Action>,
     ) {
         if retry {
-            self.budget.take_token();
+            self.budget.take_token(now);
         }
         self.enqueue_or_give_up(now, request, retry, actions);
     }
@@ -389,6 +390,20 @@
         request.arrival.can_be_resent() && self.has_try_left(now, request)
     }
 
+    /// Returns whether a retry of a failed request can be paid for, ahead of requests that lose less without one.
+    fn has_token(&mut self, now: clock::Millis, request: &queue::Request) -> bool {
+        let arrival = &request.arrival;
+        let is_last_chance = !arrival.idempotent;
+        let lowest_tier = self.late_share.keys().next_back();
+        let is_higher = lowest_tier.is_some_and(|lowest| arrival.tier < *lowest);
+        let is_in_time = now + self.mean_hold() < arrival.objective;
+        let need = match is_in_time && (is_last_chance || is_higher) {
+            true => retry::Need::High,
+            false => retry::Need::Low,
+        };
+        self.budget.has_token(now, need)
+    }
+
     /// Returns whether the queue has room for a retry.
     fn has_queue_room(&self) -> bool {
         self.queue.len() < self.rules.queue
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -298,7 +298,7 @@
         match self.admit(now, &arrival, known) {
             Ok(()) => {
                 if arrival.prior_tries > 0 {
-                    self.budget.take_token();
+                    self.budget.take_token(now);
                 }
                 self.queue.push(queue::Request {
                     arrival,
@@ -319,7 +319,7 @@
     }
 
     fn admit(
-        &self,
+        &mut self,
         now: clock::Millis,
         arrival: &Arrival,
         known: &[peer::KnownTarget],
@@ -347,7 +347,7 @@
             return refuse(refusal::Cause::DeadlineTooShort, Some(retry_after(wait)));
         }
         // The request was sent by another home before, so it counts as a retry here too.
-        if arrival.prior_tries > 0 && !self.budget.has_token() {
+        if arrival.prior_tries > 0 && !self.budget.has_token(now, retry::Need::Low) {
             return refuse(refusal::Cause::TargetShed, Some(retry_after(wait)));
         }
         Ok(())
@@ -443,6 +443,9 @@
 
     /// Leaves targets with a rate limit to the home that ranks first: several homes together would exceed it.
     fn apply_rank(&mut self, is_first: bool) {
+        if self.is_first && !is_first {
+            self.budget.drop_savings();
+        }
         self.is_first = is_first;
         for target in self.targets.values_mut() {
             target.limiter.enforce_elsewhere(!is_first);
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -33,7 +33,7 @@
 const PRIMARIES: usize = 2;
 /// How long a peer that failed or was stale is not polled.
 const STALE_PEER_SPAN: clock::Millis = clock::Millis(3_000);
-/// The backoff after the platform first fails to answer; doubles with each further failure.
+/// The backoff after the platform first fails to answer; grows with each further failure.
 const INITIAL_BACKOFF: clock::Millis = clock::Millis(100);
 /// The longest backoff of a reader after the platform failed to answer.
 const MAX_BACKOFF: clock::Millis = clock::Millis(800);
@@ -223,11 +223,11 @@
             return;
         }
         self.platform_retry_at = now + self.backoff;
-        let longest = match self.was_reader {
-            true => MAX_BACKOFF,
-            false => MAX_FALLBACK_BACKOFF,
+        let (factor, longest) = match self.was_reader {
+            true => (2, MAX_BACKOFF),
+            false => (8, MAX_FALLBACK_BACKOFF),
         };
-        self.backoff = clock::Millis(self.backoff.0 * 2).min(longest);
+        self.backoff = clock::Millis(self.backoff.0 * factor).min(longest);
     }
 
     /// Returns whether this daemon's failure domain is one of those whose readers poll the platform.
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -251,8 +251,12 @@
     }
 }
 
+/// The longest window of the retry budget, in milliseconds.
+const MAX_RETRY_WINDOW_MS: u64 = 600_000;
+
 fn check_retry(table: reader::Table<'_>) {
-    table.check_keys(&["budget_pct", "tries", "burst"]);
+    table.check_keys(&["budget_pct", "tries", "burst", "window_ms"]);
+    check_range(table, "window_ms", 1, MAX_RETRY_WINDOW_MS);
     if let Some(burst) = table.optional("burst") {
         burst.number(0.0..=MAX_BURST);
     }
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -183,6 +183,10 @@
     pub tries: u32,
     /// The most retries that a cell may save up from the ratio, to make them in a burst.
     pub burst: f64,
+    /// The length of the windows in each of which the ratio and the burst hold; if absent, the burst is the capacity of
+    /// a token bucket.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub window_ms: Option<clock::Millis>,
 }
 
 impl Default for Retry {
@@ -191,6 +195,7 @@
             budget_pct: 10.0,
             tries: 3,
             burst: 10.0,
+            window_ms: None,
         }
     }
 }
@@ -317,6 +322,10 @@
         }
         for service in &mut bundle.services {
             service.order = Order::default();
+            // A bucket and the window around it allow up to twice the burst.
+            if service.retry.window_ms.take().is_some() {
+                service.retry.burst /= 2.0;
+            }
         }
         for route in &mut bundle.routes {
             route.open = false;
--- a/tests/testsuite/cell/soundness.rs
+++ b/tests/testsuite/cell/soundness.rs
@@ -178,6 +178,7 @@
         budget_pct: 1.0,
         burst: 2.0,
         tries: 5,
+        window_ms: None,
     };
     let mut harness = Harness::new(&rules);
     let retried = |ticket| cell::Arrival {
--- a/tests/testsuite/service/budget.rs
+++ b/tests/testsuite/service/budget.rs
@@ -53,6 +53,7 @@
         can_be_resent: false,
         broken: 0.73,
         restart_at: None,
+        budget_windows: true,
         home_kills: Vec::new(),
         end: 30_000,
     }
@@ -63,6 +64,52 @@
     assert_eq!(finding(options, &report), None, "seed {seed}");
 }
 
+/// Returns how many arrivals beyond the first of each request there were, and how many requests were not served.
+fn spent(options: &Options, seed: u64) -> (usize, usize) {
+    let report = World::new(options, seed).run();
+    assert_eq!(finding(options, &report), None, "seed {seed}");
+    let repeats = report
+        .requests
+        .iter()
+        .map(|r| r.arrivals.len().saturating_sub(1));
+    let failed = report.requests.iter().filter(|r| !r.served).count();
+    (repeats.sum(), failed)
+}
+
+/// A bucket forgets what first tries earn while it is full, so that a service that sheds in part leaves budget unused.
+#[test]
+fn the_budget_is_spent_up_to_the_rule_while_targets_shed_half_of_their_requests() {
+    let life = Life {
+        shedding: vec![(15_000, 23_000)],
+        ..Life::default()
+    };
+    let options = Options {
+        targets: vec![vec![life; 25]; 4],
+        ..refusing_service()
+    };
+    for seed in 0..3 {
+        let (retries, failed) = spent(&options, seed);
+        let bucket = Options {
+            budget_windows: false,
+            ..options.clone()
+        };
+        let (before, failed_before) = spent(&bucket, seed);
+        // The rule for the window of 10 s around the shedding, with 400 requests a second.
+        let allowed = RATIO * 4_000.0 + super::BUDGET_SLACK;
+        println!(
+            "seed {seed}: {retries} of {allowed} retries, {failed} failed; bucket {before}, {failed_before} failed"
+        );
+        assert!(
+            retries as f64 > 0.8 * allowed,
+            "seed {seed}: {retries} of {allowed}"
+        );
+        assert!(
+            failed < failed_before,
+            "seed {seed}: {failed} failed, {failed_before} before"
+        );
+    }
+}
+
 #[test]
 fn retries_stay_within_the_budget_while_targets_refuse_requests() {
     assert_budget(&refusing_service(), 0);
@@ -76,6 +123,12 @@
             ..refusing_service()
         };
         assert_budget(&options, seed);
+        // The homes have just spent what they saved up.
+        let options = Options {
+            restart_at: Some(11_000),
+            ..options
+        };
+        assert_budget(&options, seed);
     }
 }
 
--- a/tests/testsuite/service/floor.rs
+++ b/tests/testsuite/service/floor.rs
@@ -46,6 +46,7 @@
         can_be_resent: false,
         broken: 0.73,
         restart_at: None,
+        budget_windows: true,
         home_kills: Vec::new(),
         end,
     }
--- a/tests/testsuite/service/limit.rs
+++ b/tests/testsuite/service/limit.rs
@@ -30,6 +30,7 @@
         can_be_resent: true,
         broken: 0.73,
         restart_at: None,
+        budget_windows: true,
         home_kills: Vec::new(),
         end: 32_000,
     }
--- a/tests/testsuite/service/statements.rs
+++ b/tests/testsuite/service/statements.rs
@@ -22,6 +22,7 @@
         can_be_resent: true,
         broken: 0.73,
         restart_at: None,
+        budget_windows: true,
         home_kills: Vec::new(),
         end: 16_000,
     }
