--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod restore;
 mod service;
 mod shutdown;
+mod store_calls;
 mod support;
 mod wire_forms;
 mod withdrawn;
