--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -4,10 +4,8 @@
 //! retries that each could make from the start would add up without bound.
 //!
 //! With a window ([`bundle::Retry::window_ms`]), the retries of any window are at most the share of the first tries of
-//! that window and the burst. What is saved up is earned by first tries since the start: at most the burst and the share
-//! of half a window. A home earns half of the share in its first window, since the home before it may have spent its
-//! savings just before. So a change of home adds nothing to what one home may spend in a window. A token bucket of the
-//! same burst would allow less, since it forgets first tries that it has no room for.
+//! that window and the burst, and what is saved up is at most the burst. A home that takes a cell over starts with
+//! nothing, so the retries of both homes stay within the share of their first tries and one burst.
 //!
 //! Load pattern: nearly all targets shed half of their requests for some seconds. Each retry is then wanted by another
 //! request, so the ones that lose most without a retry get it.
@@ -51,8 +49,6 @@
     max_tries: u32,
     /// The length of the window; zero for a token bucket.
     window: clock::Millis,
-    /// When the first of all tries was made here.
-    since: Option<clock::Millis>,
     /// The parts of the window in which there were tries, oldest first.
     parts: VecDeque<Part>,
 }
@@ -65,7 +61,6 @@
             burst: 0.0,
             max_tries: 1,
             window: clock::Millis::ZERO,
-            since: None,
             parts: VecDeque::new(),
         }
     }
@@ -83,7 +78,7 @@
         self.burst = rules.burst;
         self.share = (rules.budget_pct / 100.0).max(0.0);
         self.max_tries = rules.tries;
-        self.tokens = self.tokens.min(self.savings());
+        self.tokens = self.tokens.min(self.burst);
     }
 
     /// Adds the tokens that a first try earns.
@@ -91,12 +86,7 @@
         if let Some(part) = self.part(now) {
             part.first_tries += 1.0;
         }
-        let since = *self.since.get_or_insert(now);
-        let earned = match now - since < self.window {
-            true => self.share / 2.0,
-            false => self.share,
-        };
-        self.tokens = (self.tokens + earned).min(self.savings());
+        self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
     /// Returns whether a request that had `tries` tries may have another one, regardless of the tokens.
@@ -134,13 +124,6 @@
         self.tokens = self.tokens.min(0.0);
     }
 
-    /// Returns the most tokens that can be saved up: with a window, the burst and the share of half a window.
-    fn savings(&self) -> f64 {
-        let latest = self.parts.back().map_or(0, |p| p.number);
-        let half = self.parts.iter().filter(|p| p.number + PARTS / 2 > latest);
-        self.burst + self.share * half.map(|p| p.first_tries).sum::<f64>()
-    }
-
     /// Returns how many retries may be made now.
     fn left(&self) -> f64 {
         let balance = |p: &Part| self.share * p.first_tries - p.retries;
