coordination: a budget of the bytes that a daemon holds, and which request is refused

A host has 112 to 512 MB, and a process that exceeds its memory is killed with all requests in flight. Until now only the number of requests was limited, whatever their bodies.

memory::Budget reserves the most that a request can hold at one time, by kind, before any of it is received. If it does not fit, the cheapest request to refuse is refused: lowest tier first, the largest first within it, and within one tier only one that is twice as large, so that requests of similar size do not displace each other. A request that was pinned because it may have run is never displaced. Requests with bodies to buffer fill at most 75 % of the limit.

Ruled out: counting bytes as they are received, which leaves nothing to refuse once all requests may have run.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod homes;
 pub mod lease;
 pub mod member;
+pub mod memory;
 pub mod outlier;
 pub mod quarantine;
 mod random;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod freshness;
 mod homes;
 mod malformed;
+mod memory;
 mod path;
 mod quic;
 mod readers;
