daemon, transport, platform: what a daemon holds is reserved in one budget, and every buffer is bounded

Uploads, callers that stop reading and targets that read slowly filled buffers that nothing counted: 64 KB of each body for resends, the HTTP library's, the system's (megabytes for each connection that nobody reads) and 8 MB of QUIC windows per peer.

Each request reserves its memory before its body is read, and releases each kind as it is no longer held: response bytes when the last is written to the caller. A request that does not fit gets memory-full (503, Retry-After); a displaced one is pinned before its key is claimed and anything is sent, or not sent at all. Relays answer Busy, homes refuse. Socket buffers, HTTP/2 and QUIC windows are bounded. A connection whose other end reads nothing for 4 s is closed, that of a caller by a reset. The rest of an unread body is discarded for 2 s, since a close with unread bytes resets the connection and the caller loses the refusal. A home bounds the bytes of bodies that one target holds.

An upload that its caller breaks off, or does not finish before the deadline, no longer counts as a failure of its target. A connection whose request is still being sent 5 s after its response ended is closed; it was kept forever.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -84,6 +84,7 @@
             max_tries: u32::MAX,
             prior_tries: 0,
             origin: ids::DomainId::default(),
+            body: 0,
             idempotent: true,
             replayable: true,
             fingerprint: ids::Fingerprint(self.next),
--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -130,6 +130,7 @@
             max_tries: u32::MAX,
             prior_tries: 0,
             origin: ids::DomainId::default(),
+            body: 0,
             idempotent: details.idempotent,
             replayable: true,
             fingerprint: details.fingerprint,
--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -117,8 +117,13 @@
         if self.queue.is_empty() || !self.targets.values().any(free) {
             return None;
         }
+        // Long bodies that no free target has room for do not keep the requests behind them from being searched.
+        let has_room = |request: &&queue::Request| {
+            let mut targets = self.targets.values();
+            targets.any(|t| free(t) && t.has_room(request.arrival.body))
+        };
         let ordered = self.queue.ordered(now + self.mean_hold());
-        let mut searched = ordered.into_iter().take(SEARCH_DEPTH);
+        let mut searched = ordered.into_iter().filter(has_room).take(SEARCH_DEPTH);
         searched.find_map(|request| {
             let (target, rank) = self.choose_target(now, request)?;
             Some((request.arrival.ticket, target, rank))
@@ -136,7 +141,9 @@
         }
         let limit = self.probability_limit(now, request);
         let fits = self.targets.iter().filter_map(|(name, target)| {
-            if request.excluded.contains(name) || !self.is_acceptable(now, target, limit) {
+            let is_excluded =
+                request.excluded.contains(name) || !target.has_room(request.arrival.body);
+            if is_excluded || !self.is_acceptable(now, target, limit) {
                 return None;
             }
             Some((self.fit(now, request, name, target)?, name))
@@ -163,6 +170,7 @@
         let free = self.targets.iter();
         let free =
             free.filter(|(name, t)| t.has_free_slot(now) && !request.excluded.contains(name));
+        let free = free.filter(|(_, t)| t.has_room(request.arrival.body));
         let underused = free.filter(|(_, t)| t.newcomer || is_idle(t));
         let longest_idle = underused.min_by_key(|(_, t)| t.idle_since());
         longest_idle.map(|(name, _)| name.clone())
@@ -311,6 +319,7 @@
         target.limiter.take(now);
         target.newcomer = false;
         target.busy += 1;
+        target.body_bytes += arrival.body;
         target.crash_risks += usize::from(crash_risk);
         if trial {
             target.trial.start_trial();
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -31,6 +31,8 @@
     pub fingerprint: ids::Fingerprint,
     /// The failure domain of the entry that received the request.
     pub origin: ids::DomainId,
+    /// The bytes of its body that count against what a target may hold at a time; 0 if that is not limited.
+    pub body: u64,
 }
 
 impl Arrival {
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -96,6 +96,7 @@
         let run = self.remove_running(ticket)?;
         if let Some(target) = self.targets.get_mut(&run.target) {
             target.busy -= 1;
+            target.body_bytes -= run.request.arrival.body;
         }
         Some(run)
     }
@@ -109,7 +110,9 @@
         let slow = self.reference(now, &run.target).limits.slow;
         let until = now + slow.clamp(MIN_LINGER, MAX_LINGER);
         self.sequence += 1;
-        self.lingering.insert((until, self.sequence, run.target));
+        let body = run.request.arrival.body;
+        self.lingering
+            .insert((until, self.sequence, run.target, body));
     }
 
     /// Removes a request from all tables but leaves its slot in use.
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -108,8 +108,8 @@
     held: BTreeSet<(clock::Millis, ids::Ticket)>,
     /// The requests in flight that stall and may be retried at another target.
     stalled: BTreeSet<ids::Ticket>,
-    /// When the slots of abandoned requests become free.
-    lingering: BTreeSet<(clock::Millis, u64, String)>,
+    /// When the slots of abandoned requests become free, with their targets and the bytes of their bodies.
+    lingering: BTreeSet<(clock::Millis, u64, String, u64)>,
     budget: retry::Budget,
     /// When a request that can be resent last got a slot for its first try.
     last_resendable: clock::Millis,
--- a/src/coordination/cell/target.rs
+++ b/src/coordination/cell/target.rs
@@ -20,6 +20,11 @@
 const SHEDS_IN_A_ROW: u32 = 5;
 /// The most doublings of the pause of a target that accepts no connection.
 const UNCONNECTED_DOUBLINGS: u32 = 3;
+/// The most bytes of request bodies that one target holds at a time, unless it holds one request only.
+///
+/// A target crashes if its requests exceed its memory, which it does not state. This is three of the longest uploads
+/// (360 KB), and seventeen of average length (60 KB).
+const MAX_BODY_BYTES: u64 = 1_080 * 1_024;
 /// Connections that break within this time count as one crash of the target.
 const CRASH_WINDOW: clock::Millis = clock::Millis(100);
 
@@ -30,6 +35,8 @@
     pub(super) total_slots: usize,
     /// The slots in use, including those of requests that were abandoned a short time ago.
     pub(super) busy: usize,
+    /// The bytes of the bodies of the requests that hold its slots.
+    pub(super) body_bytes: u64,
     /// Whether it receives no new requests because the bundle removes it, or because it is gone.
     pub(super) leaving: bool,
     /// Whether it stated that it is leaving, or its address belongs to another target now. A bundle does not revoke
@@ -97,6 +104,7 @@
         Target {
             total_slots: 0,
             busy: 0,
+            body_bytes: 0,
             leaving: false,
             gone: false,
             last_grant: 0,
@@ -176,6 +184,11 @@
         self.paused_until <= now && self.busy < self.usable_slots(now) && self.limiter.allows(now)
     }
 
+    /// Returns whether it may hold a body of this many bytes besides those that it holds.
+    pub(super) fn has_room(&self, body: u64) -> bool {
+        body == 0 || self.body_bytes == 0 || self.body_bytes.saturating_add(body) <= MAX_BODY_BYTES
+    }
+
     /// Returns the number of slots for summaries: none beyond those in use while its rate limit allows no request.
     pub(super) fn open_slots(&self, now: clock::Millis) -> usize {
         let usable = self.usable_slots(now);
--- a/src/coordination/cell/watch.rs
+++ b/src/coordination/cell/watch.rs
@@ -188,13 +188,13 @@
     /// Runs the timers that are due: frees the slots of abandoned requests, refuses requests whose time has run out,
     /// and updates ejections.
     pub(super) fn run_timers(&mut self, now: clock::Millis, actions: &mut Vec<cell::Action>) {
-        while let Some(lingering) = self.lingering.first() {
-            if lingering.0 > now {
+        while self.lingering.first().is_some_and(|l| l.0 <= now) {
+            let Some((_, _, name, body)) = self.lingering.pop_first() else {
                 break;
-            }
-            let name = self.lingering.pop_first().map(|l| l.2).unwrap_or_default();
+            };
             if let Some(target) = self.targets.get_mut(&name) {
                 target.busy -= 1;
+                target.body_bytes -= body;
             }
         }
         while let Some(request) = self.queue.pop_expired(now) {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -22,6 +22,7 @@
 use crate::daemon::exchange;
 use crate::daemon::exchange::HomeResult;
 use crate::daemon::home;
+use crate::daemon::memory;
 use crate::daemon::metrics;
 use crate::protocol::refusal::{Cause, Refusal};
 use crate::protocol::{dialect, headers, peer};
@@ -69,6 +70,8 @@
     pub metrics: sync::Arc<metrics::Metrics>,
     /// Sends requests to targets.
     pub client: exchange::TargetClient,
+    /// The memory of this daemon.
+    pub memory: sync::Arc<memory::Memory>,
 }
 
 /// Serves the requests of callers.
@@ -98,6 +101,7 @@
     route: String,
     /// When the route's objective for the response time is missed.
     objective: clock::Millis,
+    displacement: memory::Displacement,
 }
 
 impl server::Handler for sync::Arc<Entry> {
@@ -131,6 +135,10 @@
         from: net::SocketAddr,
         request: Request<Incoming>,
     ) -> Response<body::Body> {
+        // Reading the body of a caller that waits for `100 Continue` would ask for it.
+        let discards =
+            self.options.memory.is_limited() && !request.headers().contains_key(header::EXPECT);
+        let request = request.map(|incoming| body::Upload::new(incoming, discards));
         let id = ids::RequestId::random();
         let began = self.options.clock.now();
         let mut record = RequestRecord {
@@ -207,7 +215,7 @@
         &self,
         id: ids::RequestId,
         from: net::SocketAddr,
-        request: Request<Incoming>,
+        request: Request<body::Upload>,
         record: &mut RequestRecord,
     ) -> Result<Response<body::Body>, Refusal> {
         let current = self.indexed_bundle();
@@ -233,7 +241,15 @@
             parsed.slot_request.peers =
                 self.selector().summaries(self.options.clock.now(), service);
             let mut refused = false;
-            match self.try_home(&mut parsed, &choice, service).await {
+            let mut displacement = std::mem::take(&mut parsed.displacement);
+            // A displaced request has not been sent: it is pinned before that.
+            let result = tokio::select! {
+                biased;
+                () = displacement.wait() => return Err(exchange::memory_full()),
+                result = self.try_home(&mut parsed, &choice, service) => result,
+            };
+            parsed.displacement = displacement;
+            match result {
                 HomeResult::Response {
                     mut response,
                     target,
@@ -286,7 +302,7 @@
         current: &IndexedBundle,
         id: ids::RequestId,
         from: net::SocketAddr,
-        request: Request<Incoming>,
+        request: Request<body::Upload>,
     ) -> Result<ParsedRequest, Refusal> {
         let bad_request = Refusal::not_run(Cause::BadRequest, None);
         let limits = &self.options.settings.limits;
@@ -294,7 +310,7 @@
         if current.bundle.version == 0 {
             return Err(Refusal::not_run(Cause::NoBundle, Some(RETRY_AFTER)));
         }
-        let (parts, incoming) = request.into_parts();
+        let (parts, mut incoming) = request.into_parts();
         let caller = current
             .index
             .caller(&current.bundle, bearer_token(&parts.headers));
@@ -331,11 +347,22 @@
         {
             return Err(bad_request);
         }
+        let tier = route
+            .tier
+            .as_ref()
+            .and_then(|t| current.bundle.tier_rank(t));
+        let tier = tier.unwrap_or(caller.tier);
+        let lease = self.options.memory.admit(tier, body_length(&incoming));
+        let mut lease = lease.ok_or(exchange::memory_full())?;
+        incoming.hold(Box::new(lease.upload));
+        let progress = incoming.progress();
         let prefix = exchange::read_prefix(incoming, limits.replay_bytes);
-        let prefix = self
-            .with_deadline(deadline, prefix)
-            .await?
-            .map_err(|_| bad_request)?;
+        let prefix = tokio::select! {
+            biased;
+            () = lease.displacement.wait() => return Err(exchange::memory_full()),
+            prefix = self.with_deadline(deadline, prefix) => prefix?.map_err(|_| bad_request)?,
+        };
+        let length = length.or(prefix.rest.is_none().then_some(prefix.first.len() as u64));
         let uri = parts
             .uri
             .path_and_query()
@@ -357,10 +384,6 @@
             fields.append(header::TE, HeaderValue::from_static("trailers"));
         }
         let idempotent = route.is_idempotent(&parts.method);
-        let tier = route
-            .tier
-            .as_ref()
-            .and_then(|t| current.bundle.tier_rank(t));
         let name = self
             .options
             .client
@@ -374,7 +397,7 @@
             name: name.clone(),
             stamp: self.options.recorder.stamp(),
             cell: ids::CellId::new(&service.name, ""),
-            tier: tier.unwrap_or(caller.tier),
+            tier,
             left,
             objective,
             tries: route.tries.unwrap_or(u32::MAX),
@@ -400,11 +423,14 @@
             first: Bytes::from(prefix.first),
             rest: prefix.rest,
             more,
+            progress,
             trailers: prefix.trailers,
             idempotent,
             deadline,
             tries: 0,
             unknown_cause: None,
+            kept: lease.kept,
+            response: lease.response,
         };
         Ok(ParsedRequest {
             slot_request,
@@ -413,6 +439,7 @@
             key: key.filter(|_| !idempotent),
             route: route.prefix.clone(),
             objective: deadline - left + objective,
+            displacement: lease.displacement,
         })
     }
 
@@ -452,6 +479,11 @@
         self.options.bundle.borrow().clone()
     }
 
+    /// Returns the memory of the daemon.
+    pub(super) fn memory(&self) -> &memory::Memory {
+        &self.options.memory
+    }
+
     /// Returns the client of targets.
     pub(super) fn client(&self) -> &exchange::TargetClient {
         &self.options.client
@@ -596,6 +628,7 @@
             | Cause::DeadlineTooShort
             | Cause::TargetShed
             | Cause::ConnectFailed
+            | Cause::MemoryFull
     );
     elsewhere && refusal.outcome == crate::protocol::refusal::Outcome::NotRun
 }
@@ -610,6 +643,14 @@
         .map(str::trim)
 }
 
+/// Returns the length of a body that has not been read.
+fn body_length(incoming: &body::Upload) -> memory::BodyLength {
+    match http_body::Body::size_hint(incoming).exact() {
+        Some(length) => memory::BodyLength::Known(length),
+        None => memory::BodyLength::Unknown,
+    }
+}
+
 /// Returns the value of `Content-Length`, or nothing where it is absent or malformed.
 fn content_length(map: &http::HeaderMap) -> Option<u64> {
     header_text(map, header::CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok())
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -17,7 +17,7 @@
 use tokio::time as timers;
 
 use crate::coordination::homes;
-use crate::daemon::{claim, claims, forward, home};
+use crate::daemon::{claim, claims, forward, home, memory};
 use crate::protocol::dialect::{self, ResponseClass};
 use crate::protocol::peer::{FromHome, Outcome, ToHome};
 use crate::protocol::refusal::{self, Cause, Refusal};
@@ -68,9 +68,11 @@
     /// The body, or its first bytes.
     pub first: Bytes,
     /// The unread part of the body; a request that has one can be sent only once.
-    pub rest: Option<Incoming>,
+    pub rest: Option<body::Upload>,
     /// Whether the body is longer than `first`.
     pub more: bool,
+    /// The state of the unread part of the body.
+    pub progress: body::Progress,
     /// The trailers of a body that was read to its end.
     pub trailers: HeaderMap,
     /// Whether the request may run more than once.
@@ -81,6 +83,10 @@
     pub tries: u32,
     /// Why the outcome is unknown, if an earlier try may have run; absent if none may have.
     pub unknown_cause: Option<Cause>,
+    /// The memory of the request and the buffered part of its body.
+    pub kept: memory::Part,
+    /// The memory of the response.
+    pub response: memory::Part,
 }
 
 impl Outgoing {
@@ -261,6 +267,10 @@
                 Received::Message(FromHome::Abandon) => {}
                 Received::Message(FromHome::Granted { target, summary }) => {
                     summary.iter().for_each(self.record_summary);
+                    if !outgoing.kept.pin() {
+                        stream.report_outcome(Outcome::Withdrawn, None).await;
+                        return HomeResult::Refused(memory_full());
+                    }
                     if let Some(refused) = self.claim_key(&mut stream, outgoing, progress).await {
                         return refused;
                     }
@@ -377,7 +387,7 @@
         &self,
         last: Option<LastTry>,
         stream: HomeStream,
-        outgoing: &Outgoing,
+        outgoing: &mut Outgoing,
     ) -> HomeResult {
         match last {
             Some(LastTry::Response(response)) => self.forward(stream, *response, outgoing),
@@ -465,13 +475,22 @@
                 log_try(outgoing, name, relay, &e.to_string(), took);
                 match e.never_sent() {
                     true => TryResult::not_sent(Outcome::ConnectFailed),
+                    // A request that its caller broke off is no evidence against the target.
+                    false if outgoing.progress.is_failed() => {
+                        TryResult::unknown(Outcome::Expired, Cause::TargetBroke)
+                    }
                     false => TryResult::unknown(Outcome::Broken, Cause::TargetBroke),
                 }
             }
             Err(_) => {
                 let result = "no answer before the deadline";
                 log_try(outgoing, name, relay, result, took);
-                TryResult::unknown(Outcome::TimedOut, Cause::TargetTimeout)
+                // The target can't answer while its caller has not sent the whole body.
+                let outcome = match outgoing.progress.is_waiting() {
+                    true => Outcome::Expired,
+                    false => Outcome::TimedOut,
+                };
+                TryResult::unknown(outcome, Cause::TargetTimeout)
             }
         }
     }
@@ -481,7 +500,7 @@
         &self,
         stream: HomeStream,
         received: TargetResponse,
-        outgoing: &Outgoing,
+        outgoing: &mut Outgoing,
     ) -> HomeResult {
         let mut response = Response::new(());
         *response.status_mut() = received.head.status;
@@ -493,6 +512,7 @@
             pool: self.client.pool.clone(),
             stream: Some(stream),
             deadline: Some(self.client.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span()),
+            held: std::mem::take(&mut outgoing.response),
         });
         HomeResult::Response {
             response: response.map(|()| body.boxed_unsync()),
@@ -579,6 +599,11 @@
     }
 }
 
+/// Returns the refusal of a request for which the daemon has no memory.
+pub fn memory_full() -> Refusal {
+    Refusal::not_run(Cause::MemoryFull, Some(memory::RETRY_AFTER))
+}
+
 /// Reads a response that is not forwarded, so that its connection can be reused.
 async fn discard(response: TargetResponse, pool: sync::Arc<pool::Pool>) {
     let keep = pool::keep_alive_timeout(&response.head.headers);
@@ -594,7 +619,7 @@
     /// The first bytes.
     pub first: Vec<u8>,
     /// The unread rest, if the body is longer than the limit.
-    pub rest: Option<Incoming>,
+    pub rest: Option<body::Upload>,
     /// The trailers, if the body was read to its end.
     pub trailers: HeaderMap,
 }
@@ -604,8 +629,12 @@
 /// # Errors
 ///
 /// Returns an error if the caller cuts the body short.
-pub async fn read_prefix(mut incoming: Incoming, limit: usize) -> Result<BodyPrefix, hyper::Error> {
-    let mut first = Vec::new();
+pub async fn read_prefix(
+    mut incoming: body::Upload,
+    limit: usize,
+) -> Result<BodyPrefix, body::Error> {
+    let length = http_body::Body::size_hint(&incoming).exact();
+    let mut first = Vec::with_capacity(length.map_or(0, |l| l.min(limit as u64) as usize));
     let mut trailers = HeaderMap::new();
     while let Some(frame) = incoming.frame().await {
         match frame?.into_data() {
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -15,6 +15,7 @@
 use tokio::time as timers;
 
 use crate::daemon::exchange::HomeStream;
+use crate::daemon::memory;
 use crate::protocol::peer::ToHome;
 use crate::state::clock;
 use crate::transport::{body, pool};
@@ -33,6 +34,8 @@
     pub stream: Option<HomeStream>,
     /// When the body is truncated, if it has not ended by then; absent for a relayed request, whose other end does that.
     pub deadline: Option<time::Instant>,
+    /// The memory of the response, which is held until the last byte is written to the caller.
+    pub held: memory::Part,
 }
 
 /// The body of a response; dropping it before its end closes the connection and cancels the request at its home.
@@ -42,6 +45,19 @@
     resources: Option<Resources>,
     /// The error to return with the next poll, after which the body is truncated.
     error: Option<body::Error>,
+    held: sync::Arc<memory::Part>,
+}
+
+/// Bytes of a response that the server buffers.
+struct HeldBytes {
+    bytes: Bytes,
+    _held: sync::Arc<memory::Part>,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// What is released when the body ends.
@@ -67,6 +83,7 @@
                 stream: options.stream,
             }),
             error: None,
+            held: sync::Arc::new(options.held),
         };
         if forwarded.body.is_end_stream() {
             forwarded.finish();
@@ -126,6 +143,9 @@
                 if self.body.is_end_stream() {
                     self.finish();
                 }
+                let held = self.held.clone();
+                let frame =
+                    frame.map_data(|bytes| Bytes::from_owner(HeldBytes { bytes, _held: held }));
                 task::Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(e)) => self.truncate(cx, Box::new(e)),
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -17,6 +17,7 @@
 use crate::daemon::cell;
 use crate::daemon::cell::Message;
 use crate::daemon::cell::Verdict;
+use crate::daemon::memory;
 use crate::protocol::{frame, peer, refusal};
 use crate::state::{bundle, clock, ids, timeline};
 
@@ -28,6 +29,8 @@
 const KEEPALIVE_INTERVAL: clock::Millis = clock::Millis(250);
 /// The capacity of the channel for the outcomes of one request; each outcome follows a verdict, so few ever wait.
 const OUTCOME_BUFFER: usize = 4;
+/// The length that is assumed of a body whose length is not known: the average upload.
+const UNKNOWN_BODY_BYTES: u64 = 60 * 1024;
 
 /// The verdict for requests of a cell whose actor has stopped.
 const CELL_STOPPED: Verdict = Verdict::Refuse(refusal::Refusal {
@@ -57,6 +60,8 @@
     pub budget: sync::Arc<dyn cell::EjectionBudget>,
     /// Broadcasts quarantined fingerprints to the fleet.
     pub broadcast: sync::Arc<dyn cell::Broadcast>,
+    /// The memory of this daemon.
+    pub memory: sync::Arc<memory::Memory>,
 }
 
 /// The cells of which this daemon is the home, or was until they are drained.
@@ -226,6 +231,14 @@
             return frame::OutOfOrderSnafu.fail();
         };
         self.options.recorder.observe(slot_request.stamp);
+        let Some(_held) = self.options.memory.admit_slot_request() else {
+            // An entry of version 1 does not know the cause.
+            let cause = match slot_request.context {
+                Some(_) => refusal::Cause::MemoryFull,
+                None => refusal::Cause::QueueFull,
+            };
+            return refuse(&mut send, cause).await;
+        };
         let handle = match self.draining.load(atomic::Ordering::Relaxed) {
             true => Err(refusal::Cause::Draining),
             false => self
@@ -271,7 +284,18 @@
             replayable: slot_request.replayable,
             fingerprint: slot_request.fingerprint,
             origin: slot_request.origin,
+            body: self.body_bytes(slot_request),
+        }
+    }
+
+    /// Returns the bytes of a request's body that count against what a target may hold; 0 if memory is not limited.
+    fn body_bytes(&self, slot_request: &peer::SlotRequest) -> u64 {
+        if !self.options.memory.is_limited() {
+            return 0;
         }
+        let context = slot_request.context.as_ref();
+        let length = context.and_then(|c| c.length);
+        length.unwrap_or(UNKNOWN_BODY_BYTES)
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -24,6 +24,7 @@
 pub mod lease;
 pub mod links;
 pub mod member;
+pub mod memory;
 pub mod metrics;
 mod node;
 pub mod registry;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -10,7 +10,7 @@
 use crate::coordination::member as membership;
 use crate::daemon::{
     admin, background, broadcast, cell, claims, control, egress, entry, exchange, follower, home,
-    lease, links, member, metrics, registry, relay,
+    lease, links, member, memory, metrics, registry, relay,
 };
 use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
@@ -201,6 +201,7 @@
     dialect: sync::Arc<dyn dialect::Dialect>,
     metrics: sync::Arc<metrics::Metrics>,
     peers: quic::Peers,
+    memory: sync::Arc<memory::Memory>,
 }
 
 /// The live daemons, and the sender of control messages to them.
@@ -221,6 +222,7 @@
             &settings.domain,
         );
         Ok(Shared {
+            memory: memory::Memory::new(&settings.limits, &parts.metrics),
             settings: settings.clone(),
             clock,
             incarnation,
@@ -368,6 +370,7 @@
             view: fleet.view.clone(),
             budget: self.budget(),
             broadcast: broadcaster.clone(),
+            memory: self.memory.clone(),
         }));
         broadcaster.attach(&home);
         home
@@ -383,7 +386,10 @@
             domain: self.settings.domain.clone(),
             clock: self.clock,
             view: fleet.view.clone(),
-            direct: sync::Arc::new(pool::TcpConnector),
+            direct: match self.memory.is_limited() {
+                true => sync::Arc::new(pool::LimitedTcpConnector),
+                false => sync::Arc::new(pool::TcpConnector),
+            },
             relays: sync::Arc::new(relays),
             metrics: self.metrics.clone(),
         }))
@@ -417,6 +423,7 @@
                 pool: pool.clone(),
                 dialect: self.dialect.clone(),
             },
+            memory: self.memory.clone(),
         }))
     }
 
@@ -463,7 +470,10 @@
         let egress = shared.egress(&fleet);
         let head_bytes = shared.settings.limits.head_bytes;
         let pool = pool::Pool::new(shared.clock, head_bytes, egress.clone());
-        let pool = sync::Arc::new(pool);
+        let pool = sync::Arc::new(match shared.memory.is_limited() {
+            true => pool.with_stall_timeout(),
+            false => pool,
+        });
         let entry = shared.entry(&fleet, &bundle, &home, &broadcaster, &pool);
         let entry = sync::Arc::new(entry.await?);
         let relay = sync::Arc::new(relay::Relay::new(relay::Options {
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -17,7 +17,7 @@
 
 use crate::daemon::egress::EgressConnector;
 use crate::daemon::entry::Entry;
-use crate::daemon::forward;
+use crate::daemon::{forward, memory};
 use crate::protocol::relay::{RelayReply, RelayRequest, RelayResult};
 use crate::protocol::{dialect, frame, headers};
 use crate::state::{bundle, settings};
@@ -83,6 +83,9 @@
         let Ok(_permit) = self.permits.try_acquire() else {
             return frame::send(&mut stream, &RelayReply::Busy).await;
         };
+        let Some(_held) = self.options.entry.memory().admit_relayed() else {
+            return frame::send(&mut stream, &RelayReply::Busy).await;
+        };
         match self.connect(&request).await {
             Ok(link) => {
                 frame::send(&mut stream, &RelayReply::Ready).await?;
@@ -143,6 +146,10 @@
             .timer(rt::TokioTimer::new())
             .header_read_timeout(REQUEST_TIMEOUT)
             .max_headers(limits.head_fields);
+        if limits.memory_bytes.is_some() {
+            // The daemon that sends the request adds fields to the head that its caller sent.
+            builder.max_buf_size(2 * limits.head_bytes.max(pool::MIN_BUFFER_BYTES));
+        }
         if let Err(e) = builder
             .serve_connection(rt::TokioIo::new(stream), service)
             .await
@@ -181,6 +188,7 @@
             pool: client.pool.clone(),
             stream: None,
             deadline: None,
+            held: memory::Part::default(),
         });
         Response::from_parts(head, body.boxed_unsync())
     }
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -165,9 +165,9 @@
 /// The maximum of all counts, except sizes in bytes.
 const MAX_COUNT: u64 = 10_000_000;
 
-/// The maximum of the limits for a head and for the body buffered for retries, in bytes.
 /// The smallest memory budget, in bytes: several requests with the longest heads and buffered bodies.
 const MIN_MEMORY_BYTES: u64 = 1024 * 1024;
+/// The maximum of the limits for a head and for the body buffered for retries, in bytes.
 const MAX_BUFFER_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Parses and checks the text of a settings file; findings refer to it by the name `file`.
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -14,7 +14,7 @@
 use tokio::{net as tcp, sync as tokio_sync, time};
 
 use crate::state::{clock, settings};
-use crate::transport::body;
+use crate::transport::{body, stall};
 
 /// Handles requests; a failure is reported in the response.
 pub trait Handler: Send + Sync + 'static {
@@ -46,6 +46,9 @@
     handler: sync::Arc<dyn Handler>,
     mut stop: tokio_sync::watch::Receiver<bool>,
 ) {
+    if options.limits.borrow().memory_bytes.is_some() {
+        stall::limit_buffers(&options.listener);
+    }
     let permits = sync::Arc::new(tokio_sync::Semaphore::new(
         options.limits.borrow().connections,
     ));
@@ -119,6 +122,9 @@
 const ACCEPT_BACKOFF: std::time::Duration = std::time::Duration::from_millis(50);
 /// The most concurrent streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
+/// The receive window of one HTTP/2 stream, and that of a connection, if memory is limited, in bytes.
+const STREAM_WINDOW_BYTES: u32 = 32 * 1024;
+const CONNECTION_WINDOW_BYTES: u32 = 128 * 1024;
 /// The smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -146,6 +152,15 @@
         .timer(rt::TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(u32::try_from(limits.head_bytes).unwrap_or(u32::MAX));
+    let timeout = limits.memory_bytes.map(|_| stall::STALL_TIMEOUT);
+    if limits.memory_bytes.is_some() {
+        builder
+            .http2()
+            .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_send_buf_size(STREAM_WINDOW_BYTES as usize);
+    }
+    let stream = stall::StallGuard::new(stream, timeout, stall::reset_on_close);
     let served = match acceptor {
         None => {
             let connection = builder
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,4 +9,5 @@
 pub mod platform;
 pub mod pool;
 pub mod quic;
+pub mod stall;
 pub mod tls;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -20,7 +20,7 @@
 
 use crate::protocol::relay;
 use crate::state::clock;
-use crate::transport::{body, head_limit};
+use crate::transport::{body, head_limit, stall};
 
 /// How long a target may take to accept a connection: several round trips between failure domains, and far less than
 /// a caller waits, so that the request can still be sent to another target.
@@ -32,6 +32,8 @@
 /// How long before the target's keep-alive timeout an idle connection is closed, since a request could otherwise
 /// arrive while the target closes it.
 const CLOSE_MARGIN: clock::Millis = clock::Millis(1_000);
+/// How long the rest of a request may take to be sent after its response has ended.
+const RELEASE_TIMEOUT: clock::Millis = clock::Millis(5_000);
 /// The most idle connections that are kept to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -134,21 +136,23 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpConnector;
 
+/// Opens TCP connections whose buffers in the system hold at most [`stall::SOCKET_BYTES`] each.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LimitedTcpConnector;
+
 impl Connector for TcpConnector {
     fn connect<'a>(&'a self, to: Destination<'a>) -> future::BoxFuture<'a, Result<Opened, Error>> {
-        let address = to.address;
-        Box::pin(async move {
-            let connecting = tcp::TcpStream::connect(address);
-            let Ok(connected) = time::timeout(CONNECT_TIMEOUT.span(), connecting).await else {
-                return ConnectTimeoutSnafu { address }.fail();
-            };
-            let stream = connected.context(ConnectSnafu { address })?;
-            stream.set_nodelay(true).context(ConnectSnafu { address })?;
-            Ok(Opened {
-                stream: Box::new(stream),
-                relay: None,
-            })
-        })
+        open(to.address, tcp::TcpStream::connect(to.address))
+    }
+
+    fn trusts_idle(&self) -> bool {
+        true
+    }
+}
+
+impl Connector for LimitedTcpConnector {
+    fn connect<'a>(&'a self, to: Destination<'a>) -> future::BoxFuture<'a, Result<Opened, Error>> {
+        open(to.address, connect_limited(to.address))
     }
 
     fn trusts_idle(&self) -> bool {
@@ -156,6 +160,34 @@
     }
 }
 
+async fn connect_limited(address: net::SocketAddr) -> std::io::Result<tcp::TcpStream> {
+    let socket = match address {
+        net::SocketAddr::V4(_) => tcp::TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => tcp::TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(stall::SOCKET_BYTES as u32)?;
+    socket.set_send_buffer_size(stall::SOCKET_BYTES as u32)?;
+    socket.connect(address).await
+}
+
+/// Returns the stream that `connecting` opens within [`CONNECT_TIMEOUT`].
+fn open<'a>(
+    address: net::SocketAddr,
+    connecting: impl Future<Output = std::io::Result<tcp::TcpStream>> + Send + 'a,
+) -> future::BoxFuture<'a, Result<Opened, Error>> {
+    Box::pin(async move {
+        let Ok(connected) = time::timeout(CONNECT_TIMEOUT.span(), connecting).await else {
+            return ConnectTimeoutSnafu { address }.fail();
+        };
+        let stream = connected.context(ConnectSnafu { address })?;
+        stream.set_nodelay(true).context(ConnectSnafu { address })?;
+        Ok(Opened {
+            stream: Box::new(stream),
+            relay: None,
+        })
+    })
+}
+
 /// A connection to one target, which is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -180,6 +212,8 @@
     clock: clock::Clock,
     head_bytes: usize,
     connector: sync::Arc<dyn Connector>,
+    /// How long a target may read nothing of a request; absent if there is no limit.
+    stall_timeout: Option<clock::Millis>,
     idle: sync::Mutex<BTreeMap<net::SocketAddr, Vec<Idle>>>,
 }
 
@@ -216,10 +250,19 @@
             clock,
             head_bytes,
             connector,
+            stall_timeout: None,
             idle: sync::Mutex::default(),
         }
     }
 
+    /// Returns the pool with a limit on how long a target may read nothing of a request, after which its connection is
+    /// closed.
+    #[must_use]
+    pub fn with_stall_timeout(mut self) -> Pool {
+        self.stall_timeout = Some(stall::STALL_TIMEOUT);
+        self
+    }
+
     /// Returns an idle connection to a target, or a new one.
     ///
     /// A request that is not idempotent gets a new connection or one that was idle only briefly, because a target may
@@ -263,6 +306,7 @@
         let head_bytes = self.head_bytes.max(MIN_BUFFER_BYTES);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(head_bytes);
+        let stream = stall::StallGuard::new(stream, self.stall_timeout, |_| {});
         let (stream, limit) = head_limit::LimitedStream::new(stream);
         let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
         let Ok((sender, connection)) = handshake else {
@@ -290,7 +334,12 @@
     ///
     /// Panics if a holder of the pool's lock panicked.
     pub async fn release(&self, mut connection: Connection, keep: clock::Millis) {
-        if connection.relay.is_some() || connection.sender.ready().await.is_err() {
+        if connection.relay.is_some() {
+            return;
+        }
+        // A target may answer before it has read the whole request, and then read nothing more.
+        let ready = time::timeout(RELEASE_TIMEOUT.span(), connection.sender.ready());
+        if !matches!(ready.await, Ok(Ok(()))) {
             return;
         }
         let since = self.clock.now();
@@ -332,7 +381,7 @@
 }
 
 /// The smallest read buffer that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+pub const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 impl Connection {
     /// Returns the daemon that relays the request; absent for a direct connection.
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -44,6 +44,9 @@
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 /// The receive and send windows of one connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
+/// The same windows if memory is limited. Requests that relays carry then fill at most this much of each stream.
+const LIMITED_STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+const LIMITED_CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024;
 /// The buffer of one connection for datagrams that wait to be read or sent, in bytes.
 const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
 /// The size of the socket's buffers, in bytes; smaller ones drop bursts of several peers, which are retransmitted late.
@@ -185,7 +188,7 @@
         let socket = net::UdpSocket::bind(addr).context(BindSnafu { addr })?;
         let local = socket.local_addr().context(BindSnafu { addr })?;
         enlarge_buffers(&socket);
-        let transport = Arc::new(transport_config(timeouts));
+        let transport = Arc::new(transport_config(timeouts, &settings.limits));
         let mut endpoint = quinn::Endpoint::new(
             identity.endpoint_config(),
             Some(identity.server_config(&transport)?),
@@ -307,7 +310,11 @@
     }
 }
 
-fn transport_config(timeouts: &Timeouts) -> quinn::TransportConfig {
+fn transport_config(timeouts: &Timeouts, limits: &settings::Limits) -> quinn::TransportConfig {
+    let (stream_window, connection_window) = match limits.memory_bytes {
+        Some(_) => (LIMITED_STREAM_WINDOW_BYTES, LIMITED_CONNECTION_WINDOW_BYTES),
+        None => (STREAM_WINDOW_BYTES, CONNECTION_WINDOW_BYTES),
+    };
     let mut config = quinn::TransportConfig::default();
     config
         // Messages are short: the probes of MTU discovery would cost each connection more than all of its messages.
@@ -319,9 +326,9 @@
         )
         .max_concurrent_bidi_streams(pool::INITIAL_STREAMS.into())
         .max_concurrent_uni_streams(MAX_UNI_STREAMS.into())
-        .stream_receive_window(STREAM_WINDOW_BYTES.into())
-        .receive_window(CONNECTION_WINDOW_BYTES.into())
-        .send_window(CONNECTION_WINDOW_BYTES.into())
+        .stream_receive_window(stream_window.into())
+        .receive_window(connection_window.into())
+        .send_window(connection_window.into())
         .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER_BYTES))
         .datagram_send_buffer_size(DATAGRAM_BUFFER_BYTES);
     config
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -8,6 +8,7 @@
 use peridotspread::state::clock::Millis;
 use peridotspread::state::ids;
 
+mod body_bytes;
 mod breadth;
 mod dispatch;
 mod ejection;
@@ -57,6 +58,7 @@
         max_tries: u32::MAX,
         prior_tries: 0,
         origin: ids::DomainId::default(),
+        body: 0,
         idempotent: true,
         replayable: true,
         fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -151,6 +151,7 @@
                     max_tries: u32::MAX,
                     prior_tries: 0,
                     origin: ids::DomainId::default(),
+                    body: 0,
                     idempotent,
                     replayable,
                     fingerprint: ids::Fingerprint(fingerprint),
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -273,6 +273,7 @@
             max_tries: u32::MAX,
             prior_tries: 0,
             origin: ids::DomainId::default(),
+            body: 0,
             idempotent,
             replayable: idempotent,
             fingerprint: ids::Fingerprint(ticket),
--- a/tests/testsuite/malformed.rs
+++ b/tests/testsuite/malformed.rs
@@ -126,6 +126,7 @@
             replayable: request.replayable,
             fingerprint: request.fingerprint,
             origin: request.origin,
+            body: request.context.map_or(0, |c| c.length.unwrap_or_default()),
         };
         let known = &request.known;
         let _ = cell.handle(now, Event::Arrive { arrival, known });
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -289,3 +289,23 @@
     let response = daemon.send(sent).await.unwrap();
     assert_eq!(response.headers()["peridotspread-outcome"], "unknown");
 }
+
+/// Guards against reading a body for which there is no memory, and against a refusal that its caller can't receive.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_does_not_fit_in_memory_is_refused_before_its_body_is_read() {
+    let limits = settings::Limits {
+        memory_bytes: Some(512 * 1024),
+        ..settings::Limits::default()
+    };
+    let daemon = daemon_with_limits("path-memory", count_bytes, limits).await;
+    let upload = request("POST", "/").body(chunked_body(8, 64 * 1024, true));
+    let response = daemon.send(upload.unwrap()).await.unwrap();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    let text = response.into_body().collect().await.unwrap().to_bytes();
+    assert!(String::from_utf8_lossy(&text).contains("memory-full"));
+    for _ in 0..3 {
+        let short = request("GET", "/").body(empty()).unwrap();
+        assert_eq!(daemon.send(short).await.unwrap().status(), StatusCode::OK);
+    }
+}
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -410,6 +410,7 @@
             replayable: true,
             fingerprint: ids::Fingerprint(ticket),
             origin: ids::DomainId::from_name(&self.members[&entry].domain),
+            body: 0,
         };
         let key = (choice.home, choice.cell);
         let home_view = self.view(&key.0);
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -13,7 +13,9 @@
 use hyper::service;
 use hyper_util::rt;
 use peridotspread::coordination::member;
-use peridotspread::daemon::{broadcast, cell, claims, egress, entry, exchange, home, metrics};
+use peridotspread::daemon::{
+    broadcast, cell, claims, egress, entry, exchange, home, memory, metrics,
+};
 use peridotspread::protocol::{dialect, frame, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
 use peridotspread::transport::{body, http as server, pool};
@@ -88,6 +90,7 @@
     let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target)));
     let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&["d1"])));
     let metrics = sync::Arc::new(metrics::Metrics::new().unwrap());
+    let memory = memory::Memory::new(&limits, &metrics);
     let pool_connector: sync::Arc<dyn pool::Connector> = match paths {
         None => sync::Arc::new(pool::TcpConnector),
         Some((direct, relays)) => sync::Arc::new(connector(direct, relays)),
@@ -100,6 +103,7 @@
         view: view_seen.clone(),
         budget: sync::Arc::new(cell::NoEjectionBudget),
         broadcast: sync::Arc::new(NoBroadcast),
+        memory: memory.clone(),
     }));
     let broadcaster = broadcast::Broadcaster::new(broadcast::Options {
         name: "d1".to_owned(),
@@ -123,6 +127,7 @@
             pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes, pool_connector)),
             dialect: sync::Arc::new(dialect::Native),
         },
+        memory,
     }));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
