--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -36,6 +36,8 @@
     pub organisation: u64,
     /// The kind of request by which its work is estimated.
     pub kind: cost::Kind,
+    /// The bytes of its body that count against what a target may hold at a time; 0 if that is not limited.
+    pub body: u64,
 }
 
 impl Arrival {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod homes;
 pub mod lease;
 pub mod member;
+pub mod memory;
 pub mod outlier;
 pub mod quarantine;
 pub mod quota;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -22,6 +22,7 @@
 use crate::daemon::exchange;
 use crate::daemon::exchange::HomeResult;
 use crate::daemon::home;
+use crate::daemon::memory;
 use crate::daemon::metrics;
 use crate::daemon::quota;
 use crate::protocol::refusal::{Cause, Refusal};
@@ -75,6 +76,8 @@
     pub metrics: sync::Arc<metrics::Metrics>,
     /// Sends requests to targets.
     pub client: exchange::TargetClient,
+    /// The memory of this daemon.
+    pub memory: sync::Arc<memory::Memory>,
 }
 
 /// Serves the requests of callers.
@@ -106,6 +109,7 @@
     route: String,
     /// When the route's objective for the response time is missed.
     objective: clock::Millis,
+    displacement: memory::Displacement,
 }
 
 impl ParsedRequest {
@@ -150,6 +154,10 @@
         from: net::SocketAddr,
         request: Request<Incoming>,
     ) -> Response<body::Body> {
+        // Reading the body of a caller that waits for `100 Continue` would ask for it.
+        let discards =
+            self.options.memory.is_limited() && !request.headers().contains_key(header::EXPECT);
+        let request = request.map(|incoming| body::Upload::new(incoming, discards));
         let id = ids::RequestId::random();
         let began = self.options.clock.now();
         let mut record = RequestRecord {
@@ -226,7 +234,7 @@
         &self,
         id: ids::RequestId,
         from: net::SocketAddr,
-        request: Request<Incoming>,
+        request: Request<body::Upload>,
         record: &mut RequestRecord,
     ) -> Result<Response<body::Body>, Refusal> {
         let current = self.indexed_bundle();
@@ -256,7 +264,15 @@
             parsed.slot_request.peers =
                 self.selector().summaries(self.options.clock.now(), service);
             let mut refused = false;
-            match self.try_home(&mut parsed, &choice, service).await {
+            let mut displacement = std::mem::take(&mut parsed.displacement);
+            // A displaced request has not been sent: it is pinned before that.
+            let result = tokio::select! {
+                biased;
+                () = displacement.wait() => return Err(exchange::memory_full()),
+                result = self.try_home(&mut parsed, &choice, service) => result,
+            };
+            parsed.displacement = displacement;
+            match result {
                 HomeResult::Response {
                     mut response,
                     target,
@@ -309,7 +325,7 @@
 
     /// Returns the refusal of a request beyond the limit on requests at a time. A caller that would be refused without
     /// that limit learns so, since coming back would not help it.
-    fn refusal_when_full(&self, request: Request<Incoming>) -> Refusal {
+    fn refusal_when_full(&self, request: Request<body::Upload>) -> Refusal {
         let (parts, _) = request.into_parts();
         match self.admit(&self.indexed_bundle(), &parts) {
             Err(refusal) if refusal.cause == Cause::UnknownCaller => refusal,
@@ -341,12 +357,12 @@
         current: &IndexedBundle,
         id: ids::RequestId,
         from: net::SocketAddr,
-        request: Request<Incoming>,
+        request: Request<body::Upload>,
     ) -> Result<ParsedRequest, Refusal> {
         let bad_request = Refusal::not_run(Cause::BadRequest, None);
         let limits = &self.options.settings.limits;
         let limits = limits.with_caller_limits(current.bundle.callers.as_ref());
-        let (parts, incoming) = request.into_parts();
+        let (parts, mut incoming) = request.into_parts();
         let (caller, route) = self.admit(current, &parts)?;
         if head_bytes(&parts) > limits.head_bytes {
             return Err(Refusal::not_run(Cause::HeadTooLong, None));
@@ -383,11 +399,20 @@
         {
             return Err(bad_request);
         }
+        let lease = self
+            .options
+            .memory
+            .admit(caller.tier, body_length(&incoming));
+        let mut lease = lease.ok_or(exchange::memory_full())?;
+        incoming.hold(Box::new(lease.upload));
+        let progress = incoming.progress();
         let prefix = exchange::read_prefix(incoming, limits.replay_bytes);
-        let mut prefix = self
-            .with_deadline(deadline, prefix)
-            .await?
-            .map_err(|_| bad_request)?;
+        let mut prefix = tokio::select! {
+            biased;
+            () = lease.displacement.wait() => return Err(exchange::memory_full()),
+            prefix = self.with_deadline(deadline, prefix) => prefix?.map_err(|_| bad_request)?,
+        };
+        let length = length.or(prefix.rest.is_none().then_some(prefix.first.len() as u64));
         let uri = parts
             .uri
             .path_and_query()
@@ -450,12 +475,15 @@
             first: Bytes::from(prefix.first),
             rest: prefix.rest,
             more,
+            progress,
             trailers: prefix.trailers,
             drops_identity: has_organisations,
             idempotent,
             deadline,
             tries: 0,
             unknown_cause: None,
+            kept: lease.kept,
+            response: lease.response,
         };
         Ok(ParsedRequest {
             slot_request,
@@ -465,6 +493,7 @@
             key: key.filter(|_| !idempotent),
             route: route.prefix.clone(),
             objective: deadline - left + objective,
+            displacement: lease.displacement,
         })
     }
 
@@ -504,6 +533,11 @@
         self.options.bundle.borrow().clone()
     }
 
+    /// Returns the memory of the daemon.
+    pub(super) fn memory(&self) -> &memory::Memory {
+        &self.options.memory
+    }
+
     /// Returns the client of targets.
     pub(super) fn client(&self) -> &exchange::TargetClient {
         &self.options.client
@@ -651,6 +685,7 @@
             | Cause::DeadlineTooShort
             | Cause::TargetShed
             | Cause::ConnectFailed
+            | Cause::MemoryFull
     );
     elsewhere && refusal.outcome == crate::protocol::refusal::Outcome::NotRun
 }
@@ -676,6 +711,14 @@
     host.unwrap_or_default()
 }
 
+/// Returns the length of a body that has not been read.
+fn body_length(incoming: &body::Upload) -> memory::BodyLength {
+    match http_body::Body::size_hint(incoming).exact() {
+        Some(length) => memory::BodyLength::Known(length),
+        None => memory::BodyLength::Unknown,
+    }
+}
+
 /// Returns the value of `Content-Length`, or nothing where it is absent or malformed.
 fn content_length(map: &http::HeaderMap) -> Option<u64> {
     header_text(map, header::CONTENT_LENGTH.as_str()).and_then(|v| v.parse().ok())
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -419,6 +419,7 @@
             organisation: 0,
             kind: cost::Kind::default(),
             origin: ids::DomainId::from_name(&self.members[&entry].domain),
+            body: 0,
         };
         let key = (choice.home, choice.cell);
         let home_view = self.view(&key.0);
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt;
 use peridotspread::coordination::member;
 use peridotspread::daemon::{
-    broadcast, cell, claims, egress, entry, exchange, home, metrics, quota,
+    broadcast, cell, claims, egress, entry, exchange, home, memory, metrics, quota,
 };
 use peridotspread::protocol::{dialect, frame, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
@@ -97,6 +97,7 @@
     let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target, rules)));
     let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&["d1"])));
     let metrics = sync::Arc::new(metrics::Metrics::new().unwrap());
+    let memory = memory::Memory::new(&limits, &metrics);
     let pool_connector: sync::Arc<dyn pool::Connector> = match paths {
         None => sync::Arc::new(pool::TcpConnector),
         Some((direct, relays)) => sync::Arc::new(connector(direct, relays)),
@@ -121,6 +122,7 @@
         broadcast: sync::Arc::new(NoBroadcast),
         quotas: quotas.clone(),
         metrics: metrics.clone(),
+        memory: memory.clone(),
     }));
     let broadcaster = broadcast::Broadcaster::new(broadcast::Options {
         name: "d1".to_owned(),
@@ -145,6 +147,7 @@
             pool: sync::Arc::new(pool::Pool::new(clock, limits.head_bytes, pool_connector)),
             dialect: sync::Arc::new(dialect::Native),
         },
+        memory,
     }));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
