tests: readers add to a time by assignment

Cause: clippy reported an assignment that repeats its operand. Change: the operator is used. Clippy passes with warnings denied on the whole workspace.

--- a/tests/testsuite/readers.rs
+++ b/tests/testsuite/readers.rs
@@ -106,7 +106,7 @@
         while let Source::Peer(name) = selector.next_source(now, &view) {
             assert!(now < Millis(300), "polls only peers after {now}");
             selector.record_stale_peer(now, &name);
-            now = now + Millis(10);
+            now += Millis(10);
         }
         let mut sources = (0..50).map(|n| selector.next_source(now + Millis(10 * n), &view));
         assert!(sources.any(|s| s == Source::Platform));
