registry: the log tells the source of updates, and for how long a change may have been confirmed

The hypotheses of the incident differ in which sources a daemon asked before a change came into force, and in how old its updates were. The log had the origin of a change and lost peers, not the age. Each selection of another source is logged with that age, 'bundle in force' has lag_ms, and both have a metric.

--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -23,6 +23,8 @@
     duration: Histogram<f64>,
     refusals: Counter<u64>,
     restores: Counter<u64>,
+    lag: Histogram<f64>,
+    sources: Counter<u64>,
     statements: Counter<u64>,
     relayed: Counter<u64>,
     cuts: Counter<u64>,
@@ -75,6 +77,18 @@
                 .u64_counter("peridotspread.registry.restores")
                 .with_description("Times that the platform was restored from an earlier copy")
                 .build(),
+            lag: meter
+                .f64_histogram("peridotspread.registry.lag")
+                .with_unit("s")
+                .with_boundaries(DURATION_BOUNDS_S.to_vec())
+                .with_description(
+                    "Longest time for which a change may have been confirmed when it came into force",
+                )
+                .build(),
+            sources: meter
+                .u64_counter("peridotspread.registry.sources")
+                .with_description("Times that another source of updates was selected, by kind")
+                .build(),
             statements: meter
                 .u64_counter("peridotspread.entry.statements")
                 .with_description(
@@ -201,6 +215,16 @@
         self.restores.add(1, &[]);
     }
 
+    /// Records for how long a change may have been confirmed when it came into force.
+    pub fn record_lag(&self, lag: clock::Millis) {
+        self.lag.record(lag.0 as f64 / 1_000.0, &[]);
+    }
+
+    /// Counts that another source of updates was selected, of the given kind.
+    pub fn record_source(&self, kind: &'static str) {
+        self.sources.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Returns all series in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -403,6 +403,16 @@
     stale_peers: tokio_sync::watch::Sender<u64>,
 }
 
+/// Changes of the rules or targets that are not published yet.
+struct Unpublished {
+    /// When the first of them arrived.
+    since: clock::Millis,
+    /// What changed.
+    why: String,
+    /// The time after which the first of them was confirmed: the platform had answered without it.
+    confirmed_after: Option<clock::Millis>,
+}
+
 struct State {
     registry: coordination::registry::Registry,
     selector: readers::SourceSelector,
@@ -416,6 +426,8 @@
     era: Option<u64>,
     /// Whether the platform was the last source that was selected.
     polls_platform: bool,
+    /// The last source that was selected, for logs.
+    source: String,
     /// Since when another daemon has had rules of a higher version in force.
     behind_since: Option<clock::Millis>,
     /// The number of polls of daemons with rules of a higher version, which selects the next one.
@@ -424,8 +436,8 @@
     rules_since: Option<clock::Millis>,
     /// Whether the platform does not answer.
     lost: bool,
-    /// When the first unpublished change occurred, and what changed.
-    unpublished: Option<(clock::Millis, String)>,
+    /// The changes that are not published yet.
+    unpublished: Option<Unpublished>,
     /// When the next tick is due.
     next_tick: clock::Millis,
 }
@@ -450,6 +462,7 @@
             history_dropped: BTreeSet::new(),
             era: None,
             polls_platform: false,
+            source: String::new(),
             behind_since: None,
             ahead_polls: 0,
             rules_since: None,
@@ -486,7 +499,7 @@
             Message::Tick => {
                 state.next_tick = clock::Millis::MAX;
                 if state.registry.tick(now) {
-                    state.record_change(now, "absent targets were removed");
+                    state.record_change(now, "absent targets were removed", None);
                 }
                 if !state.has_published() && state.registry.rules_version() > 0 {
                     // The tasks poll a daemon with later rules at once.
@@ -513,7 +526,9 @@
             };
             return Poll::Peer(name, revisions, clock::Millis::ZERO);
         }
-        match self.selector.next_source(now, &view) {
+        let source = self.selector.next_source(now, &view);
+        self.log_source(now, &source);
+        match source {
             // A daemon that starts may go on to the platform at any time, for all topics.
             readers::Source::Peer(_) if topic != Topic::Targets => {
                 Poll::Pause(match self.registry.bundle().is_some() {
@@ -546,6 +561,33 @@
         }
     }
 
+    /// Logs and counts the source of updates if it is another one than before.
+    fn log_source(&mut self, now: clock::Millis, source: &readers::Source) {
+        let (kind, name) = match source {
+            readers::Source::Platform => ("platform", PLATFORM),
+            readers::Source::Peer(name) => ("peer", name.as_str()),
+            readers::Source::Wait(_) => return,
+        };
+        if self.source == name {
+            return;
+        }
+        let age = self.answered_at().map(|at| now - at);
+        log::info!(
+            source = name, source_before = self.source, age_ms = age.unwrap_or_default().0;
+            "selected another source of updates"
+        );
+        self.options.metrics.record_source(kind);
+        name.clone_into(&mut self.source);
+    }
+
+    /// Returns when the platform last answered for the topic that it answered longest ago, here or along the path of
+    /// the updates; absent before it has answered for all topics.
+    fn answered_at(&self) -> Option<clock::Millis> {
+        let at = |topic: &Topic| self.answered.get(topic).copied();
+        let times: Option<Vec<_>> = Topic::ALL.iter().map(at).collect();
+        times?.into_iter().min()
+    }
+
     fn platform_poll(&self, now: clock::Millis, topic: Topic, pause: clock::Millis) -> Poll {
         match self.registry.revision(topic) {
             Some(revision) if self.can_follow(topic, revision) => {
@@ -632,6 +674,7 @@
         outcome: Result<Batch, source::Error>,
     ) {
         let is_unavailable = matches!(outcome, Err(source::Error::Unavailable { .. }));
+        let answered_before = self.answered.get(&topic).copied();
         self.selector.record_platform(now, !is_unavailable);
         match outcome {
             Ok(batch) if self.is_outdated(batch.revision) => {
@@ -650,7 +693,7 @@
                     );
                 }
                 if self.registry.apply(now, topic, &batch) {
-                    self.record_change(now, topic.as_str());
+                    self.record_change(now, topic.as_str(), answered_before);
                 } else if batch.whole {
                     // The revisions may have changed, which peers that wait for updates need to know.
                     self.publishers.updates.send_modify(|n| *n += 1);
@@ -675,6 +718,7 @@
             self.record_stale_peer(now, name);
             return;
         };
+        let answered_before = self.answered_at();
         let span = self.selector.fresh_span(&self.options.members.borrow());
         let fresh = age.filter(|age| *age <= span);
         match fresh {
@@ -710,7 +754,7 @@
             self.selector.record_peer_data();
         }
         if changed {
-            self.record_change(now, "updates from a peer");
+            self.record_change(now, "updates from a peer", answered_before);
         }
     }
 
@@ -772,9 +816,7 @@
         if self.lost {
             return None;
         }
-        let at = |topic: &Topic| self.answered.get(topic).copied();
-        let times: Option<Vec<_>> = Topic::ALL.iter().map(at).collect();
-        Some(now - times?.into_iter().min()?)
+        Some(now - self.answered_at()?)
     }
 
     fn record_contact(&mut self, now: clock::Millis) {
@@ -807,8 +849,18 @@
     }
 
     /// Records that the rules or targets changed; they are published together with other changes of the next moments.
-    fn record_change(&mut self, now: clock::Millis, why: &str) {
-        self.unpublished.get_or_insert((now, why.to_owned()));
+    /// The platform had answered without the change at `confirmed_after`, if that is known.
+    fn record_change(
+        &mut self,
+        now: clock::Millis,
+        why: &str,
+        confirmed_after: Option<clock::Millis>,
+    ) {
+        self.unpublished.get_or_insert_with(|| Unpublished {
+            since: now,
+            why: why.to_owned(),
+            confirmed_after,
+        });
         // Waiting polls of peers return without that delay.
         self.publishers.updates.send_modify(|n| *n += 1);
     }
@@ -851,13 +903,13 @@
         if first && !(has_targets && self.is_confirmed(now)) {
             return;
         }
-        let due = |(since, _): &mut (clock::Millis, String)| first || now - *since >= PUBLISH_DELAY;
-        if let Some((_, why)) = self.unpublished.take_if(due) {
-            self.publish(&why);
+        let due = |changes: &mut Unpublished| first || now - changes.since >= PUBLISH_DELAY;
+        if let Some(changes) = self.unpublished.take_if(due) {
+            self.publish(now, &changes);
         }
     }
 
-    fn publish(&mut self, why: &str) {
+    fn publish(&mut self, now: clock::Millis, changes: &Unpublished) {
         let Some(bundle) = self.registry.bundle() else {
             return;
         };
@@ -868,11 +920,16 @@
                 &format!("version {}", bundle.version),
             );
         }
+        let lag = changes.confirmed_after.map(|at| now - at);
         log::info!(
             version = bundle.version, routes = bundle.routes.len(),
-            targets = bundle.services.iter().map(|s| s.targets.len()).sum::<usize>(), why = why;
+            targets = bundle.services.iter().map(|s| s.targets.len()).sum::<usize>(), why = changes.why,
+            lag_ms = lag.unwrap_or_default().0;
             "bundle in force"
         );
+        if let Some(lag) = lag {
+            self.options.metrics.record_lag(lag);
+        }
         self.publishers.bundle.send_replace(bundle);
     }
 
@@ -884,8 +941,8 @@
     /// Schedules the next tick, for the registry or for publishing, if it is due before the one that is scheduled.
     fn schedule_tick(&mut self, myself: &ActorRef<Message>, now: clock::Millis) {
         let unpublished = self.unpublished.as_ref();
-        let publish_at = unpublished.map(|(since, _)| match self.has_published() {
-            true => *since + PUBLISH_DELAY,
+        let publish_at = unpublished.map(|changes| match self.has_published() {
+            true => changes.since + PUBLISH_DELAY,
             false => now + CONFIRM_INTERVAL,
         });
         let due = self
