--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod findings;
 mod freshness;
 mod homes;
+mod late_changes;
 mod malformed;
 mod memory;
 mod path;
