registry: the age of the updates bounds how late a change comes into force, not the timeouts of its sources

Cause: a daemon polls one source at a time, and leaves it when its poll times out. Two sources that fall silent at the same moment cost 1.0 and 0.75 s, one after the other, and what a slow host adds comes on top, at each hop. Class: a bound that is stated for each step. Besides, an answer of the platform counted as made when it was read, so a daemon that had stood still claimed that its old updates were new.

Change: from 950 ms on a daemon polls another reader beside the poll in flight, from 1,150 ms on the platform. Peers reply to polls when the platform has answered them anew, so updates are hardly older after two hops than after one, and a calm fleet does none of this. An answer counts as made when it can have been made at the latest.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod cost;
 pub mod egress;
 pub mod ejection;
+pub mod escalation;
 pub mod evidence;
 pub mod failure_model;
 pub mod fanout;
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -20,15 +20,18 @@
 use crate::coordination::{homes, member, random};
 use crate::state::clock;
 
-/// How long the platform or a peer may hold a poll until a change arrives. A failed source goes unnoticed for this
-/// long.
+/// How long the platform may hold a poll until a change arrives. A platform that fails goes unnoticed for this long.
 pub const LONG_POLL: clock::Millis = clock::Millis(700);
+/// How long a peer may hold a poll: a little longer than the platform holds those of the peer, so that the peer replies
+/// with what the platform has just told it.
+pub const PEER_POLL: clock::Millis = clock::Millis(800);
+/// A peer that holds a poll replies once the platform has answered it this much later than before.
+pub const REFRESH_STEP: clock::Millis = clock::Millis(500);
 /// A peer's updates count as fresh for this long after the platform last answered the peer: one long poll plus a slow
 /// answer.
-pub const FRESH_SPAN: clock::Millis = clock::Millis(1_100);
-/// The same for a daemon that polls the reader of its failure domain, which may itself poll another reader: the reader
-/// needs up to 300 ms more to notice that its own source is stale and to poll another one.
-pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_450);
+pub const FRESH_SPAN: clock::Millis = clock::Millis(1_000);
+/// The age of the updates at which the next reply is due, if the source holds polls: before another source is polled.
+const REPLY_AGE: clock::Millis = clock::Millis(850);
 /// The failure domains whose readers poll the platform: one more than needed, so that the loss of one costs no time.
 const PRIMARIES: usize = 2;
 /// How long a peer that failed or was stale is not polled.
@@ -52,8 +55,8 @@
 /// The time between two looks for a peer within [`PEER_SPAN`], and for which a peer without data is not asked again.
 pub const PEER_INTERVAL: clock::Millis = clock::Millis(20);
 
-/// The shortest time for which a poll asks a peer to wait.
-const MIN_PEER_WAIT: clock::Millis = clock::Millis(50);
+/// The shortest time for which a poll asks the platform or a peer to wait.
+const MIN_POLL_WAIT: clock::Millis = clock::Millis(50);
 
 /// The shortest time between two reads of the list of hosts by one daemon.
 const HOSTS_INTERVAL: clock::Millis = clock::Millis(30_000);
@@ -67,25 +70,20 @@
     HOSTS_INTERVAL.max(clock::Millis(HOSTS_SPACING.0 * daemons as u64))
 }
 
-/// Returns the longest time by which a daemon that polls a peer can lag behind, if its own path to the platform works:
-/// the reply that shows that the peer is stale arrives at most [`MIN_PEER_WAIT`] after [`RELAYED_FRESH_SPAN`].
-pub fn max_staleness() -> clock::Millis {
-    RELAYED_FRESH_SPAN + MIN_PEER_WAIT
-}
-
-/// Returns how long the platform may hold a poll of a reader whose topic was last answered at an age, if it was. The
-/// answer comes while the updates are fresh, so that no peer leaves a daemon that has just become a reader.
-pub fn platform_poll_wait(age: Option<clock::Millis>) -> clock::Millis {
-    peer_poll_wait(age, FRESH_SPAN)
+/// Returns how long the platform may hold a poll at `now` of a topic that it last answered at an age, if it did.
+///
+/// The polls of all topics end at the same multiples of [`LONG_POLL`], since the updates are as old as those of the
+/// topic that was answered first.
+pub fn platform_poll_wait(now: clock::Millis, age: Option<clock::Millis>) -> clock::Millis {
+    let end = LONG_POLL - clock::Millis(now.0 % LONG_POLL.0);
+    let left = REPLY_AGE - age.unwrap_or_default();
+    left.min(end).clamp(MIN_POLL_WAIT, LONG_POLL)
 }
 
-/// Returns how long a peer may hold a poll, for a daemon whose updates have the given age, absent if that is unknown,
-/// and stay fresh for `fresh_span`.
-///
-/// If the platform does not answer the peer meanwhile, the reply comes when the updates stop being fresh.
-pub fn peer_poll_wait(age: Option<clock::Millis>, fresh_span: clock::Millis) -> clock::Millis {
-    let left = fresh_span - age.unwrap_or_default();
-    left.clamp(MIN_PEER_WAIT, LONG_POLL)
+/// Returns how long a peer may hold a poll, for a daemon whose updates have the given age, absent if that is unknown.
+pub fn peer_poll_wait(age: Option<clock::Millis>) -> clock::Millis {
+    let left = REPLY_AGE - age.unwrap_or_default();
+    left.clamp(MIN_POLL_WAIT, PEER_POLL)
 }
 
 /// The source of the next updates, or the time until which none is polled.
@@ -117,6 +115,8 @@
     was_reader: bool,
     /// The backoff after the platform's next failure.
     backoff: clock::Millis,
+    /// The number of polls of another reader, which selects the next one.
+    extra_polls: usize,
     random: random::Random,
 }
 
@@ -133,6 +133,7 @@
             platform_retry_at: clock::Millis::ZERO,
             was_reader: false,
             backoff: INITIAL_BACKOFF,
+            extra_polls: 0,
             random: random::Random::new(homes::hash(&["readers", name])),
         }
     }
@@ -182,12 +183,31 @@
         view.members.len() > 1 && reader(&self.domain, view) == Some(&self.name)
     }
 
-    /// Returns the age up to which updates of a peer count as fresh.
-    pub fn fresh_span(&self, view: &member::View) -> clock::Millis {
-        match self.is_reader(view) {
-            true => FRESH_SPAN,
-            false => RELAYED_FRESH_SPAN,
+    /// Returns a reader to poll beside `source`, whose reply is late; any other daemon if there is no other reader.
+    /// Each call selects the next one. Readers that were not stale lately go first.
+    pub fn another_reader(&mut self, view: &member::View, source: &str) -> Option<String> {
+        let readers = domains(view).into_iter().filter_map(|d| reader(d, view));
+        let others = readers.filter(|r| *r != self.name && *r != source);
+        let rank = |r: &&str| homes::hash(&["another reader", r, &self.name]);
+        let mut others: Vec<_> = others.collect();
+        others.sort_by_key(|r| (self.stale_peers.contains_key(*r), rank(r)));
+        let fresh = others
+            .iter()
+            .filter(|r| !self.stale_peers.contains_key(**r));
+        let choices = match fresh.count() {
+            0 => others.len(),
+            fresh => fresh,
+        };
+        if choices == 0 {
+            return self.random_peer(view);
         }
+        self.extra_polls += 1;
+        Some(others[self.extra_polls % choices].to_owned())
+    }
+
+    /// Returns whether the platform may be polled: it has not failed to answer lately.
+    pub fn may_poll_platform(&self, now: clock::Millis) -> bool {
+        self.platform_retry_at <= now
     }
 
     /// Returns whether updates of a peer that has lost the platform may be applied. A daemon that starts first tries the
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -25,6 +25,7 @@
     restores: Counter<u64>,
     lag: Histogram<f64>,
     sources: Counter<u64>,
+    escalations: Counter<u64>,
     statements: Counter<u64>,
     relayed: Counter<u64>,
     cuts: Counter<u64>,
@@ -89,6 +90,10 @@
                 .u64_counter("peridotspread.registry.sources")
                 .with_description("Times that another source of updates was selected, by kind")
                 .build(),
+            escalations: meter
+                .u64_counter("peridotspread.registry.escalations")
+                .with_description("Polls of another source because the updates were old, by kind")
+                .build(),
             statements: meter
                 .u64_counter("peridotspread.entry.statements")
                 .with_description(
@@ -225,6 +230,11 @@
         self.sources.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a poll of another source, of the given kind, because the updates were old.
+    pub fn record_escalation(&self, kind: &'static str) {
+        self.escalations.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Returns all series in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -11,7 +11,7 @@
 use tokio::{sync as tokio_sync, time};
 
 use crate::coordination;
-use crate::coordination::{homes, member, readers};
+use crate::coordination::{escalation, homes, member, readers};
 use crate::daemon::{metrics, stop};
 use crate::protocol::source::{self, Batch, Topic};
 use crate::protocol::{peer, platform, version};
@@ -77,8 +77,16 @@
 pub struct Handle {
     actor: sync::Arc<stop::StopOnDrop<Message>>,
     bundle: tokio_sync::watch::Receiver<sync::Arc<bundle::Bundle>>,
-    /// Changes with each update, and when the platform is lost.
-    updates: tokio_sync::watch::Receiver<u64>,
+    progress: tokio_sync::watch::Receiver<Progress>,
+}
+
+/// What peers that wait for updates need to know.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// The number of updates and losses of the platform.
+    events: u64,
+    /// When the platform last answered for all topics.
+    answered: clock::Millis,
 }
 
 /// Updates of all topics from one daemon to another.
@@ -135,10 +143,18 @@
     /// The task of a topic requests its next poll.
     NextPoll {
         topic: Topic,
-        reply: tokio_sync::oneshot::Sender<Poll>,
+        reply: tokio_sync::oneshot::Sender<NextPoll>,
+    },
+    /// The task of escalations requests its next step.
+    NextStep {
+        reply: tokio_sync::oneshot::Sender<Step>,
     },
     /// A poll has ended.
-    Polled(Box<PollResult>),
+    Polled {
+        result: Box<PollResult>,
+        /// The latest time at which the answer can have been made, however late it was read.
+        latest: clock::Millis,
+    },
     /// A peer requests the updates after its revisions.
     GetUpdates {
         revisions: Revisions,
@@ -156,6 +172,22 @@
     targets: u64,
 }
 
+/// The next poll of a topic.
+struct NextPoll {
+    topic: Topic,
+    poll: Poll,
+    /// When it was decided.
+    at: clock::Millis,
+}
+
+/// What the task of escalations does next.
+enum Step {
+    /// Wait for a while.
+    Wait(clock::Millis),
+    /// Make these polls beside those of the topics.
+    Poll(Vec<NextPoll>),
+}
+
 /// What the task of a topic polls next.
 enum Poll {
     /// Read the whole topic from the platform.
@@ -174,6 +206,16 @@
     Pause(clock::Millis),
 }
 
+impl Poll {
+    /// Returns how long the source may hold the poll.
+    fn wait(&self) -> clock::Millis {
+        match self {
+            Poll::Follow { wait, .. } | Poll::Peer(_, _, wait) => *wait,
+            Poll::Read | Poll::Pause(_) => clock::Millis::ZERO,
+        }
+    }
+}
+
 /// Starts the registry.
 ///
 /// # Errors
@@ -182,27 +224,27 @@
 pub async fn spawn(options: Options) -> Result<Handle, ractor::SpawnErr> {
     let (sender, bundle) = tokio_sync::watch::channel(sync::Arc::default());
     let (source, peers) = (options.source.clone(), options.sender.clone());
-    let (updates, updates_seen) = tokio_sync::watch::channel(0);
+    let (progress, progress_seen) = tokio_sync::watch::channel(Progress::default());
     let (stale_peers, stale_peers_seen) = tokio_sync::watch::channel(0);
     let publishers = Publishers {
         bundle: sender,
-        updates,
+        progress,
         stale_peers,
     };
     let (actor, _) = Actor::spawn(None, RegistryActor, (options, publishers)).await?;
+    let poller = Poller {
+        source,
+        peers,
+        actor: actor.clone(),
+    };
     for topic in Topic::ALL {
-        tokio::spawn(poll_topic(
-            topic,
-            source.clone(),
-            peers.clone(),
-            actor.clone(),
-            stale_peers_seen.clone(),
-        ));
+        tokio::spawn(poll_topic(topic, poller.clone(), stale_peers_seen.clone()));
     }
+    tokio::spawn(escalate(poller));
     Ok(Handle {
         actor: sync::Arc::new(stop::StopOnDrop(actor)),
         bundle,
-        updates: updates_seen,
+        progress: progress_seen,
     })
 }
 
@@ -230,16 +272,21 @@
                 return peer::ControlMessage::Ack;
             };
             let revisions = Revisions { rules, targets };
-            let mut updates = self.updates.clone();
-            updates.mark_unchanged();
+            let mut progress = self.progress.clone();
+            let before = *progress.borrow_and_update();
             let first = self.updates_since(revisions, version).await;
             // A daemon that starts waits until this one has something, if it starts too.
             let both_start = rules == 0 && targets == 0 && is_empty(&first);
             if !is_current_and_empty(&first) && !both_start {
                 return first;
             }
-            // Without updates within that time, the reply at least states how fresh this daemon is.
-            let _ = time::timeout(wait.min(readers::LONG_POLL).span(), updates.changed()).await;
+            let has_news = |now: &Progress| {
+                now.events != before.events
+                    || now.answered >= before.answered + readers::REFRESH_STEP
+            };
+            // Without news within that time, the reply at least states how fresh this daemon is.
+            let wait = wait.min(readers::PEER_POLL).span();
+            let _ = time::timeout(wait, progress.wait_for(has_news)).await;
             self.updates_since(revisions, version).await
         })
     }
@@ -278,51 +325,88 @@
     }
 }
 
-/// Polls for updates of one topic until the actor stops.
-async fn poll_topic(
-    topic: Topic,
+/// Makes the polls that the actor decides on.
+#[derive(Clone)]
+struct Poller {
     source: sync::Arc<dyn source::Source>,
     peers: sync::Arc<dyn peer::ControlSender>,
     actor: ActorRef<Message>,
+}
+
+impl Poller {
+    /// Makes a poll and sends its result to the actor. Returns whether there were changes, or nothing if the actor has
+    /// stopped or the poll is a pause.
+    async fn run(&self, next: NextPoll) -> Option<bool> {
+        let NextPoll { topic, poll, at } = next;
+        let latest = at + poll.wait();
+        let result = match poll {
+            Poll::Read => PollResult::Platform(topic, self.source.read(topic).await),
+            Poll::Follow { revision, wait, .. } => {
+                PollResult::Platform(topic, self.source.follow(topic, revision, wait).await)
+            }
+            Poll::Peer(name, revisions, wait) => {
+                let reply = poll_peer(self.peers.as_ref(), &name, revisions, wait).await;
+                PollResult::Peer(name, reply)
+            }
+            Poll::Pause(_) => return None,
+        };
+        let has_changes = result.has_changes();
+        let result = Box::new(result);
+        let sent = self.actor.send_message(Message::Polled { result, latest });
+        sent.is_ok().then_some(has_changes)
+    }
+}
+
+/// Polls for updates of one topic until the actor stops.
+async fn poll_topic(
+    topic: Topic,
+    poller: Poller,
     mut stale_peers: tokio_sync::watch::Receiver<u64>,
 ) {
     loop {
         let (reply, replied) = tokio_sync::oneshot::channel();
-        if actor
-            .send_message(Message::NextPoll { topic, reply })
-            .is_err()
-        {
+        let asked = poller
+            .actor
+            .send_message(Message::NextPoll { topic, reply });
+        if asked.is_err() {
             return;
         }
-        let Ok(poll) = replied.await else { return };
-        let pause = match poll {
+        let Ok(next) = replied.await else { return };
+        if let Poll::Pause(span) = next.poll {
+            // The sender is gone only if the actor has stopped, which the next message shows.
+            let _ = time::timeout(span.span(), stale_peers.changed()).await;
+            continue;
+        }
+        let pause = match next.poll {
             Poll::Follow { pause, .. } => pause,
             _ => PEER_PAUSE,
         };
-        let result = match poll {
-            Poll::Read => PollResult::Platform(topic, source.read(topic).await),
-            Poll::Follow { revision, wait, .. } => {
-                PollResult::Platform(topic, source.follow(topic, revision, wait).await)
-            }
-            Poll::Peer(name, revisions, wait) => {
-                let reply = poll_peer(peers.as_ref(), &name, revisions, wait).await;
-                PollResult::Peer(name, reply)
-            }
-            Poll::Pause(span) => {
-                // The sender is gone only if the actor has stopped, which the next message shows.
-                let _ = time::timeout(span.span(), stale_peers.changed()).await;
-                continue;
-            }
-        };
-        let has_changes = result.has_changes();
-        if actor
-            .send_message(Message::Polled(Box::new(result)))
-            .is_err()
-        {
+        match poller.run(next).await {
+            None => return,
+            Some(true) => time::sleep(pause.span()).await,
+            Some(false) => {}
+        }
+    }
+}
+
+/// Makes further polls while the updates are too old, until the actor stops.
+async fn escalate(poller: Poller) {
+    loop {
+        let (reply, replied) = tokio_sync::oneshot::channel();
+        let asked = poller.actor.send_message(Message::NextStep { reply });
+        if asked.is_err() {
             return;
         }
-        if has_changes {
-            time::sleep(pause.span()).await;
+        match replied.await {
+            Err(_) => return,
+            Ok(Step::Wait(span)) => time::sleep(span.span()).await,
+            Ok(Step::Poll(polls)) => {
+                // None of them waits for another, since each may go unanswered.
+                for next in polls {
+                    let poller = poller.clone();
+                    tokio::spawn(async move { poller.run(next).await });
+                }
+            }
         }
     }
 }
@@ -397,8 +481,8 @@
 /// The senders of what the actor publishes.
 struct Publishers {
     bundle: tokio_sync::watch::Sender<sync::Arc<bundle::Bundle>>,
-    /// Counts updates and losses of the platform.
-    updates: tokio_sync::watch::Sender<u64>,
+    /// What peers that wait for updates need to know.
+    progress: tokio_sync::watch::Sender<Progress>,
     /// Counts the peers that were found stale, after which the tasks of all topics select their sources again.
     stale_peers: tokio_sync::watch::Sender<u64>,
 }
@@ -416,6 +500,7 @@
 struct State {
     registry: coordination::registry::Registry,
     selector: readers::SourceSelector,
+    escalation: escalation::Escalation,
     options: Options,
     publishers: Publishers,
     /// When the platform last answered for each topic, here or at the peer that was polled.
@@ -456,6 +541,7 @@
         Ok(State {
             registry: coordination::registry::Registry::default(),
             selector: readers::SourceSelector::new(now, &options.name, &options.domain),
+            escalation: escalation::Escalation::default(),
             options,
             publishers,
             answered: BTreeMap::new(),
@@ -482,12 +568,27 @@
         match message {
             Message::NextPoll { topic, reply } => {
                 // The task of a topic ends when the actor stops, so a failed reply needs no handling.
-                let _ = reply.send(state.next_poll(now, topic));
+                let poll = state.next_poll(now, topic);
+                let _ = reply.send(NextPoll {
+                    topic,
+                    poll,
+                    at: now,
+                });
+            }
+            Message::NextStep { reply } => {
+                // As above.
+                let _ = reply.send(state.next_step(now));
+            }
+            Message::Polled { result, latest } => {
+                // A daemon that stood still may read an answer long after it was made.
+                let made = latest.min(now);
+                match *result {
+                    PollResult::Platform(topic, outcome) => {
+                        state.handle_platform(now, made, topic, outcome);
+                    }
+                    PollResult::Peer(name, reply) => state.handle_peer(now, made, &name, reply),
+                }
             }
-            Message::Polled(result) => match *result {
-                PollResult::Platform(topic, outcome) => state.handle_platform(now, topic, outcome),
-                PollResult::Peer(name, reply) => state.handle_peer(now, &name, reply),
-            },
             Message::GetUpdates {
                 revisions,
                 version,
@@ -540,7 +641,7 @@
                 // A peer that has rules and targets answers a daemon that has none at once. One that starts itself is
                 // asked again.
                 let wait = match self.registry.bundle().is_some() {
-                    true => readers::peer_poll_wait(self.age(now), self.selector.fresh_span(&view)),
+                    true => readers::peer_poll_wait(self.age(now)),
                     false => readers::PEER_START_WAIT,
                 };
                 self.polls_platform = false;
@@ -556,11 +657,63 @@
                 if !std::mem::replace(&mut self.polls_platform, true) {
                     self.publishers.stale_peers.send_modify(|n| *n += 1);
                 }
-                self.platform_poll(now, topic, pause)
+                let age = self.answered.get(&topic).map(|at| now - *at);
+                self.platform_poll(topic, readers::platform_poll_wait(now, age), pause)
             }
         }
     }
 
+    /// Returns the next step of the task of escalations.
+    fn next_step(&mut self, now: clock::Millis) -> Step {
+        if !self.has_published() {
+            // The polls of the topics look for the first updates.
+            return Step::Wait(escalation::PEER_AGE);
+        }
+        let answered = self.answered_at();
+        let polls = match self.escalation.next_step(now, answered) {
+            escalation::Step::Wait(until) => {
+                return Step::Wait((until - now).max(clock::Millis(1)));
+            }
+            escalation::Step::PollPeer => {
+                let view = self.options.members.borrow().clone();
+                let name = self.selector.another_reader(&view, &self.source);
+                let revisions = self.revisions();
+                let poll = name.map(|n| Poll::Peer(n, revisions, clock::Millis::ZERO));
+                Vec::from_iter(poll.map(|p| (Topic::Targets, p)))
+            }
+            escalation::Step::PollPlatform if !self.selector.may_poll_platform(now) => Vec::new(),
+            escalation::Step::PollPlatform => {
+                let poll = |topic| self.platform_poll(topic, clock::Millis::ZERO, PLATFORM_PAUSE);
+                Vec::from(Topic::ALL.map(|topic| (topic, poll(topic))))
+            }
+        };
+        let age = answered.map_or(clock::Millis::ZERO, |at| now - at);
+        for (topic, poll) in &polls {
+            let to = match poll {
+                Poll::Peer(name, ..) => name.as_str(),
+                _ => PLATFORM,
+            };
+            log::info!(
+                topic = topic.as_str(), to = to, source = self.source, age_ms = age.0;
+                "updates are old; polling another source too"
+            );
+            self.options.metrics.record_escalation(match poll {
+                Poll::Peer(..) => "peer",
+                _ => "platform",
+            });
+        }
+        let polls = polls.into_iter();
+        Step::Poll(
+            polls
+                .map(|(topic, poll)| NextPoll {
+                    topic,
+                    poll,
+                    at: now,
+                })
+                .collect(),
+        )
+    }
+
     /// Logs and counts the source of updates if it is another one than before.
     fn log_source(&mut self, now: clock::Millis, source: &readers::Source) {
         let (kind, name) = match source {
@@ -588,16 +741,14 @@
         times?.into_iter().min()
     }
 
-    fn platform_poll(&self, now: clock::Millis, topic: Topic, pause: clock::Millis) -> Poll {
+    /// Returns a poll of the platform, which may hold it for `wait` until there are changes.
+    fn platform_poll(&self, topic: Topic, wait: clock::Millis, pause: clock::Millis) -> Poll {
         match self.registry.revision(topic) {
-            Some(revision) if self.can_follow(topic, revision) => {
-                let age = self.answered.get(&topic).map(|at| now - *at);
-                Poll::Follow {
-                    revision,
-                    wait: readers::platform_poll_wait(age),
-                    pause,
-                }
-            }
+            Some(revision) if self.can_follow(topic, revision) => Poll::Follow {
+                revision,
+                wait,
+                pause,
+            },
             _ => Poll::Read,
         }
     }
@@ -667,9 +818,11 @@
         }
     }
 
+    /// Handles the result of polling the platform for a topic; `made` is the latest time at which it can have answered.
     fn handle_platform(
         &mut self,
         now: clock::Millis,
+        made: clock::Millis,
         topic: Topic,
         outcome: Result<Batch, source::Error>,
     ) {
@@ -683,7 +836,7 @@
             Ok(batch) => {
                 self.enter_era(now, self.options.source.era(batch.revision), PLATFORM);
                 self.history_dropped.remove(&topic);
-                self.answered.insert(topic, now);
+                self.record_answer(topic, made);
                 self.record_contact(now);
                 self.log_changes(topic, &batch, PLATFORM);
                 if batch.whole {
@@ -696,7 +849,7 @@
                     self.record_change(now, topic.as_str(), answered_before);
                 } else if batch.whole {
                     // The revisions may have changed, which peers that wait for updates need to know.
-                    self.publishers.updates.send_modify(|n| *n += 1);
+                    self.publishers.progress.send_modify(|p| p.events += 1);
                 }
             }
             Err(source::Error::Restored { era }) => self.enter_era(now, era, PLATFORM),
@@ -708,9 +861,11 @@
         }
     }
 
+    /// Handles the reply of a peer; `made` is the latest time at which it can have been made.
     fn handle_peer(
         &mut self,
         now: clock::Millis,
+        made: clock::Millis,
         name: &str,
         reply: Option<(Option<clock::Millis>, PeerUpdates)>,
     ) {
@@ -719,13 +874,12 @@
             return;
         };
         let answered_before = self.answered_at();
-        let span = self.selector.fresh_span(&self.options.members.borrow());
-        let fresh = age.filter(|age| *age <= span);
+        let age = age.map(|age| age + (now - made));
+        let fresh = age.filter(|age| *age <= readers::FRESH_SPAN);
         match fresh {
             Some(age) => {
                 for topic in Topic::ALL {
-                    let at = self.answered.entry(topic).or_default();
-                    *at = (now - age).max(*at);
+                    self.record_answer(topic, now - age);
                 }
                 self.record_contact(now);
             }
@@ -819,6 +973,20 @@
         Some(now - self.answered_at()?)
     }
 
+    /// Records that the platform answered for a topic, here or along the path of the updates.
+    fn record_answer(&mut self, topic: Topic, at: clock::Millis) {
+        let last = self.answered.entry(topic).or_default();
+        *last = at.max(*last);
+        let Some(answered) = self.answered_at() else {
+            return;
+        };
+        self.publishers.progress.send_if_modified(|progress| {
+            let is_later = progress.answered < answered;
+            progress.answered = answered;
+            is_later
+        });
+    }
+
     fn record_contact(&mut self, now: clock::Millis) {
         self.lost = false;
         if let Some(outage) = self.registry.record_recovery(now) {
@@ -833,7 +1001,7 @@
             self.record(timeline::Kind::Platform, "lost");
             self.lost = true;
             // Waiting polls of peers return, so that the peers go on to other sources.
-            self.publishers.updates.send_modify(|n| *n += 1);
+            self.publishers.progress.send_modify(|p| p.events += 1);
         }
         self.registry.record_outage(now);
     }
@@ -862,7 +1030,7 @@
             confirmed_after,
         });
         // Waiting polls of peers return without that delay.
-        self.publishers.updates.send_modify(|n| *n += 1);
+        self.publishers.progress.send_modify(|p| p.events += 1);
     }
 
     fn has_published(&self) -> bool {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod channel;
 mod check;
 mod egress;
+mod escalation;
 mod findings;
 mod freshness;
 mod homes;
--- a/tests/testsuite/readers.rs
+++ b/tests/testsuite/readers.rs
@@ -1,7 +1,9 @@
 //! Selection of the source of updates: one reader per failure domain, and the fallbacks if it fails.
 
-use peridotspread::coordination::member;
+use std::collections::BTreeSet;
+
 use peridotspread::coordination::readers::{self, Source, SourceSelector};
+use peridotspread::coordination::{escalation, member};
 use peridotspread::state::clock::Millis;
 use peridotspread::state::ids;
 
@@ -226,7 +228,40 @@
     }
 }
 
+/// Guards against replies that count as late although nothing failed: the next reply of each source is due before the
+/// daemon polls another one.
+#[test]
+fn the_reply_of_a_source_that_answers_is_due_before_another_one_is_polled() {
+    for age in (0..900).step_by(10).map(Millis) {
+        for now in (0..2_100).step_by(50).map(Millis) {
+            let held = readers::platform_poll_wait(now, Some(age));
+            assert!(age + held < escalation::PEER_AGE, "{age} {held}");
+        }
+        let held = readers::peer_poll_wait(Some(age));
+        assert!(age + held < escalation::PEER_AGE, "{age} {held}");
+    }
+}
+
+#[test]
+fn the_polls_of_all_topics_end_at_the_same_time() {
+    let end = |now| Millis(now) + readers::platform_poll_wait(Millis(now), Some(Millis::ZERO));
+    assert_eq!(end(10_600), end(10_900));
+}
+
 #[test]
-fn a_daemon_whose_reader_has_lost_the_platform_misses_no_change_for_two_seconds() {
-    assert!(readers::max_staleness() < Millis(2_000));
+fn a_daemon_whose_source_is_late_polls_each_other_reader_in_turn() {
+    let view = nine_domains();
+    let mut selector = daemon(0);
+    let asked: BTreeSet<_> = (0..9)
+        .filter_map(|_| selector.another_reader(&view, "d9"))
+        .collect();
+    assert!(asked.len() >= 8 && !asked.contains("d0"), "{asked:?}");
+    // Readers that were stale lately are polled again only if all were.
+    let (stale, left) = asked
+        .iter()
+        .partition::<Vec<_>, _>(|name| *name < asked.iter().max().unwrap());
+    stale
+        .iter()
+        .for_each(|name| selector.record_stale_peer(STARTED, name));
+    assert_eq!(selector.another_reader(&view, "d9").as_ref(), Some(left[0]));
 }
