registry: a target with a number of slots that no target has gets no requests

Operators reported entries of another writer that end the daemons that read them. Here an entry with slots passed as a target: the registry's sum of slots overflowed, which stops the registry in a build with checks, so that the list is no longer followed; in a release build the sum wraps. A thousand million slots make millions of cells, which divide the retry budget of the service.

The bundle's limit on slots holds for entries too, whoever sends them, as does that they have a port and an address of a host. A service has no more cells than targets.

--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -61,14 +61,14 @@
         let smallest = slots.values().copied().min().unwrap_or_default();
         if slots.len() > 1 && smallest >= MIN_SLOTS_PER_DOMAIN {
             let largest = slots.values().copied().max().unwrap_or_default();
-            let domain_cells = cells_for(largest);
+            let domain_cells = cells_for(largest, targets.len());
             return Layout {
                 shared_cells: None,
                 domain_cells,
                 total: domain_cells * slots.len(),
             };
         }
-        let total = cells_for(slots.values().sum());
+        let total = cells_for(slots.values().sum(), targets.len());
         Layout {
             shared_cells: Some(total),
             domain_cells: 1,
@@ -77,9 +77,11 @@
     }
 }
 
-/// Returns the number of cells for `slots` slots: a power of two, so that it seldom changes as targets come and go.
-fn cells_for(slots: usize) -> usize {
-    slots.div_ceil(SLOTS_PER_CELL).next_power_of_two()
+/// Returns the number of cells for `targets` targets with `slots` slots: a power of two, so that it seldom changes as
+/// targets come and go. There are no more cells than targets, however many slots one of them has.
+fn cells_for(slots: usize, targets: usize) -> usize {
+    let cells = slots.div_ceil(SLOTS_PER_CELL).min(targets);
+    cells.next_power_of_two()
 }
 
 /// The state of one key of the target list.
@@ -354,7 +356,7 @@
             return false;
         }
         let target = match &change.item {
-            Some(Item::Target(target)) => Some(target.clone()),
+            Some(Item::Target(target)) => usable_target(&change.key, target),
             Some(Item::Rules(_)) | None => None,
         };
         if target.is_none() {
@@ -431,3 +433,12 @@
         changed
     }
 }
+
+/// Returns the target unless its entry, which any writer may have left, states what no target has.
+fn usable_target(key: &str, target: &ServiceTarget) -> Option<ServiceTarget> {
+    let Some(problem) = target.target.problem() else {
+        return Some(target.clone());
+    };
+    log::warn!(key = key, reason = problem; "ignored an invalid target");
+    None
+}
--- a/src/state/bundle/check.rs
+++ b/src/state/bundle/check.rs
@@ -27,9 +27,6 @@
 /// The maximum length of the queue of a cell, in requests.
 const MAX_QUEUE: u64 = 100_000;
 
-/// The maximum number of slots or connections of a target.
-const MAX_SLOTS: u64 = 100_000;
-
 /// The maximum log-likelihood ratio of an ejection rule.
 const MAX_RATIO: f64 = 1_000.0;
 
@@ -339,11 +336,11 @@
 fn check_slots(target: reader::Table<'_>) {
     let slots = target
         .required("slots")
-        .and_then(|s| s.integer(1..=MAX_SLOTS));
+        .and_then(|s| s.integer(1..=bundle::MAX_SLOTS));
     let Some(connections) = target.optional("connections") else {
         return;
     };
-    let number = connections.integer(1..=MAX_SLOTS);
+    let number = connections.integer(1..=bundle::MAX_SLOTS);
     if let (Some(slots), Some(number)) = (slots, number)
         && number < slots
     {
--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -200,6 +200,9 @@
     }
 }
 
+/// The maximum number of slots or connections of a target.
+pub const MAX_SLOTS: u64 = 100_000;
+
 /// A back end of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -220,6 +223,17 @@
     pub leaving: bool,
 }
 
+impl Target {
+    /// Returns why the target cannot get requests, whoever listed it; absent if it can.
+    pub fn problem(&self) -> Option<&'static str> {
+        if !(1..=MAX_SLOTS).contains(&(self.slots as u64)) {
+            return Some("the number of its slots is out of range");
+        }
+        let is_address = self.address.port() > 0 && !self.address.ip().is_unspecified();
+        (!is_address).then_some("its address is not one of a host")
+    }
+}
+
 /// A route, which sends the requests under a path prefix to a service.
 ///
 /// Routes for a host take precedence over those for any host. Within each group, the longest prefix wins.
