daemon: no connection is kept after a refusal that does not name its request

Operators reported a target that writes an earlier refusal once more on a kept connection. With an id of another request it proved nothing here already.

A connection is closed after such a refusal, so a copy finds no other request. A request that a target has refused goes to it again on a new connection only, since the copy would bear its own id. Relays keep no connection after a failure or refusal, as they do not know what the other daemon sends next.

--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -4,6 +4,7 @@
 //! [`HomeStream`], sends the request to the target that the home grants and reports the outcome of each try. Only the
 //! entry sends the request, so it knows what may have run, and nothing is lost with a home.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::sync;
 use std::time;
@@ -89,6 +90,8 @@
     pub kept: memory::Part,
     /// The memory of the response.
     pub response: memory::Part,
+    /// The targets that refused the request. A connection that carried such a refusal may carry a second copy of it.
+    pub refused_by: BTreeSet<String>,
 }
 
 impl Outgoing {
@@ -187,6 +190,8 @@
     body: Incoming,
     connection: pool::Connection,
     target: String,
+    /// How long the connection may be reused after the response.
+    keep: clock::Millis,
 }
 
 /// The result of one try at a target.
@@ -356,8 +361,14 @@
         target: &str,
     ) -> GrantResult {
         let last = match self.send_to_target(&mut stream, outgoing, target).await {
-            TryResult::Response(response) => {
+            TryResult::Response(mut response) => {
                 let class = classify(self.client, outgoing, &response);
+                if is_refusal(class) {
+                    outgoing.refused_by.insert(target.to_owned());
+                    if !self.client.dialect.names_request(&response.head) {
+                        response.keep = clock::Millis::ZERO;
+                    }
+                }
                 let statement = self.record_statement(class, &response);
                 stream.report_outcome(outcome_of(class), statement).await;
                 if class == ResponseClass::Answered {
@@ -443,6 +454,7 @@
             address: target.address,
             idempotent: outgoing.idempotent,
             direct: false,
+            fresh: outgoing.refused_by.contains(name),
         };
         let mut connection = match client.pool.acquire(to).await {
             Ok(connection) => connection,
@@ -483,6 +495,7 @@
                 log_try(outgoing, name, relay, response.status().as_str(), took);
                 let (head, body) = response.into_parts();
                 TryResult::Response(Box::new(TargetResponse {
+                    keep: pool::keep_alive_timeout(&head.headers),
                     head,
                     body,
                     connection,
@@ -525,7 +538,7 @@
         *response.headers_mut() = headers::forwarded_fields(&received.head.headers);
         let body = forward::ForwardedBody::new(forward::Options {
             body: received.body,
-            keep_alive: pool::keep_alive_timeout(&received.head.headers),
+            keep_alive: received.keep,
             connection: received.connection,
             pool: self.client.pool.clone(),
             stream: Some(stream),
@@ -604,6 +617,14 @@
     }
 }
 
+/// Returns whether the target states by a response of this class that the request did not run.
+fn is_refusal(class: ResponseClass) -> bool {
+    matches!(
+        class,
+        ResponseClass::Shed | ResponseClass::NotRun | ResponseClass::Misplaced
+    )
+}
+
 /// Returns the outcome of a try whose response is of the given class.
 fn outcome_of(class: ResponseClass) -> Outcome {
     match class {
@@ -624,7 +645,7 @@
 
 /// Reads a response that is not forwarded, so that its connection can be reused.
 async fn discard(response: TargetResponse, pool: sync::Arc<pool::Pool>) {
-    let keep = pool::keep_alive_timeout(&response.head.headers);
+    let keep = response.keep;
     let rest = http_body_util::Limited::new(response.body, DISCARD_BYTES).collect();
     match timers::timeout(DISCARD_TIMEOUT.span(), rest).await {
         Ok(Ok(_)) => pool.release(response.connection, keep).await,
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -20,7 +20,7 @@
 use crate::daemon::{forward, memory};
 use crate::protocol::relay::{RelayReply, RelayRequest, RelayResult};
 use crate::protocol::{dialect, frame, headers};
-use crate::state::{bundle, settings};
+use crate::state::{bundle, clock, settings};
 use crate::transport::{body, pool};
 
 /// How long the other daemon may take to send its request once the target is connected.
@@ -111,6 +111,7 @@
             address: target.address,
             idempotent: request.idempotent,
             direct: true,
+            fresh: false,
         };
         let acquired = self.options.entry.client().pool.acquire(to);
         let connection = match time::timeout(request.timeout.span(), acquired).await {
@@ -178,7 +179,11 @@
         self.options
             .entry
             .record_statement(&link.service, &link.target, &statement);
-        let keep_alive = pool::keep_alive_timeout(&head.headers);
+        // A second copy of a refusal would seem to refuse the next request, which the other daemon may send again.
+        let keep_alive = match head.status.is_success() {
+            true => pool::keep_alive_timeout(&head.headers),
+            false => clock::Millis::ZERO,
+        };
         head.headers = headers::forwarded_fields(&head.headers);
         RelayResult::Answered.write(&mut head.headers);
         let body = forward::ForwardedBody::new(forward::Options {
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -98,6 +98,11 @@
     /// Classifies the response to a try by its head.
     fn classify(&self, response: &Parts, attempt: &Try<'_>) -> ResponseClass;
 
+    /// Returns whether a response states which request it answers.
+    ///
+    /// A second copy of a refusal that does not would seem to refuse the next request on its connection.
+    fn names_request(&self, response: &Parts) -> bool;
+
     /// Returns what a target states in its response about the requests that it accepts.
     fn statement(&self, response: &Parts) -> peer::Statement;
 
@@ -149,6 +154,10 @@
             .unwrap_or(ResponseClass::Answered)
     }
 
+    fn names_request(&self, response: &Parts) -> bool {
+        response.headers.contains_key(headers::REQUEST)
+    }
+
     fn statement(&self, response: &Parts) -> peer::Statement {
         peer::Statement {
             limit: peer::RateLimit::None,
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -104,6 +104,8 @@
     pub idempotent: bool,
     /// Whether the connection must be direct.
     pub direct: bool,
+    /// Whether the connection must be a new one.
+    pub fresh: bool,
 }
 
 /// A byte stream in both directions.
@@ -266,7 +268,8 @@
     /// Returns an idle connection to a target, or a new one.
     ///
     /// A request that is not idempotent gets a new connection or one that was idle only briefly, because a target may
-    /// close an idle connection while the request is on its way.
+    /// close an idle connection while the request is on its way. A request that the target has refused gets a new one,
+    /// because a second copy of the refusal would seem to answer it.
     ///
     /// # Errors
     ///
@@ -280,7 +283,8 @@
             true => IDLE_TIMEOUT,
             false => NON_IDEMPOTENT_IDLE,
         };
-        if self.connector.trusts_idle()
+        if !to.fresh
+            && self.connector.trusts_idle()
             && let Some(connection) = self.take_idle(to.address, max_idle)
         {
             return Ok(connection);
