entry: a request whose service is removed while it waits is not told that it has no route

What callers saw: a proper request was denied (404). The new test failed with 404. It is refused with 503 now and comes back at once.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -256,7 +256,11 @@
             let service = current
                 .index
                 .service(&current.bundle, &parsed.slot_request.cell.service);
-            let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+            let Some(service) = service else {
+                // The caller comes back by the rules in force, which may lead it to another service.
+                let refusal = Refusal::not_run(Cause::RulesChanged, Some(clock::Millis::ZERO));
+                return Err(refusal.after_unknown_try(parsed.outgoing.unknown_cause));
+            };
             let Some(choice) = self.select_home(service, &failed) else {
                 break;
             };
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -85,6 +85,8 @@
     OverQuota,
     /// The daemon holds as many bytes as its memory budget allows.
     MemoryFull,
+    /// The service of the request was removed while the request waited; its route may lead to another one by now.
+    RulesChanged,
 }
 
 /// A refusal, as sent by homes and reported to callers.
@@ -131,7 +133,7 @@
 
 impl Cause {
     /// All causes, in the order of the reference page.
-    pub const ALL: [Cause; 25] = [
+    pub const ALL: [Cause; 26] = [
         Cause::NoBundle,
         Cause::NoRoute,
         Cause::UnknownCaller,
@@ -157,6 +159,7 @@
         Cause::CutOff,
         Cause::OverQuota,
         Cause::MemoryFull,
+        Cause::RulesChanged,
     ];
 
     /// Returns the name that is used in problem types, the time line and metrics.
@@ -187,6 +190,7 @@
             Cause::CutOff => "cut-off",
             Cause::OverQuota => "over-quota",
             Cause::MemoryFull => "memory-full",
+            Cause::RulesChanged => "rules-changed",
         }
     }
 
@@ -220,6 +224,7 @@
             Cause::CutOff => "The daemon reaches no target and no daemon that relays",
             Cause::OverQuota => "The organisation has used up its quota",
             Cause::MemoryFull => "The daemon's memory budget is used up",
+            Cause::RulesChanged => "The service was removed while the request waited",
         }
     }
 
@@ -247,7 +252,8 @@
             | Cause::TargetShed
             | Cause::ConnectFailed
             | Cause::CutOff
-            | Cause::MemoryFull => StatusCode::SERVICE_UNAVAILABLE,
+            | Cause::MemoryFull
+            | Cause::RulesChanged => StatusCode::SERVICE_UNAVAILABLE,
             Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         }
     }
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -14,7 +14,8 @@
 use tokio::sync::watch;
 
 use crate::support::path::{
-    chunked_body, daemon, daemon_with_limits, daemon_with_lost_home, request,
+    chunked_body, daemon, daemon_with_limits, daemon_with_lost_home, daemon_without_service,
+    request,
 };
 
 const MIB: usize = 1024 * 1024;
@@ -309,3 +310,15 @@
         assert_eq!(daemon.send(short).await.unwrap().status(), StatusCode::OK);
     }
 }
+
+/// Guards against a request that is told that it has no route (404), although its route only leads to another service
+/// since it was admitted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_service_is_removed_while_it_waits_comes_back_at_once() {
+    let daemon = daemon_without_service("path-removed").await;
+    let sent = request("POST", "/").body(empty()).unwrap();
+    let response = daemon.send(sent).await.unwrap();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.headers()["peridotspread-outcome"], "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+}
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -75,6 +75,18 @@
     start(test, respond, limits, Some(grants), None, "").await
 }
 
+/// Starts a daemon as [`daemon`] does, whose home is lost with each request, and whose service is removed then.
+pub(crate) async fn daemon_without_service(test: &str) -> Daemon {
+    let limits = settings::Limits::default();
+    let never = |_| -> future::BoxFuture<'static, Response<body::Body>> {
+        Box::pin(std::future::pending())
+    };
+    start(test, never, limits, Some(0), None, REMOVED).await
+}
+
+/// Rules by which [`daemon_without_service`] removes the service.
+const REMOVED: &str = "# the service is removed while a request waits\n";
+
 /// The direct connector and the relays of a daemon.
 type Paths = (
     sync::Arc<dyn pool::Connector>,
@@ -137,7 +149,11 @@
         recorder,
         bundle: bundle_seen,
         view: view_seen,
-        links: sync::Arc::new(OwnHome { home, grants }),
+        links: sync::Arc::new(OwnHome {
+            home,
+            grants,
+            bundle: (rules == REMOVED).then(|| bundle.clone()),
+        }),
         claims: sync::Arc::new(claims::NoClaims),
         broadcaster,
         quotas,
@@ -242,6 +258,8 @@
     home: sync::Arc<home::Home>,
     /// The number of grants for each request after which the home is lost; absent if it is never lost.
     grants: Option<u32>,
+    /// Publishes a bundle without services when the home is lost; absent if the bundle stays.
+    bundle: Option<watch::Sender<sync::Arc<bundle::Bundle>>>,
 }
 
 /// Grants the target for the slot request and after each outcome but the last, and then closes the stream.
@@ -264,6 +282,13 @@
         _address: net::SocketAddr,
     ) -> future::BoxFuture<'a, Option<(home::RecvHalf, home::SendHalf)>> {
         let (home, grants) = (self.home.clone(), self.grants);
+        if let Some(bundle) = &self.bundle {
+            let empty = bundle::Bundle {
+                version: 2,
+                ..bundle::Bundle::default()
+            };
+            bundle.send_replace(sync::Arc::new(empty));
+        }
         Box::pin(async move {
             let (entry_side, home_side) = tokio::io::duplex(16 * 1024);
             let (recv, send) = tokio::io::split(home_side);
