registry: readers poll further sources before the daemons behind them do, and none right after the start

Readers act at 850 and 980 ms, other daemons at 1,060 and 1,200 ms; two other readers are polled at once, as one of them may have failed too; nothing in the first 2.5 s.

--- a/src/coordination/escalation.rs
+++ b/src/coordination/escalation.rs
@@ -2,8 +2,11 @@
 //!
 //! A daemon polls one source at a time ([`super::readers`]), and a source that falls silent costs it the time of a
 //! poll. Several of them, one after the other, would cost more than the time within which a change must be in force.
-//! Therefore the age of the updates decides, not the number of sources that failed: from [`PEER_AGE`] on the daemon
-//! also polls another reader, and from [`PLATFORM_AGE`] on the platform, beside the poll that is still in flight.
+//! Therefore the age of the updates decides, not the number of sources that failed: from an age on the daemon also polls
+//! other readers, and from a higher one on the platform, beside the poll that is still in flight.
+//!
+//! Readers do so earlier than other daemons, which get the result by the polls that they have in flight. So the loss of
+//! a reader that many daemons depend on costs the platform the calls of a few.
 //!
 //! While all sources answer, updates are never that old, so none of this costs a message.
 //!
@@ -13,11 +16,28 @@
 
 use crate::state::clock;
 
-/// The age of the updates from which another reader is polled too: a long poll and a slow answer.
-pub const PEER_AGE: clock::Millis = clock::Millis(950);
-/// The age of the updates from which the platform is polled too: late enough for the reply of the other reader, and
-/// early enough that a change is in force in time on a slow host.
-pub const PLATFORM_AGE: clock::Millis = clock::Millis(1_150);
+/// The ages of the updates from which a daemon polls further sources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ages {
+    /// The age from which other readers are polled.
+    pub peer: clock::Millis,
+    /// The age from which the platform is polled: late enough for the replies of other readers.
+    pub platform: clock::Millis,
+}
+
+/// The ages at readers: a long poll and a slow answer.
+pub const READER_AGES: Ages = Ages {
+    peer: clock::Millis(850),
+    platform: clock::Millis(980),
+};
+/// The ages at other daemons, early enough that a change is in force in time on a slow host.
+pub const FOLLOWER_AGES: Ages = Ages {
+    peer: clock::Millis(1_060),
+    platform: clock::Millis(1_200),
+};
+/// The time after the start of a daemon in which it polls no further sources. The views of daemons that start together
+/// differ, so their updates are old for reasons that further polls do not change.
+const START_SPAN: clock::Millis = clock::Millis(2_500);
 /// The time between two polls of other readers.
 const PEER_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// The time between the first two polls of the platform, as long as a call may take; it doubles with each further one.
@@ -30,8 +50,8 @@
 pub enum Step {
     /// Nothing until this time.
     Wait(clock::Millis),
-    /// Poll another reader.
-    PollPeer,
+    /// Poll two other readers, of which one may have failed too.
+    PollPeers,
     /// Poll the platform.
     PollPlatform,
 }
@@ -39,6 +59,7 @@
 /// Decides when one daemon polls more than one source.
 #[derive(Debug)]
 pub struct Escalation {
+    start: clock::Millis,
     /// When another reader may be polled again.
     peer_at: clock::Millis,
     /// When the platform may be polled again.
@@ -46,28 +67,37 @@
     interval: clock::Millis,
 }
 
-impl Default for Escalation {
-    fn default() -> Escalation {
+impl Escalation {
+    /// Creates the escalation of a daemon that starts at `now`.
+    pub fn new(now: clock::Millis) -> Escalation {
         Escalation {
-            peer_at: clock::Millis::ZERO,
-            platform_at: clock::Millis::ZERO,
+            start: now,
+            peer_at: now + START_SPAN,
+            platform_at: now + START_SPAN,
             interval: PLATFORM_INTERVAL,
         }
     }
-}
 
-impl Escalation {
     /// Returns the next step of a daemon whose updates hold up to `answered`, the time at which the platform last
     /// answered along their path; absent if it has no updates yet.
-    pub fn next_step(&mut self, now: clock::Millis, answered: Option<clock::Millis>) -> Step {
+    pub fn next_step(
+        &mut self,
+        now: clock::Millis,
+        answered: Option<clock::Millis>,
+        is_reader: bool,
+    ) -> Step {
+        let ages = match is_reader {
+            true => READER_AGES,
+            false => FOLLOWER_AGES,
+        };
         let Some(answered) = answered else {
-            return Step::Wait(now + PEER_AGE);
+            return Step::Wait(now + ages.peer);
         };
-        if now - answered < PEER_AGE {
-            *self = Escalation::default();
-            return Step::Wait(answered + PEER_AGE);
+        if now - answered < ages.peer {
+            *self = Escalation::new(self.start);
+            return Step::Wait(answered + ages.peer);
         }
-        let platform_due = self.platform_at.max(answered + PLATFORM_AGE);
+        let platform_due = self.platform_at.max(answered + ages.platform);
         if now >= platform_due {
             self.platform_at = now + self.interval;
             self.interval = clock::Millis(self.interval.0 * 2).min(MAX_PLATFORM_INTERVAL);
@@ -75,7 +105,7 @@
         }
         if now >= self.peer_at {
             self.peer_at = now + PEER_INTERVAL;
-            return Step::PollPeer;
+            return Step::PollPeers;
         }
         Step::Wait(self.peer_at.min(platform_due))
     }
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -22,18 +22,23 @@
 
 /// How long the platform may hold a poll until a change arrives. A platform that fails goes unnoticed for this long.
 pub const LONG_POLL: clock::Millis = clock::Millis(700);
-/// How long a peer may hold a poll: a little longer than the platform holds those of the peer, so that the peer replies
-/// with what the platform has just told it.
-pub const PEER_POLL: clock::Millis = clock::Millis(800);
+/// How long a peer may hold a poll: longer than the platform holds those of the peer, so that the peer replies with what
+/// the platform has just told it.
+pub const PEER_POLL: clock::Millis = REPLY_AGE;
 /// A peer that holds a poll replies once the platform has answered it this much later than before.
 pub const REFRESH_STEP: clock::Millis = clock::Millis(500);
 /// A peer's updates count as fresh for this long after the platform last answered the peer: one long poll plus a slow
 /// answer.
-pub const FRESH_SPAN: clock::Millis = clock::Millis(1_000);
+pub const FRESH_SPAN: clock::Millis = clock::Millis(950);
+/// The same for a daemon that polls the reader of its failure domain, which may itself poll another reader: the reader
+/// needs some time to poll another source once its own updates are old.
+pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_130);
 /// The age of the updates at which the next reply is due, if the source holds polls: before another source is polled.
-const REPLY_AGE: clock::Millis = clock::Millis(850);
+const REPLY_AGE: clock::Millis = clock::Millis(800);
 /// The failure domains whose readers poll the platform: one more than needed, so that the loss of one costs no time.
 const PRIMARIES: usize = 2;
+/// The readers of other failure domains that a daemon polls before the platform: one may fail with its own reader.
+const CHOICES: usize = 2;
 /// How long a peer that failed or was stale is not polled.
 const STALE_PEER_SPAN: clock::Millis = clock::Millis(3_000);
 /// The backoff after the platform first fails to answer; grows with each further failure.
@@ -185,8 +190,14 @@
 
     /// Returns a reader to poll beside `source`, whose reply is late; any other daemon if there is no other reader.
     /// Each call selects the next one. Readers that were not stale lately go first.
+    ///
+    /// A reader selects those that poll the platform, since the others may depend on the same source.
     pub fn another_reader(&mut self, view: &member::View, source: &str) -> Option<String> {
-        let readers = domains(view).into_iter().filter_map(|d| reader(d, view));
+        let domains = match self.is_reader(view) {
+            true => self.primaries(view),
+            false => domains(view).into_iter().collect(),
+        };
+        let readers = domains.into_iter().filter_map(|d| reader(d, view));
         let others = readers.filter(|r| *r != self.name && *r != source);
         let rank = |r: &&str| homes::hash(&["another reader", r, &self.name]);
         let mut others: Vec<_> = others.collect();
@@ -210,6 +221,14 @@
         self.platform_retry_at <= now
     }
 
+    /// Returns the age up to which updates of a peer count as fresh.
+    pub fn fresh_span(&self, view: &member::View) -> clock::Millis {
+        match self.is_reader(view) {
+            true => FRESH_SPAN,
+            false => RELAYED_FRESH_SPAN,
+        }
+    }
+
     /// Returns whether updates of a peer that has lost the platform may be applied. A daemon that starts first tries the
     /// platform, since rules of such a peer may have been withdrawn.
     pub fn accepts_stale(&self) -> bool {
@@ -267,7 +286,7 @@
     }
 
     /// Returns the readers of other failure domains to poll, the first choice first. A reader polls those that poll the
-    /// platform. Any other daemon has one choice, which differs within a failure domain.
+    /// platform. The choices of other daemons differ within a failure domain.
     fn other_readers<'a>(&'a self, view: &'a member::View) -> Vec<&'a str> {
         let reads_itself = reader(&self.domain, view).is_none_or(|r| r == self.name);
         let domains = match reads_itself {
@@ -278,8 +297,7 @@
         let mut others: Vec<_> = others.collect();
         others
             .sort_by_key(|domain| cmp::Reverse(homes::hash(&["other reader", domain, &self.name])));
-        let choices = if reads_itself { PRIMARIES } else { 1 };
-        let readers = others.into_iter().take(choices);
+        let readers = others.into_iter().take(CHOICES);
         readers.filter_map(|domain| reader(domain, view)).collect()
     }
 
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -541,7 +541,7 @@
         Ok(State {
             registry: coordination::registry::Registry::default(),
             selector: readers::SourceSelector::new(now, &options.name, &options.domain),
-            escalation: escalation::Escalation::default(),
+            escalation: escalation::Escalation::new(now),
             options,
             publishers,
             answered: BTreeMap::new(),
@@ -665,21 +665,21 @@
 
     /// Returns the next step of the task of escalations.
     fn next_step(&mut self, now: clock::Millis) -> Step {
-        if !self.has_published() {
-            // The polls of the topics look for the first updates.
-            return Step::Wait(escalation::PEER_AGE);
-        }
-        let answered = self.answered_at();
-        let polls = match self.escalation.next_step(now, answered) {
+        let view = self.options.members.borrow().clone();
+        // Without a bundle in force, the polls of the topics still look for the first updates.
+        let answered = self.answered_at().filter(|_| self.has_published());
+        let is_reader = self.selector.is_reader(&view);
+        let polls = match self.escalation.next_step(now, answered, is_reader) {
             escalation::Step::Wait(until) => {
                 return Step::Wait((until - now).max(clock::Millis(1)));
             }
-            escalation::Step::PollPeer => {
-                let view = self.options.members.borrow().clone();
-                let name = self.selector.another_reader(&view, &self.source);
+            escalation::Step::PollPeers => {
+                let mut another = || self.selector.another_reader(&view, &self.source);
+                let names: BTreeSet<_> = [another(), another()].into_iter().flatten().collect();
                 let revisions = self.revisions();
-                let poll = name.map(|n| Poll::Peer(n, revisions, clock::Millis::ZERO));
-                Vec::from_iter(poll.map(|p| (Topic::Targets, p)))
+                let poll = |name| Poll::Peer(name, revisions, clock::Millis::ZERO);
+                let polls = names.into_iter().map(|name| (Topic::Targets, poll(name)));
+                polls.collect()
             }
             escalation::Step::PollPlatform if !self.selector.may_poll_platform(now) => Vec::new(),
             escalation::Step::PollPlatform => {
@@ -875,7 +875,8 @@
         };
         let answered_before = self.answered_at();
         let age = age.map(|age| age + (now - made));
-        let fresh = age.filter(|age| *age <= readers::FRESH_SPAN);
+        let span = self.selector.fresh_span(&self.options.members.borrow());
+        let fresh = age.filter(|age| *age <= span);
         match fresh {
             Some(age) => {
                 for topic in Topic::ALL {
