cell: a cell whose targets are all suspected keeps them in use while it defers to other cells

Cause: when the last normal target of a cell becomes suspected and the other cells are well, the cell defers: it admits one idempotent request at a time to find out whether a target has recovered. All requests of khazana have one try, so none was admitted. The targets were well again after 2 s, and stayed idle until the suspicion ran out. Class: a guard that shuts off the evidence by which it would open again.

A cell that defers also admits the requests that go to a target which lacks one by the breadth of the service, and no others. Services without breadth defer as before.

--- a/src/coordination/cell/dispatch.rs
+++ b/src/coordination/cell/dispatch.rs
@@ -164,7 +164,11 @@
     /// and, if too few targets receive requests, all idle ones.
     ///
     /// A request with one try does not go to a target that is likely to fail while others can be resent.
-    fn underused_target(&self, now: clock::Millis, request: &queue::Request) -> Option<String> {
+    pub(super) fn underused_target(
+        &self,
+        now: clock::Millis,
+        request: &queue::Request,
+    ) -> Option<String> {
         if !self.rules.rank_by_failure {
             return None;
         }
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -298,8 +298,8 @@
     /// Returns whether the cell defers to the service's other cells: all of its own targets are suspected, and the
     /// other cells are healthy.
     ///
-    /// It then admits one idempotent request at a time, to detect that its targets have recovered. All others are
-    /// refused at once, so that their entries try another cell.
+    /// It then admits one idempotent request at a time, to detect that its targets have recovered, and those that keep
+    /// the breadth of the service. All others are refused at once, so that their entries try another cell.
     fn defers(&self, now: clock::Millis) -> bool {
         self.is_degraded() && self.other_cells_healthy(now)
     }
@@ -358,7 +358,7 @@
         if arrival.deadline <= now {
             return refuse(refusal::Cause::DeadlinePassed, None);
         }
-        if self.concurrency(now) == 0.0 || (!self.by_value() && !self.may_probe(now, arrival)) {
+        if self.concurrency(now) == 0.0 || (!self.by_value() && !self.may_probe(now, request)) {
             return refuse(refusal::Cause::NoTarget, Some(NO_TARGET_RETRY));
         }
         if let Some(pause) = self.pause_of_all(known) {
@@ -385,10 +385,10 @@
     }
 
     /// Returns whether a request may be admitted although the cell may defer to others: it then probes whether the
-    /// targets have recovered.
-    fn may_probe(&self, now: clock::Millis, arrival: &Arrival) -> bool {
-        let is_probe = self.running.is_empty() && arrival.idempotent;
-        is_probe || !self.defers(now)
+    /// targets have recovered, or goes to a target that must not be left without requests.
+    fn may_probe(&self, now: clock::Millis, request: &queue::Request) -> bool {
+        let is_probe = self.running.is_empty() && request.arrival.idempotent;
+        is_probe || !self.defers(now) || self.underused_target(now, request).is_some()
     }
 
     /// Returns the mean hold time, which is the mean time that a request holds a slot; zero before the first answer.
--- a/src/coordination/cell/order.rs
+++ b/src/coordination/cell/order.rs
@@ -65,7 +65,7 @@
                 leaves.then_some(wait)
             }
             scarcity::Check::Trial => {
-                let may_probe = self.may_probe(now, &request.arrival);
+                let may_probe = self.may_probe(now, request);
                 (!may_probe).then_some(super::NO_TARGET_RETRY)
             }
             other => match decision {
--- a/tests/testsuite/cell/breadth.rs
+++ b/tests/testsuite/cell/breadth.rs
@@ -71,6 +71,8 @@
     breadth_pct: f64,
     /// Whether every second request can be resent; the others have one try.
     mixed: bool,
+    /// Whether the service has other cells, whose targets are well.
+    other_cells: bool,
     /// When the platform begins to count.
     counted_from: u64,
 }
@@ -94,6 +96,13 @@
                 harness.handle(Event::Rules(&self.service(at)));
             }
             let mut pending = harness.advance(STEP);
+            if self.other_cells && at.is_multiple_of(500) {
+                let others = ["e", "f"].map(|domain| peer::CellSummary {
+                    median: Millis(self.run_ms),
+                    ..summary(domain, 0.0)
+                });
+                pending.extend(harness.handle(Event::OtherCells(&others)));
+            }
             due += self.rates[(at / 1_000) as usize] as f64 * STEP as f64 / 1_000.0;
             while due >= 1.0 {
                 due -= 1.0;
@@ -213,6 +222,7 @@
         broken: 0.71,
         breadth_pct: 100.0,
         mixed: false,
+        other_cells: false,
         counted_from: 4_000,
     }
 }
@@ -252,6 +262,7 @@
         broken: 0.71,
         breadth_pct: 100.0,
         mixed: false,
+        other_cells: false,
         counted_from: 5_000,
     }
 }
@@ -282,6 +293,7 @@
         broken: 1.0,
         breadth_pct: 78.0,
         mixed: false,
+        other_cells: false,
         counted_from: 5_000,
     }
 }
@@ -343,6 +355,7 @@
         broken: 0.73,
         breadth_pct: 100.0,
         mixed: false,
+        other_cells: false,
         counted_from: 6_000,
     }
 }
@@ -354,3 +367,46 @@
         assert_eq!(findings.first(), None, "seed {seed}");
     }
 }
+
+/// Guards against a cell that gives all of its requests to other cells for seconds because each of its targets failed a
+/// moment ago, with requests that have one try: none of them was admitted to find out that the targets are well again.
+#[test]
+fn targets_that_failed_together_are_in_use_again_while_the_other_cells_are_well() {
+    for seed in 0..10 {
+        let targets = (0..15).map(|i| Life {
+            failing: vec![(8_000 + 40 * i, 10_600)],
+            ..Life::default()
+        });
+        let replay = Replay {
+            targets: targets.collect(),
+            rates: vec![38; 20],
+            broken: 1.0,
+            other_cells: true,
+            ..random_replay(seed)
+        };
+        let findings = replay.run(seed).findings;
+        assert_eq!(
+            findings.first(),
+            None,
+            "seed {seed}: {} findings",
+            findings.len()
+        );
+    }
+}
+
+#[test]
+fn targets_that_recovered_are_in_use_again_although_the_other_cells_are_well() {
+    for seed in 0..50 {
+        let replay = Replay {
+            other_cells: true,
+            ..random_replay(seed)
+        };
+        let findings = replay.run(seed).findings;
+        assert_eq!(
+            findings.first(),
+            None,
+            "seed {seed}: {} findings",
+            findings.len()
+        );
+    }
+}
