registry: updates are encoded once for all peers, and further sources are polled later

The encoded updates are kept until something changes. Readers poll further sources from 950 and 1,150 ms on, other daemons from 1,250 and 1,400 ms on.

--- a/src/coordination/escalation.rs
+++ b/src/coordination/escalation.rs
@@ -27,13 +27,13 @@
 
 /// The ages at readers: a long poll and a slow answer.
 pub const READER_AGES: Ages = Ages {
-    peer: clock::Millis(850),
-    platform: clock::Millis(980),
+    peer: clock::Millis(950),
+    platform: clock::Millis(1_150),
 };
 /// The ages at other daemons, early enough that a change is in force in time on a slow host.
 pub const FOLLOWER_AGES: Ages = Ages {
-    peer: clock::Millis(1_060),
-    platform: clock::Millis(1_200),
+    peer: clock::Millis(1_250),
+    platform: clock::Millis(1_400),
 };
 /// The time after the start of a daemon in which it polls no further sources. The views of daemons that start together
 /// differ, so their updates are old for reasons that further polls do not change.
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -29,10 +29,10 @@
 pub const REFRESH_STEP: clock::Millis = clock::Millis(500);
 /// A peer's updates count as fresh for this long after the platform last answered the peer: one long poll plus a slow
 /// answer.
-pub const FRESH_SPAN: clock::Millis = clock::Millis(950);
+pub const FRESH_SPAN: clock::Millis = clock::Millis(1_050);
 /// The same for a daemon that polls the reader of its failure domain, which may itself poll another reader: the reader
 /// needs some time to poll another source once its own updates are old.
-pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_130);
+pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_350);
 /// The age of the updates at which the next reply is due, if the source holds polls: before another source is polled.
 const REPLY_AGE: clock::Millis = clock::Millis(800);
 /// The failure domains whose readers poll the platform: one more than needed, so that the loss of one costs no time.
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -166,7 +166,7 @@
 }
 
 /// The revisions up to which the topics are known.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Revisions {
     rules: u64,
     targets: u64,
@@ -487,6 +487,14 @@
     stale_peers: tokio_sync::watch::Sender<u64>,
 }
 
+/// Updates for peers that know the topics up to the same revisions. A reader has many such peers, and encoding the rules
+/// takes longer than anything else that it does for a poll.
+struct EncodedUpdates {
+    revisions: Revisions,
+    version: version::Version,
+    changes: Vec<u8>,
+}
+
 /// Changes of the rules or targets that are not published yet.
 struct Unpublished {
     /// When the first of them arrived.
@@ -521,6 +529,8 @@
     rules_since: Option<clock::Millis>,
     /// Whether the platform does not answer.
     lost: bool,
+    /// The last encoded updates for a peer; absent once anything has changed since.
+    encoded: Option<EncodedUpdates>,
     /// The changes that are not published yet.
     unpublished: Option<Unpublished>,
     /// When the next tick is due.
@@ -553,6 +563,7 @@
             ahead_polls: 0,
             rules_since: None,
             lost: false,
+            encoded: None,
             unpublished: None,
             next_tick: clock::Millis::MAX,
         })
@@ -580,6 +591,7 @@
                 let _ = reply.send(state.next_step(now));
             }
             Message::Polled { result, latest } => {
+                state.encoded = None;
                 // A daemon that stood still may read an answer long after it was made.
                 let made = latest.min(now);
                 match *result {
@@ -599,6 +611,7 @@
             }
             Message::Tick => {
                 state.next_tick = clock::Millis::MAX;
+                state.encoded = None;
                 if state.registry.tick(now) {
                     state.record_change(now, "absent targets were removed", None);
                 }
@@ -935,11 +948,40 @@
 
     /// Returns the updates after a peer's revisions, and how fresh they are.
     fn updates_since(
-        &self,
+        &mut self,
         now: clock::Millis,
         revisions: Revisions,
         version: version::Version,
     ) -> peer::ControlMessage {
+        let is_same = |e: &&EncodedUpdates| e.revisions == revisions && e.version == version;
+        let encoded = self.encoded.as_ref().filter(is_same);
+        let changes = match encoded {
+            Some(encoded) => encoded.changes.clone(),
+            None => {
+                let changes = self.encode_updates(now, revisions, version);
+                // The rest of the grace periods of targets differs from reply to reply.
+                let is_lasting = self.registry.next_deadline() == clock::Millis::MAX;
+                self.encoded = is_lasting.then(|| EncodedUpdates {
+                    revisions,
+                    version,
+                    changes: changes.clone(),
+                });
+                changes
+            }
+        };
+        peer::ControlMessage::Updates {
+            age: self.age(now),
+            changes,
+        }
+    }
+
+    /// Returns the encoded updates after a peer's revisions; empty if there are none.
+    fn encode_updates(
+        &self,
+        now: clock::Millis,
+        revisions: Revisions,
+        version: version::Version,
+    ) -> Vec<u8> {
         let mut updates = PeerUpdates {
             rules: self
                 .registry
@@ -949,21 +991,16 @@
                 .updates_since(now, Topic::Targets, revisions.targets),
             version: version::Version::CURRENT,
         };
+        if updates.is_empty() {
+            return Vec::new();
+        }
         if version == version::Version::FIRST {
             updates.convert_to_version_1();
         }
-        let changes = match updates.is_empty() {
-            true => Ok(Vec::new()),
-            false => serde_json::to_vec(&updates),
-        };
-        let changes = changes.unwrap_or_else(|e| {
+        serde_json::to_vec(&updates).unwrap_or_else(|e| {
             log::error!("failed to encode the updates for a peer: {e}");
             Vec::new()
-        });
-        peer::ControlMessage::Updates {
-            age: self.age(now),
-            changes,
-        }
+        })
     }
 
     /// Returns the time since the platform last answered for all topics, or `None` while it is lost.
