registry: a peer that was late is polled again after a second

A daemon whose reader did not reply in time polled the platform for 3 s before it went back to it, with a call for each topic each 700 ms. The age of the updates bounds their delay now, so nothing is lost by going back early.

--- a/src/coordination/escalation.rs
+++ b/src/coordination/escalation.rs
@@ -33,11 +33,11 @@
 /// The ages at other daemons, early enough that a change is in force in time on a slow host.
 pub const FOLLOWER_AGES: Ages = Ages {
     peer: clock::Millis(1_250),
-    platform: clock::Millis(1_400),
+    platform: clock::Millis(1_500),
 };
 /// The time after the start of a daemon in which it polls no further sources. The views of daemons that start together
 /// differ, so their updates are old for reasons that further polls do not change.
-const START_SPAN: clock::Millis = clock::Millis(2_500);
+const START_SPAN: clock::Millis = clock::Millis(4_000);
 /// The time between two polls of other readers.
 const PEER_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// The time between the first two polls of the platform, as long as a call may take; it doubles with each further one.
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -32,15 +32,16 @@
 pub const FRESH_SPAN: clock::Millis = clock::Millis(1_050);
 /// The same for a daemon that polls the reader of its failure domain, which may itself poll another reader: the reader
 /// needs some time to poll another source once its own updates are old.
-pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_350);
+pub const RELAYED_FRESH_SPAN: clock::Millis = clock::Millis(1_450);
 /// The age of the updates at which the next reply is due, if the source holds polls: before another source is polled.
 const REPLY_AGE: clock::Millis = clock::Millis(800);
 /// The failure domains whose readers poll the platform: one more than needed, so that the loss of one costs no time.
 const PRIMARIES: usize = 2;
 /// The readers of other failure domains that a daemon polls before the platform: one may fail with its own reader.
 const CHOICES: usize = 2;
-/// How long a peer that failed or was stale is not polled.
-const STALE_PEER_SPAN: clock::Millis = clock::Millis(3_000);
+/// How long a peer that failed or was stale is not polled: short, since a daemon that finds no other one polls the
+/// platform meanwhile, and a peer that is only slow for a moment is back soon.
+const STALE_PEER_SPAN: clock::Millis = clock::Millis(1_000);
 /// The backoff after the platform first fails to answer; grows with each further failure.
 const INITIAL_BACKOFF: clock::Millis = clock::Millis(100);
 /// The longest backoff of a reader after the platform failed to answer.
