--- a/src/coordination/escalation.rs
+++ b/src/coordination/escalation.rs
@@ -8,7 +8,7 @@
 //! Readers do so earlier than other daemons, which get the result by the polls that they have in flight. So the loss of
 //! a reader that many daemons depend on costs the platform the calls of a few.
 //!
-//! While all sources answer, updates are never that old, so none of this costs a message.
+//! While sources answer in time, updates are never that old, so none of this costs a message.
 //!
 //! Load pattern: most daemons are killed or frozen at the same moment, readers among them, and the platform turns many
 //! of the others away. The daemons that are left must have a change in time, but they must not all poll a platform that
@@ -59,11 +59,13 @@
 /// Decides when one daemon polls more than one source.
 #[derive(Debug)]
 pub struct Escalation {
+    /// When the daemon started.
     start: clock::Millis,
-    /// When another reader may be polled again.
+    /// When other readers may be polled again.
     peer_at: clock::Millis,
     /// When the platform may be polled again.
     platform_at: clock::Millis,
+    /// The time from the next poll of the platform to the one after it.
     interval: clock::Millis,
 }
 
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -121,7 +121,7 @@
     was_reader: bool,
     /// The backoff after the platform's next failure.
     backoff: clock::Millis,
-    /// The number of polls of another reader, which selects the next one.
+    /// The number of readers that were selected beside the source, which selects the next one.
     extra_polls: usize,
     random: random::Random,
 }
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -145,9 +145,9 @@
         topic: Topic,
         reply: tokio_sync::oneshot::Sender<NextPoll>,
     },
-    /// The task of escalations requests its next step.
-    NextStep {
-        reply: tokio_sync::oneshot::Sender<Step>,
+    /// The task of escalations requests the polls to make beside those of the topics.
+    NextEscalation {
+        reply: tokio_sync::oneshot::Sender<EscalationReply>,
     },
     /// A poll has ended.
     Polled {
@@ -181,11 +181,11 @@
 }
 
 /// What the task of escalations does next.
-enum Step {
+enum EscalationReply {
     /// Wait for a while.
     Wait(clock::Millis),
-    /// Make these polls beside those of the topics.
-    Poll(Vec<NextPoll>),
+    /// Make these polls.
+    Polls(Vec<NextPoll>),
 }
 
 /// What the task of a topic polls next.
@@ -393,14 +393,14 @@
 async fn escalate(poller: Poller) {
     loop {
         let (reply, replied) = tokio_sync::oneshot::channel();
-        let asked = poller.actor.send_message(Message::NextStep { reply });
+        let asked = poller.actor.send_message(Message::NextEscalation { reply });
         if asked.is_err() {
             return;
         }
         match replied.await {
             Err(_) => return,
-            Ok(Step::Wait(span)) => time::sleep(span.span()).await,
-            Ok(Step::Poll(polls)) => {
+            Ok(EscalationReply::Wait(span)) => time::sleep(span.span()).await,
+            Ok(EscalationReply::Polls(polls)) => {
                 // None of them waits for another, since each may go unanswered.
                 for next in polls {
                     let poller = poller.clone();
@@ -586,9 +586,9 @@
                     at: now,
                 });
             }
-            Message::NextStep { reply } => {
-                // As above.
-                let _ = reply.send(state.next_step(now));
+            Message::NextEscalation { reply } => {
+                // This task ends when the actor stops, too.
+                let _ = reply.send(state.next_escalation(now));
             }
             Message::Polled { result, latest } => {
                 state.encoded = None;
@@ -676,55 +676,58 @@
         }
     }
 
-    /// Returns the next step of the task of escalations.
-    fn next_step(&mut self, now: clock::Millis) -> Step {
+    /// Returns the polls to make beside those of the topics, or how long to wait before any are due.
+    fn next_escalation(&mut self, now: clock::Millis) -> EscalationReply {
         let view = self.options.members.borrow().clone();
         // Without a bundle in force, the polls of the topics still look for the first updates.
         let answered = self.answered_at().filter(|_| self.has_published());
         let is_reader = self.selector.is_reader(&view);
         let polls = match self.escalation.next_step(now, answered, is_reader) {
             escalation::Step::Wait(until) => {
-                return Step::Wait((until - now).max(clock::Millis(1)));
-            }
-            escalation::Step::PollPeers => {
-                let mut another = || self.selector.another_reader(&view, &self.source);
-                let names: BTreeSet<_> = [another(), another()].into_iter().flatten().collect();
-                let revisions = self.revisions();
-                let poll = |name| Poll::Peer(name, revisions, clock::Millis::ZERO);
-                let polls = names.into_iter().map(|name| (Topic::Targets, poll(name)));
-                polls.collect()
-            }
-            escalation::Step::PollPlatform if !self.selector.may_poll_platform(now) => Vec::new(),
-            escalation::Step::PollPlatform => {
-                let poll = |topic| self.platform_poll(topic, clock::Millis::ZERO, PLATFORM_PAUSE);
-                Vec::from(Topic::ALL.map(|topic| (topic, poll(topic))))
+                return EscalationReply::Wait((until - now).max(clock::Millis(1)));
             }
+            escalation::Step::PollPeers => self.polls_of_other_readers(now, &view),
+            escalation::Step::PollPlatform => self.polls_of_platform(now),
         };
         let age = answered.map_or(clock::Millis::ZERO, |at| now - at);
-        for (topic, poll) in &polls {
-            let to = match poll {
-                Poll::Peer(name, ..) => name.as_str(),
-                _ => PLATFORM,
+        for next in &polls {
+            let (kind, name) = match &next.poll {
+                Poll::Peer(name, ..) => ("peer", name.as_str()),
+                _ => ("platform", PLATFORM),
             };
             log::info!(
-                topic = topic.as_str(), to = to, source = self.source, age_ms = age.0;
+                topic = next.topic.as_str(), to = name, source = self.source, age_ms = age.0;
                 "updates are old; polling another source too"
             );
-            self.options.metrics.record_escalation(match poll {
-                Poll::Peer(..) => "peer",
-                _ => "platform",
-            });
+            self.options.metrics.record_escalation(kind);
         }
-        let polls = polls.into_iter();
-        Step::Poll(
-            polls
-                .map(|(topic, poll)| NextPoll {
-                    topic,
-                    poll,
-                    at: now,
-                })
-                .collect(),
-        )
+        EscalationReply::Polls(polls)
+    }
+
+    /// Returns polls of two readers other than the source, which reply at once.
+    fn polls_of_other_readers(&mut self, now: clock::Millis, view: &member::View) -> Vec<NextPoll> {
+        let mut another = || self.selector.another_reader(view, &self.source);
+        let names: BTreeSet<_> = [another(), another()].into_iter().flatten().collect();
+        let revisions = self.revisions();
+        let poll = |name| NextPoll {
+            topic: Topic::Targets,
+            poll: Poll::Peer(name, revisions, clock::Millis::ZERO),
+            at: now,
+        };
+        names.into_iter().map(poll).collect()
+    }
+
+    /// Returns polls of the platform for all topics, which it answers at once; none while it fails to answer.
+    fn polls_of_platform(&self, now: clock::Millis) -> Vec<NextPoll> {
+        if !self.selector.may_poll_platform(now) {
+            return Vec::new();
+        }
+        let poll = |topic| NextPoll {
+            topic,
+            poll: self.platform_poll(topic, clock::Millis::ZERO, PLATFORM_PAUSE),
+            at: now,
+        };
+        Topic::ALL.map(poll).into()
     }
 
     /// Logs and counts the source of updates if it is another one than before.
