registry: only peers that were late are polled again after a second, and the age counts from 2.9 s after the start

While the platform is lost all peers are stale, and at 2,600 daemons that would triple the polls of each reader. A peer that did not reply in time is left for one second, one whose updates were stale for three, as before; other readers are polled beside the source each 2 s.

--- a/src/coordination/escalation.rs
+++ b/src/coordination/escalation.rs
@@ -37,9 +37,9 @@
 };
 /// The time after the start of a daemon in which it polls no further sources. The views of daemons that start together
 /// differ, so their updates are old for reasons that further polls do not change.
-const START_SPAN: clock::Millis = clock::Millis(4_000);
-/// The time between two polls of other readers.
-const PEER_INTERVAL: clock::Millis = clock::Millis(1_000);
+const START_SPAN: clock::Millis = clock::Millis(2_900);
+/// The time between two polls of other readers, which have many daemons to answer while the platform is lost.
+const PEER_INTERVAL: clock::Millis = clock::Millis(2_000);
 /// The time between the first two polls of the platform, as long as a call may take; it doubles with each further one.
 const PLATFORM_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// The longest time between two polls of the platform.
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -39,9 +39,11 @@
 const PRIMARIES: usize = 2;
 /// The readers of other failure domains that a daemon polls before the platform: one may fail with its own reader.
 const CHOICES: usize = 2;
-/// How long a peer that failed or was stale is not polled: short, since a daemon that finds no other one polls the
+/// How long a peer that was stale is not polled.
+const STALE_PEER_SPAN: clock::Millis = clock::Millis(3_000);
+/// How long a peer that did not reply in time is not polled: short, since a daemon that finds no other one polls the
 /// platform meanwhile, and a peer that is only slow for a moment is back soon.
-const STALE_PEER_SPAN: clock::Millis = clock::Millis(1_000);
+const LATE_PEER_SPAN: clock::Millis = clock::Millis(1_000);
 /// The backoff after the platform first fails to answer; grows with each further failure.
 const INITIAL_BACKOFF: clock::Millis = clock::Millis(100);
 /// The longest backoff of a reader after the platform failed to answer.
@@ -241,15 +243,20 @@
         self.has_read = true;
     }
 
-    /// Records that `peer` did not answer, or that its updates were stale.
+    /// Records that the updates of `peer` were stale.
     pub fn record_stale_peer(&mut self, now: clock::Millis, peer: &str) {
+        self.exclude(now, peer, STALE_PEER_SPAN);
+    }
+
+    /// Records that `peer` did not reply in time.
+    pub fn record_late_peer(&mut self, now: clock::Millis, peer: &str) {
+        self.exclude(now, peer, LATE_PEER_SPAN);
+    }
+
+    fn exclude(&mut self, now: clock::Millis, peer: &str, span: clock::Millis) {
         // A peer that starts at the same time has data soon.
         let starts = now - self.start < STARTUP_SPAN;
-        let span = if starts {
-            PEER_INTERVAL
-        } else {
-            STALE_PEER_SPAN
-        };
+        let span = if starts { PEER_INTERVAL } else { span };
         self.stale_peers.insert(peer.to_owned(), now + span);
     }
 
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -886,7 +886,8 @@
         reply: Option<(Option<clock::Millis>, PeerUpdates)>,
     ) {
         let Some((age, updates)) = reply else {
-            self.record_stale_peer(now, name);
+            self.selector.record_late_peer(now, name);
+            self.publishers.stale_peers.send_modify(|n| *n += 1);
             return;
         };
         let answered_before = self.answered_at();
--- a/tests/testsuite/readers.rs
+++ b/tests/testsuite/readers.rs
@@ -265,3 +265,18 @@
         .for_each(|name| selector.record_stale_peer(STARTED, name));
     assert_eq!(selector.another_reader(&view, "d9").as_ref(), Some(left[0]));
 }
+
+/// Guards against calls to the platform by all daemons whose reader is late for a moment, as when the rules change.
+#[test]
+fn a_reader_that_was_late_is_polled_again_sooner_than_one_that_was_stale() {
+    let view = view(20);
+    let (mut selector, reader) = peer_poller(&view);
+    let returns = |selector: &mut SourceSelector| {
+        let mut times = (1..50).map(|i| STARTED + Millis(100 * i));
+        times.find(|now| selector.next_source(*now, &view) == Source::Peer(reader.clone()))
+    };
+    selector.record_late_peer(STARTED, &reader);
+    assert_eq!(returns(&mut selector), Some(STARTED + Millis(1_000)));
+    selector.record_stale_peer(STARTED, &reader);
+    assert_eq!(returns(&mut selector), Some(STARTED + Millis(3_000)));
+}
