adoption: a change whose bundle was pushed meanwhile does not cause a read of the full text

Cause: a poller reads the rollout row and fetches the change from the version in force. If a peer pushes the new version before the fetch ends, the change does not apply any more, and the daemon fell back to the full text of a version that it has in force. On a large fleet that is a read of megabytes for each such poller.

Change: a fetched object whose version is not above the one in force is ignored.

--- a/src/coordination/adoption.rs
+++ b/src/coordination/adoption.rs
@@ -394,6 +394,10 @@
             return;
         };
         let record = fetching.record;
+        if record.version <= self.version() {
+            // A peer's push was faster than the fetch.
+            return;
+        }
         let is_full_text = digest == record.digest;
         let text = match content {
             Some(content) if is_full_text => String::from_utf8(content).ok(),
--- a/tests/testsuite/adoption.rs
+++ b/tests/testsuite/adoption.rs
@@ -9,6 +9,7 @@
 use peridotspread::coordination::member;
 use peridotspread::protocol::peer;
 use peridotspread::protocol::rollout;
+use peridotspread::state::bundle::edits;
 use peridotspread::state::clock;
 use peridotspread::state::ids;
 use proptest::prelude::*;
@@ -200,25 +201,30 @@
     assert!(fleet.daemons.values().all(|d| d.fanout_peers().len() == 5));
 }
 
-#[test]
-fn a_daemon_fetches_the_change_and_falls_back_to_the_full_text() {
-    let signer = bundles::signer("operator-1");
-    let mut daemon = adoption("entry-1", "lahore-1", &signer);
-    let first = signer.sign(&bundles::fees(3));
-    daemon.handle_message("entry-2", peer::ControlMessage::Bundle(Box::new(first)));
-    let second = signer.sign(&bundles::fees(4).version(2));
-    let record = rollout::Record {
+/// Returns the row of a rollout to version 2 whose change from version 1 is the object `change`.
+fn change_record(signed: &peer::SignedBundle) -> rollout::Record {
+    rollout::Record {
         version: 2,
-        digest: second.digest.clone(),
-        signer: second.signer.clone(),
-        signature: second.signature.clone(),
+        digest: signed.digest.clone(),
+        signer: signed.signer.clone(),
+        signature: signed.signature.clone(),
         token: "t".to_owned(),
         time: NOW,
         change: Some(rollout::ChangeRef {
             from: 1,
             digest: "change".to_owned(),
         }),
-    };
+    }
+}
+
+#[test]
+fn a_daemon_fetches_the_change_and_falls_back_to_the_full_text() {
+    let signer = bundles::signer("operator-1");
+    let mut daemon = adoption("entry-1", "lahore-1", &signer);
+    let first = signer.sign(&bundles::fees(3));
+    daemon.handle_message("entry-2", peer::ControlMessage::Bundle(Box::new(first)));
+    let second = signer.sign(&bundles::fees(4).version(2));
+    let record = change_record(&second);
     let actions = daemon.handle(NOW, Event::Row(Some(record)));
     assert!(matches!(&actions[..], [Action::Fetch(d)] if d == "change"));
     let corrupted = Event::Object {
@@ -235,6 +241,29 @@
     assert!(matches!(&actions[0], Action::Adopt(b) if b.version == 2));
 }
 
+/// Guards against a fetch of the full text when a peer pushes a bundle while its change is being fetched.
+#[test]
+fn a_change_whose_bundle_was_pushed_meanwhile_causes_no_fetch_of_the_full_text() {
+    let signer = bundles::signer("operator-1");
+    let mut daemon = adoption("entry-1", "lahore-1", &signer);
+    let first = signer.sign(&bundles::fees(3));
+    let second = signer.sign(&bundles::fees(4).version(2));
+    let change = edits::between(&first.text, &second.text);
+    let change = rollout::encode(&change).unwrap();
+    daemon.handle_message("entry-2", peer::ControlMessage::Bundle(Box::new(first)));
+    let record = change_record(&second);
+    let actions = daemon.handle(NOW, Event::Row(Some(record)));
+    assert!(matches!(&actions[..], [Action::Fetch(d)] if d == "change"));
+    daemon.handle_message("entry-2", peer::ControlMessage::Bundle(Box::new(second)));
+    assert_eq!(daemon.version(), 2);
+    let object = Event::Object {
+        digest: "change".to_owned(),
+        content: Some(change),
+    };
+    let actions = daemon.handle(NOW, object);
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
 /// A step of the property test.
 #[derive(Clone, Debug)]
 enum Step {
