registry: tests of late changes run in the runtime's time, with more phases, and with a severed failure domain

The tests ran thousands of registries in real time.

Change: Clock takes its origin from the runtime's clock, which is the system's except in tests with paused time. The tests pause it, so that only the latency that a scene sets counts. What the lack of processor time gave by chance is drawn from seeds: the start of each daemon within a second, each answer's latency from half to one and a half times the mean, 20 moments of the change. The bound of 2,000 ms stays. A new scene severs one failure domain from all readers.

LATE_CHANGES_DAEMONS and LATE_CHANGES_SEEDS set larger fleets and more seeds by hand.

--- a/src/state/clock.rs
+++ b/src/state/clock.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use serde::{Deserialize, Serialize};
+use tokio::time as tokio_time;
 
 /// A point in time or a duration, in milliseconds.
 ///
@@ -74,14 +75,15 @@
 /// A monotonic clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: time::Instant,
+    /// An instant of the runtime, so that tests can let its time pass without waiting.
+    origin: tokio_time::Instant,
 }
 
 impl Clock {
     /// Creates a clock whose origin is the current time.
     pub fn start() -> Clock {
         Clock {
-            origin: time::Instant::now(),
+            origin: tokio_time::Instant::now(),
         }
     }
 
@@ -92,7 +94,7 @@
 
     /// Converts a point in time of this clock to the type of the standard library.
     pub fn instant(&self, at: Millis) -> time::Instant {
-        self.origin + at.span()
+        (self.origin + at.span()).into_std()
     }
 }
 
--- a/tests/testsuite/late_changes.rs
+++ b/tests/testsuite/late_changes.rs
@@ -2,6 +2,7 @@
 //! force in time at every daemon that the platform answers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::env;
 use std::sync::{Arc, Mutex};
 
 use futures_util::future;
@@ -15,15 +16,21 @@
 use peridotspread::state::clock::{Clock, Millis};
 use peridotspread::state::{bundle, ids, timeline};
 use tokio::sync::watch;
+use tokio::time;
 
+use crate::cell::scene::Random;
 use crate::support::hosts::NoHosts;
 
 /// The platform's `config_apply_ms`, in milliseconds: the time within which a change is in force.
 const APPLY: u64 = 2_000;
 /// When the sources fail, in milliseconds since the start.
-const FAILED_AT: u64 = 3_000;
+const FAILED_AT: u64 = 5_000;
+/// The time within which the daemons start, in milliseconds.
+const START_SPREAD: u64 = 1_000;
 /// How long a call to the platform takes to time out, in addition to the time that it may be held.
 const CALL_TIMEOUT: Millis = Millis(1_000);
+/// How long a frozen daemon stands still.
+const FROZEN: u64 = 1_500;
 const DOMAINS: usize = 4;
 
 /// How daemons fail at [`FAILED_AT`].
@@ -35,6 +42,8 @@
     CutOff,
     /// They are silent for 1.5 s, and then go on with what they had read before.
     Frozen,
+    /// Nothing passes between them and the daemons of the first failure domain.
+    Severed,
 }
 
 /// What all daemons of a fleet share: the platform, the failures, and the registries.
@@ -44,8 +53,9 @@
     changed_at: Millis,
     failure: Failure,
     failed: BTreeSet<String>,
-    /// How long each answer takes beyond the time for which it is held.
+    /// How long an answer takes beyond the time for which it is held, on average.
     latency: Millis,
+    random: Mutex<Random>,
     /// The daemons that called the platform after [`FAILED_AT`].
     callers: Mutex<BTreeSet<String>>,
     handles: Mutex<BTreeMap<String, daemon_registry::Handle>>,
@@ -53,21 +63,33 @@
 
 impl World {
     fn is_silent(&self, name: &str) -> bool {
-        /// How long a frozen daemon stands still.
-        const FROZEN: u64 = 1_500;
         let since = self.clock.now() - Millis(FAILED_AT);
         since > Millis::ZERO
             && self.failed.contains(name)
             && match self.failure {
                 Failure::Silent => true,
-                Failure::CutOff => false,
+                Failure::CutOff | Failure::Severed => false,
                 Failure::Frozen => since < Millis(FROZEN),
             }
     }
 
     fn is_cut_off(&self, name: &str) -> bool {
-        let is_cut_off = self.failure != Failure::Frozen && self.failed.contains(name);
-        is_cut_off && self.clock.now() > Millis(FAILED_AT)
+        let is_cut_off = matches!(self.failure, Failure::Silent | Failure::CutOff);
+        is_cut_off && self.failed.contains(name) && self.clock.now() > Millis(FAILED_AT)
+    }
+
+    /// Returns whether nothing passes between two daemons.
+    fn is_severed(&self, a: &str, b: &str) -> bool {
+        let is_cut = |failed, other| self.failed.contains(failed) && domain_of(other) == 0;
+        self.failure == Failure::Severed
+            && self.clock.now() > Millis(FAILED_AT)
+            && (is_cut(a, b) || is_cut(b, a))
+    }
+
+    /// Returns how long the next answer takes.
+    fn latency(&self) -> Millis {
+        let mut random = self.random.lock().unwrap();
+        Millis(self.latency.0 / 2 + random.below(self.latency.0 + 1))
     }
 
     fn batch(&self, topic: Topic, since: u64, whole: bool) -> Batch {
@@ -90,10 +112,31 @@
         }
     }
 
-    /// Waits until a daemon is no longer silent.
-    async fn heard(&self, name: &str) {
-        while self.is_silent(name) {
-            tokio::time::sleep(Millis(5).span()).await;
+    /// Sleeps until `end` or until daemons fail or recover or the rules change, whichever is first. The tests run
+    /// thousands of daemons, so that shorter sleeps would take the processor time whose lack they must not measure.
+    async fn sleep(&self, end: Millis) {
+        let now = self.clock.now();
+        let changes = [
+            end,
+            self.changed_at,
+            Millis(FAILED_AT + 1),
+            Millis(FAILED_AT + FROZEN),
+        ];
+        let next = changes.into_iter().filter(|at| *at > now).min();
+        match next {
+            Some(next) => time::sleep((next - now).span()).await,
+            None => future::pending().await,
+        }
+    }
+
+    /// Waits until messages pass between two daemons, or between a daemon and the platform.
+    async fn reached(&self, name: &str, from: Option<&str>) {
+        let is_lost = || match from {
+            Some(from) => self.is_severed(from, name) || self.is_silent(from),
+            None => self.is_silent(name),
+        };
+        while is_lost() {
+            self.sleep(Millis::ZERO).await;
         }
     }
 }
@@ -121,18 +164,18 @@
         loop {
             if world.is_cut_off(&self.name) {
                 let timeout = begin + wait + CALL_TIMEOUT - world.clock.now();
-                tokio::time::sleep(timeout.span()).await;
+                time::sleep(timeout.span()).await;
                 return source::UnavailableSnafu { reason: "cut off" }.fail();
             }
             let batch = world.batch(topic, revision, whole);
             let is_due = world.clock.now() >= begin + wait;
             if whole || is_due || !batch.changes.is_empty() {
-                tokio::time::sleep(world.latency.span()).await;
+                time::sleep(world.latency().span()).await;
                 // A frozen daemon reads the answer once it goes on.
-                world.heard(&self.name).await;
+                world.reached(&self.name, None).await;
                 return Ok(batch);
             }
-            tokio::time::sleep(Millis(5).span()).await;
+            world.sleep(begin + wait).await;
         }
     }
 }
@@ -159,15 +202,21 @@
                 let reason = "it has not started";
                 return peer::NoReplySnafu { to, reason }.fail();
             };
-            self.world.heard(to).await;
+            self.world.reached(&self.name, Some(to)).await;
             let reply = handle.handle("", version::Version::CURRENT, message).await;
-            tokio::time::sleep(self.world.latency.span()).await;
-            self.world.heard(to).await;
+            time::sleep(self.world.latency().span()).await;
+            self.world.reached(&self.name, Some(to)).await;
             Ok(reply)
         })
     }
 }
 
+/// Returns the number of a daemon's failure domain.
+fn domain_of(name: &str) -> usize {
+    let number: usize = name[1..].parse().unwrap();
+    number % DOMAINS
+}
+
 fn view(daemons: usize) -> member::View {
     let members = (0..daemons).map(|i| {
         let member = member::Member {
@@ -211,50 +260,25 @@
     /// The time from its confirmation until it was in force at the daemon that was last, of those that did not fail.
     slowest: Millis,
     name: String,
+    seed: u64,
     /// The daemons that called the platform after the failure.
     callers: BTreeSet<String>,
 }
 
-/// Returns how a change came into force that was confirmed `phase` after the failure, or before it if negative.
-async fn delay(scene: &Scene, phase: i64) -> Delay {
-    let clock = Clock::start();
+/// Returns how a change came into force that was confirmed at `changed_at`. The seed decides when the daemons start and
+/// how long answers take.
+async fn delay(scene: &Scene, changed_at: Millis, seed: u64) -> Delay {
+    let mut random = Random(seed);
     let view = view(scene.daemons);
     let failed = &scene.failed;
     let (_members, members) = watch::channel(Arc::new(view.clone()));
-    let world = Arc::new(World {
-        clock,
-        changed_at: Millis(FAILED_AT.saturating_add_signed(phase)),
-        failure: scene.failure,
-        failed: failed.clone(),
-        latency: scene.latency,
-        callers: Mutex::default(),
-        handles: Mutex::default(),
-    });
+    let world = world(scene, changed_at, seed);
     let mut waits = Vec::new();
-    for (i, (name, member)) in view.members.iter().enumerate() {
+    for name in view.members.keys() {
         // The phases of the daemons differ.
-        tokio::time::sleep(Millis(u64::from(i % 5 == 0) * 15).span()).await;
-        let daemon = Arc::new(Daemon {
-            name: name.clone(),
-            world: world.clone(),
-        });
-        let handle = daemon_registry::spawn(daemon_registry::Options {
-            recorder: Arc::new(timeline::Recorder::new(name, ids::Incarnation(1))),
-            name: name.clone(),
-            domain: member.domain.clone(),
-            clock: Clock::start(),
-            source: daemon.clone(),
-            members: members.clone(),
-            sender: daemon,
-            hosts: Arc::new(NoHosts),
-            metrics: Arc::new(metrics::Metrics::new().unwrap()),
-        });
-        let handle = handle.await.unwrap();
-        world
-            .handles
-            .lock()
-            .unwrap()
-            .insert(name.clone(), handle.clone());
+        let pause = random.below(2 * START_SPREAD / scene.daemons as u64);
+        time::sleep(Millis(pause).span()).await;
+        let handle = start(&world, &members, name).await;
         if !failed.contains(name) {
             let (world, name) = (world.clone(), name.clone());
             waits.push(async move {
@@ -271,31 +295,91 @@
     Delay {
         slowest,
         name,
+        seed,
         callers,
     }
 }
 
-const DAEMONS: usize = 24;
+fn world(scene: &Scene, changed_at: Millis, seed: u64) -> Arc<World> {
+    Arc::new(World {
+        clock: Clock::start(),
+        changed_at,
+        failure: scene.failure,
+        failed: scene.failed.clone(),
+        latency: scene.latency,
+        random: Mutex::new(Random(!seed)),
+        callers: Mutex::default(),
+        handles: Mutex::default(),
+    })
+}
+
+/// Starts the registry of one daemon.
+async fn start(
+    world: &Arc<World>,
+    members: &watch::Receiver<Arc<member::View>>,
+    name: &str,
+) -> daemon_registry::Handle {
+    let daemon = Arc::new(Daemon {
+        name: name.to_owned(),
+        world: world.clone(),
+    });
+    let domain = members.borrow().members[name].domain.clone();
+    let handle = daemon_registry::spawn(daemon_registry::Options {
+        recorder: Arc::new(timeline::Recorder::new(name, ids::Incarnation(1))),
+        name: name.to_owned(),
+        domain,
+        clock: Clock::start(),
+        source: daemon.clone(),
+        members: members.clone(),
+        sender: daemon,
+        hosts: Arc::new(NoHosts),
+        metrics: Arc::new(metrics::Metrics::new().unwrap()),
+    });
+    let handle = handle.await.unwrap();
+    let mut handles = world.handles.lock().unwrap();
+    handles.insert(name.to_owned(), handle.clone());
+    handle
+}
+
+/// Returns a number that runs by hand set in the environment.
+fn setting(name: &str, default: usize) -> usize {
+    let value = env::var(name).ok();
+    value.map_or(default, |v| v.parse().expect("the setting is a number"))
+}
 
-/// Asserts that a change is in force in time although the daemons of `failed` fail, at several moments of the change.
+fn fleet_size() -> usize {
+    setting("LATE_CHANGES_DAEMONS", 24)
+}
+
+/// Asserts that a change is in force in time although the daemons of `failed` fail.
 async fn assert_in_time(failure: Failure, failed: BTreeSet<String>, latency: Millis) {
     let scene = Scene {
-        daemons: DAEMONS,
+        daemons: fleet_size(),
         failure,
         failed,
         latency,
     };
-    let phases = (-6..9).map(|i| delay(&scene, 100 * i));
-    let all = future::join_all(phases).await.into_iter();
-    let last = all.max_by_key(|delay| delay.slowest);
-    let Delay { slowest, name, .. } = last.expect("there are phases");
+    let seeds = 0..setting("LATE_CHANGES_SEEDS", 20) as u64;
+    let delays = seeds.map(|seed| {
+        // From 600 ms before the failure to 900 ms after it.
+        let changed_at = FAILED_AT - 600 + seed * 370 % 1_500;
+        delay(&scene, Millis(changed_at), seed)
+    });
+    let delays = future::join_all(delays).await;
+    let last = delays.into_iter().max_by_key(|delay| delay.slowest);
+    let Delay {
+        slowest,
+        name,
+        seed,
+        ..
+    } = last.expect("there are seeds");
     println!(
-        "{failure:?} {:?} {latency}: {slowest} at {name}",
+        "{failure:?} {} {latency}: {slowest} at {name}, seed {seed}",
         scene.failed.len()
     );
     assert!(
         slowest < Millis(APPLY),
-        "in force at {name} after {slowest}, at most {APPLY} ms allowed"
+        "in force at {name} after {slowest}, at most {APPLY} ms allowed, seed {seed}"
     );
 }
 
@@ -304,52 +388,61 @@
 const LOADED: Millis = Millis(220);
 
 fn primaries() -> BTreeSet<String> {
-    readers(&view(DAEMONS)).into_iter().take(2).collect()
+    readers(&view(fleet_size())).into_iter().take(2).collect()
 }
 
 fn all_readers() -> BTreeSet<String> {
-    readers(&view(DAEMONS)).into_iter().collect()
+    readers(&view(fleet_size())).into_iter().collect()
 }
 
 /// Returns most of the daemons, all readers among them.
 fn most() -> BTreeSet<String> {
-    let others = (0..DAEMONS).filter(|i| i % 3 > 0).map(|i| format!("d{i}"));
+    let others = (0..fleet_size())
+        .filter(|i| i % 3 > 0)
+        .map(|i| format!("d{i}"));
     others.chain(all_readers()).collect()
 }
 
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test(start_paused = true)]
 async fn a_change_is_in_force_in_time_where_the_readers_that_poll_the_platform_fail() {
     for failure in [Failure::Silent, Failure::CutOff, Failure::Frozen] {
         assert_in_time(failure, primaries(), IDLE).await;
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test(start_paused = true)]
 async fn a_change_is_in_force_in_time_where_all_readers_fail() {
     for failure in [Failure::Silent, Failure::CutOff, Failure::Frozen] {
         assert_in_time(failure, all_readers(), IDLE).await;
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test(start_paused = true)]
 async fn a_change_is_in_force_in_time_where_most_daemons_fall_silent() {
     assert_in_time(Failure::Silent, most(), IDLE).await;
 }
 
 /// Guards against timeouts of sources that add up to more than the bound on a host that is slow: two sources that fall
 /// silent at the same moment cost their timeouts one after the other.
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test(start_paused = true)]
 async fn a_change_is_in_force_in_time_where_all_readers_fall_silent_and_hosts_are_loaded() {
     assert_in_time(Failure::Silent, all_readers(), LOADED).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test(start_paused = true)]
 async fn a_change_is_in_force_in_time_where_all_readers_stand_still_and_hosts_are_loaded() {
     assert_in_time(Failure::Frozen, all_readers(), LOADED).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_where_a_failure_domain_is_severed_from_all_readers() {
+    for latency in [IDLE, LOADED] {
+        assert_in_time(Failure::Severed, all_readers(), latency).await;
+    }
+}
+
 /// Guards against a platform that the whole fleet calls because the readers that poll it are lost.
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test(start_paused = true)]
 async fn the_loss_of_the_readers_that_poll_the_platform_makes_only_readers_call_it() {
     let scene = Scene {
         daemons: 96,
@@ -358,7 +451,7 @@
         latency: IDLE,
     };
     let readers: BTreeSet<_> = readers(&view(96)).into_iter().collect();
-    let callers = delay(&scene, 1_000).await.callers;
+    let callers = delay(&scene, Millis(FAILED_AT + 1_000), 0).await.callers;
     let own: BTreeSet<_> = callers.difference(&readers).collect();
     assert!(own.is_empty(), "{own:?} called the platform");
 }
