registry: a peer that knows nothing of a topic is told that there is nothing in it

Cause: updates without changes are not sent, to save the encoding. A daemon whose revision of the targets is 0 needs them all the same: they carry the revision, and so say that the list is empty.

--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -995,7 +995,9 @@
                 .updates_since(now, Topic::Targets, revisions.targets),
             version: version::Version::CURRENT,
         };
-        if updates.is_empty() {
+        // A peer that knows nothing of a topic has to learn that there is nothing in it.
+        let is_known = revisions.rules > 0 && revisions.targets > 0;
+        if updates.is_empty() && is_known {
             return Vec::new();
         }
         if version == version::Version::FIRST {
--- a/tests/testsuite/late_changes.rs
+++ b/tests/testsuite/late_changes.rs
@@ -44,6 +44,8 @@
     Frozen,
     /// Nothing passes between them and the daemons of the first failure domain.
     Severed,
+    /// Their packets are lost and sent again, so that a third of the answers to them and from them come late.
+    Lossy,
 }
 
 /// What all daemons of a fleet share: the platform, the failures, and the registries.
@@ -68,7 +70,7 @@
             && self.failed.contains(name)
             && match self.failure {
                 Failure::Silent => true,
-                Failure::CutOff | Failure::Severed => false,
+                Failure::CutOff | Failure::Severed | Failure::Lossy => false,
                 Failure::Frozen => since < Millis(FROZEN),
             }
     }
@@ -86,10 +88,18 @@
             && (is_cut(a, b) || is_cut(b, a))
     }
 
-    /// Returns how long the next answer takes.
-    fn latency(&self) -> Millis {
+    /// Returns how long an answer to `to` takes, which `from` sends unless the platform does.
+    fn latency(&self, to: &str, from: Option<&str>) -> Millis {
+        let is_lossy = self.failure == Failure::Lossy
+            && self.clock.now() > Millis(FAILED_AT)
+            && (self.failed.contains(to) || from.is_some_and(|f| self.failed.contains(f)));
         let mut random = self.random.lock().unwrap();
-        Millis(self.latency.0 / 2 + random.below(self.latency.0 + 1))
+        let latency = self.latency.0 / 2 + random.below(self.latency.0 + 1);
+        match random.below(6) {
+            0 if is_lossy => Millis(latency + 300),
+            1 if is_lossy => Millis(latency + 700),
+            _ => Millis(latency),
+        }
     }
 
     fn batch(&self, topic: Topic, since: u64, whole: bool) -> Batch {
@@ -170,7 +180,7 @@
             let batch = world.batch(topic, revision, whole);
             let is_due = world.clock.now() >= begin + wait;
             if whole || is_due || !batch.changes.is_empty() {
-                time::sleep(world.latency().span()).await;
+                time::sleep(world.latency(&self.name, None).span()).await;
                 // A frozen daemon reads the answer once it goes on.
                 world.reached(&self.name, None).await;
                 return Ok(batch);
@@ -204,7 +214,8 @@
             };
             self.world.reached(&self.name, Some(to)).await;
             let reply = handle.handle("", version::Version::CURRENT, message).await;
-            time::sleep(self.world.latency().span()).await;
+            let latency = self.world.latency(&self.name, Some(to));
+            time::sleep(latency.span()).await;
             self.world.reached(&self.name, Some(to)).await;
             Ok(reply)
         })
@@ -441,6 +452,13 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_where_all_readers_lose_packets() {
+    for latency in [IDLE, LOADED] {
+        assert_in_time(Failure::Lossy, all_readers(), latency).await;
+    }
+}
+
 /// Guards against a platform that the whole fleet calls because the readers that poll it are lost.
 #[tokio::test(start_paused = true)]
 async fn the_loss_of_the_readers_that_poll_the_platform_makes_only_readers_call_it() {
@@ -455,3 +473,32 @@
     let own: BTreeSet<_> = callers.difference(&readers).collect();
     assert!(own.is_empty(), "{own:?} called the platform");
 }
+
+/// Guards against a daemon that has rules but never comes into service where the platform lists no targets yet.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_has_only_the_rules_is_told_that_there_are_no_targets() {
+    let scene = Scene {
+        daemons: 1,
+        failure: Failure::Silent,
+        failed: BTreeSet::new(),
+        latency: IDLE,
+    };
+    let world = world(&scene, Millis::MAX, 0);
+    let (_members, members) = watch::channel(Arc::new(view(1)));
+    let handle = start(&world, &members, "d0").await;
+    handle.bundle().wait_for(|b| b.version == 1).await.unwrap();
+    let told = async |rules, targets| {
+        let request = peer::ControlMessage::GetUpdates {
+            rules,
+            targets,
+            wait: Millis::ZERO,
+        };
+        let reply = handle.handle("d1", version::Version::CURRENT, request);
+        match reply.await {
+            peer::ControlMessage::Updates { changes, .. } => !changes.is_empty(),
+            reply => panic!("{reply:?}"),
+        }
+    };
+    assert!(told(1, 0).await);
+    assert!(!told(1, 1).await);
+}
