registry: a reply counts as made by the time that recent replies took, not when it was read

Cause: the age of the updates bounds how late a change is in force, and it was reckoned from the latest time at which a reply could have been made: when it was read, or when the time had passed for which the source could hold it. Peers reply early since, when the platform answers them anew, so on a loaded host each such reply made the updates look fresher by all the time that it was under way.

Change: ReplyTime learns how long replies take from those that come after the time for which they could be held, and takes that span off. On idle hosts it is a few milliseconds.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 pub mod rate_limit;
 pub mod readers;
 pub mod registry;
+pub mod reply_time;
 pub mod retry;
 pub mod scarcity;
 pub mod statements;
--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -11,7 +11,7 @@
 use tokio::{sync as tokio_sync, time};
 
 use crate::coordination;
-use crate::coordination::{escalation, homes, member, readers};
+use crate::coordination::{escalation, homes, member, readers, reply_time};
 use crate::daemon::{metrics, stop};
 use crate::protocol::source::{self, Batch, Topic};
 use crate::protocol::{peer, platform, version};
@@ -152,8 +152,10 @@
     /// A poll has ended.
     Polled {
         result: Box<PollResult>,
-        /// The latest time at which the answer can have been made, however late it was read.
-        latest: clock::Millis,
+        /// When the poll was made.
+        asked: clock::Millis,
+        /// How long the source could hold it.
+        wait: clock::Millis,
     },
     /// A peer requests the updates after its revisions.
     GetUpdates {
@@ -338,7 +340,7 @@
     /// stopped or the poll is a pause.
     async fn run(&self, next: NextPoll) -> Option<bool> {
         let NextPoll { topic, poll, at } = next;
-        let latest = at + poll.wait();
+        let wait = poll.wait();
         let result = match poll {
             Poll::Read => PollResult::Platform(topic, self.source.read(topic).await),
             Poll::Follow { revision, wait, .. } => {
@@ -352,7 +354,11 @@
         };
         let has_changes = result.has_changes();
         let result = Box::new(result);
-        let sent = self.actor.send_message(Message::Polled { result, latest });
+        let sent = self.actor.send_message(Message::Polled {
+            result,
+            asked: at,
+            wait,
+        });
         sent.is_ok().then_some(has_changes)
     }
 }
@@ -509,6 +515,10 @@
     registry: coordination::registry::Registry,
     selector: readers::SourceSelector,
     escalation: escalation::Escalation,
+    /// How long answers of the platform take.
+    platform_time: reply_time::ReplyTime,
+    /// How long replies of peers take.
+    peer_time: reply_time::ReplyTime,
     options: Options,
     publishers: Publishers,
     /// When the platform last answered for each topic, here or at the peer that was polled.
@@ -552,6 +562,8 @@
             registry: coordination::registry::Registry::default(),
             selector: readers::SourceSelector::new(now, &options.name, &options.domain),
             escalation: escalation::Escalation::new(now),
+            platform_time: reply_time::ReplyTime::default(),
+            peer_time: reply_time::ReplyTime::default(),
             options,
             publishers,
             answered: BTreeMap::new(),
@@ -590,15 +602,22 @@
                 // This task ends when the actor stops, too.
                 let _ = reply.send(state.next_escalation(now));
             }
-            Message::Polled { result, latest } => {
+            Message::Polled {
+                result,
+                asked,
+                wait,
+            } => {
                 state.encoded = None;
-                // A daemon that stood still may read an answer long after it was made.
-                let made = latest.min(now);
                 match *result {
                     PollResult::Platform(topic, outcome) => {
+                        let made = state.platform_time.made_at(now, asked, wait);
                         state.handle_platform(now, made, topic, outcome);
                     }
-                    PollResult::Peer(name, reply) => state.handle_peer(now, made, &name, reply),
+                    PollResult::Peer(name, None) => state.handle_late_peer(now, &name),
+                    PollResult::Peer(name, Some(reply)) => {
+                        let made = state.peer_time.made_at(now, asked, wait);
+                        state.handle_peer(now, made, &name, reply);
+                    }
                 }
             }
             Message::GetUpdates {
@@ -834,7 +853,7 @@
         }
     }
 
-    /// Handles the result of polling the platform for a topic; `made` is the latest time at which it can have answered.
+    /// Handles the result of polling the platform for a topic; `made` is when it answered.
     fn handle_platform(
         &mut self,
         now: clock::Millis,
@@ -877,19 +896,14 @@
         }
     }
 
-    /// Handles the reply of a peer; `made` is the latest time at which it can have been made.
+    /// Handles the reply of a peer; `made` is when it was made.
     fn handle_peer(
         &mut self,
         now: clock::Millis,
         made: clock::Millis,
         name: &str,
-        reply: Option<(Option<clock::Millis>, PeerUpdates)>,
+        (age, updates): (Option<clock::Millis>, PeerUpdates),
     ) {
-        let Some((age, updates)) = reply else {
-            self.selector.record_late_peer(now, name);
-            self.publishers.stale_peers.send_modify(|n| *n += 1);
-            return;
-        };
         let answered_before = self.answered_at();
         let age = age.map(|age| age + (now - made));
         let span = self.selector.fresh_span(&self.options.members.borrow());
@@ -930,6 +944,12 @@
         }
     }
 
+    /// Handles a peer that did not reply in time.
+    fn handle_late_peer(&mut self, now: clock::Millis, name: &str) {
+        self.selector.record_late_peer(now, name);
+        self.publishers.stale_peers.send_modify(|n| *n += 1);
+    }
+
     fn record_stale_peer(&mut self, now: clock::Millis, name: &str) {
         self.selector.record_stale_peer(now, name);
         self.publishers.stale_peers.send_modify(|n| *n += 1);
--- a/tests/testsuite/escalation.rs
+++ b/tests/testsuite/escalation.rs
@@ -1,6 +1,7 @@
 //! When a daemon polls more than one source: by the age of its updates.
 
 use peridotspread::coordination::escalation::{Escalation, FOLLOWER_AGES, READER_AGES, Step};
+use peridotspread::coordination::reply_time::ReplyTime;
 use peridotspread::state::clock::Millis;
 
 /// The platform's `config_apply_ms`.
@@ -90,3 +91,25 @@
         assert!(matches!(step, Step::Wait(until) if until > Millis(now)));
     }
 }
+
+/// Guards against updates that look fresher by the time for which a reply without a long wait was under way.
+#[test]
+fn a_reply_that_is_made_early_and_takes_long_counts_as_old() {
+    let mut times = ReplyTime::default();
+    let (asked, wait) = (Millis(10_000), Millis(600));
+    // Held for the whole time, then 250 ms under way.
+    assert_eq!(times.made_at(Millis(10_850), asked, wait), asked + wait);
+    // Made after 300 ms, then 250 ms under way; the second one is read after the time for which it could be held.
+    let asked = Millis(20_000);
+    assert_eq!(times.made_at(Millis(20_550), asked, wait), Millis(20_300));
+    assert_eq!(
+        times.made_at(Millis(20_610), asked, wait),
+        Millis(20_610 - 188)
+    );
+    // A daemon that stood still for 5 s learns nothing from that, and no reply is older than its request.
+    assert_eq!(times.made_at(Millis(25_600), asked, wait), asked + wait);
+    assert_eq!(
+        times.made_at(Millis(30_100), Millis(30_000), wait),
+        Millis(30_000)
+    );
+}
