--- a/tests/testsuite/late_changes.rs
+++ b/tests/testsuite/late_changes.rs
@@ -1,5 +1,5 @@
-//! Fleets of registries on one platform, in which sources of changes fail at the moment of a change: the change is in
-//! force in time at every daemon that the platform answers.
+//! Fleets of registries on one platform, in simulated time, in which sources of changes fail at the moment of a change:
+//! the change is in force in time at every daemon that the platform answers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::env;
@@ -122,8 +122,8 @@
         }
     }
 
-    /// Sleeps until `end` or until daemons fail or recover or the rules change, whichever is first. The tests run
-    /// thousands of daemons, so that shorter sleeps would take the processor time whose lack they must not measure.
+    /// Sleeps until `end` or until daemons fail or recover or the rules change, whichever is first. Shorter sleeps would
+    /// make the tests slow, since they run thousands of daemons.
     async fn sleep(&self, end: Millis) {
         let now = self.clock.now();
         let changes = [
