registry: the tests of late changes draw numbers by a function of their own

scenes, an example, includes the generator of the cells' scenes and does not use what added to it; the linter refused it as dead code.

--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -105,11 +105,6 @@
         (self.next() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// Returns a uniform number below `bound`.
-    pub(crate) fn below(&mut self, bound: u64) -> u64 {
-        (self.unit() * bound as f64) as u64
-    }
-
     fn normal(&mut self) -> f64 {
         let (u, v) = (1.0 - self.unit(), self.unit());
         (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos()
--- a/tests/testsuite/late_changes.rs
+++ b/tests/testsuite/late_changes.rs
@@ -94,8 +94,8 @@
             && self.clock.now() > Millis(FAILED_AT)
             && (self.failed.contains(to) || from.is_some_and(|f| self.failed.contains(f)));
         let mut random = self.random.lock().unwrap();
-        let latency = self.latency.0 / 2 + random.below(self.latency.0 + 1);
-        match random.below(6) {
+        let latency = self.latency.0 / 2 + below(&mut random, self.latency.0 + 1);
+        match below(&mut random, 6) {
             0 if is_lossy => Millis(latency + 300),
             1 if is_lossy => Millis(latency + 700),
             _ => Millis(latency),
@@ -222,6 +222,11 @@
     }
 }
 
+/// Returns a uniform number below `bound`.
+fn below(random: &mut Random, bound: u64) -> u64 {
+    (random.unit() * bound as f64) as u64
+}
+
 /// Returns the number of a daemon's failure domain.
 fn domain_of(name: &str) -> usize {
     let number: usize = name[1..].parse().unwrap();
@@ -287,7 +292,7 @@
     let mut waits = Vec::new();
     for name in view.members.keys() {
         // The phases of the daemons differ.
-        let pause = random.below(2 * START_SPREAD / scene.daemons as u64);
+        let pause = below(&mut random, 2 * START_SPREAD / scene.daemons as u64);
         time::sleep(Millis(pause).span()).await;
         let handle = start(&world, &members, name).await;
         if !failed.contains(name) {
