registry: a peer that knows nothing yet replies without changes, so that polls of starting daemons are held

Two daemons that start together answer each other's polls after a while, when one has something; they answered at once instead, took each other for stale and went to the platform sooner.

Change: such a reply is sent only where this daemon knows the topic.

Result: the test's new assertion fails before and passes now; 60 tests of late changes, escalation, readers, freshness, store calls, registry and restore pass.

--- a/src/daemon/registry.rs
+++ b/src/daemon/registry.rs
@@ -1016,8 +1016,10 @@
             version: version::Version::CURRENT,
         };
         // A peer that knows nothing of a topic has to learn that there is nothing in it.
-        let is_known = revisions.rules > 0 && revisions.targets > 0;
-        if updates.is_empty() && is_known {
+        let is_new = |known: u64, batch: &Batch| known == 0 && batch.revision > 0;
+        let has_new_topic =
+            is_new(revisions.rules, &updates.rules) || is_new(revisions.targets, &updates.targets);
+        if updates.is_empty() && !has_new_topic {
             return Vec::new();
         }
         if version == version::Version::FIRST {
--- a/tests/testsuite/late_changes.rs
+++ b/tests/testsuite/late_changes.rs
@@ -491,7 +491,6 @@
     let world = world(&scene, Millis::MAX, 0);
     let (_members, members) = watch::channel(Arc::new(view(1)));
     let handle = start(&world, &members, "d0").await;
-    handle.bundle().wait_for(|b| b.version == 1).await.unwrap();
     let told = async |rules, targets| {
         let request = peer::ControlMessage::GetUpdates {
             rules,
@@ -504,6 +503,11 @@
             reply => panic!("{reply:?}"),
         }
     };
+    assert!(
+        !told(0, 0).await,
+        "nothing is known before the platform answers"
+    );
+    handle.bundle().wait_for(|b| b.version == 1).await.unwrap();
     assert!(told(1, 0).await);
     assert!(!told(1, 1).await);
 }
