--- a/review/standin/src/bin/route.rs
+++ b/review/standin/src/bin/route.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use review_standin::config::{self, HOST, Route};
-use review_standin::fleet::{self, Daemon, Folder};
+use review_standin::fleet::{self, Daemon, Folder, Site};
 use review_standin::record::Record;
 use review_standin::store::Store;
 use review_standin::upstream::Upstream;
@@ -49,7 +49,7 @@
     }
     let first = [route("/clubs/", "jadwal"), route("/ledger/", "khazana")];
     store.put("op", "config", &config::config(3, &first, 67_108_864));
-    let daemons = fleet::start(&folder, &["zone-a", "zone-a", "zone-b"], &store, record)?;
+    let daemons = fleet::start(&folder, Site::Sabaq, &["zone-a", "zone-a", "zone-b"], &store, record)?;
     send_all(record, &daemons, "before", "/clubs/fees");
     if review_standin::has_trouble() {
         let second = [first, [route("/clubs/fees/", "khazana"), route("/clubs/seats/", "khazana")]];
--- a/review/standin/src/bin/term.rs
+++ b/review/standin/src/bin/term.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use review_standin::config::{self, HOST, Route};
-use review_standin::fleet::{self, Daemon, Folder};
+use review_standin::fleet::{self, Daemon, Folder, Site};
 use review_standin::http::{Connection, Message};
 use review_standin::record::Record;
 use review_standin::store::Store;
@@ -63,7 +63,7 @@
         max_attempts: 2,
     }];
     store.put("op", "config", &config::config(3, &routes, 67_108_864));
-    let mut daemons = fleet::start(&folder, &["zone-a", "zone-a", "zone-a"], &store, record)?;
+    let mut daemons = fleet::start(&folder, Site::Sabaq, &["zone-a", "zone-a", "zone-a"], &store, record)?;
     let mut kept = Vec::new();
     for i in 0..KEPT {
         let mut connection = daemons[0].connect()?;
--- a/review/standin/src/bin/upload.rs
+++ b/review/standin/src/bin/upload.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use review_standin::config::{self, HOST, Route};
-use review_standin::fleet::{self, Daemon, Folder};
+use review_standin::fleet::{self, Daemon, Folder, Site};
 use review_standin::http::Message;
 use review_standin::others::Others;
 use review_standin::record::Record;
@@ -56,7 +56,7 @@
         max_attempts: 2,
     }];
     store.put("op", "config", &config::config(3, &routes, 67_108_864));
-    let daemons = fleet::start(&folder, &["zone-a", "zone-b", "zone-a"], &store, record)?;
+    let daemons = fleet::start(&folder, Site::Scriobh, &["zone-a", "zone-b", "zone-a"], &store, record)?;
     let others = Others::start(record, &daemons, 1, "/scans/fee/");
     thread::sleep(Duration::from_millis(1_000));
     let body: Vec<u8> = (0..BODY).map(|i| (i * 31 % 251) as u8).collect();
