--- a/review/standin/src/bin/term.rs
+++ b/review/standin/src/bin/term.rs
@@ -1,5 +1,5 @@
-//! A daemon gets SIGTERM. Requests that come a little over 3 s later on connections that clients keep open are read and
-//! passed on, and the process ends before they are answered.
+//! Two daemons are stopped in turn. Requests that come a little over 3 s after the SIGTERM of the second one, on
+//! connections that clients keep open, are read and passed on, and the process ends before they are answered.
 
 use std::io;
 use std::process::ExitCode;
@@ -17,10 +17,12 @@
 /// The connections that clients keep open to the daemon that gets SIGTERM. Each carries one request later.
 const KEPT: usize = 40;
 /// When the first of these requests is sent, after SIGTERM, and the time between two of them.
-const FIRST_AT: Duration = Duration::from_millis(2_900);
-const STEP: Duration = Duration::from_millis(10);
+const FIRST_AT: Duration = Duration::from_millis(3_050);
+const STEP: Duration = Duration::from_millis(18);
 /// The work of these requests, below the most that the site has for `seat-check` (3,600 ms).
-const WORK: Duration = Duration::from_millis(2_850);
+const WORK: Duration = Duration::from_millis(2_800);
+/// The mean work of `seat-check`.
+const MEAN: Duration = Duration::from_millis(600);
 /// The time-out of the route and the deadline of `seat-check`.
 const TIMEOUT: Duration = Duration::from_millis(3_000);
 const DEADLINE: Duration = Duration::from_millis(6_000);
@@ -45,9 +47,9 @@
     let folder = Folder::create("term")?;
     let ip = fleet::free_address();
     let store = Store::start(ip)?;
-    let work = |request: &Message| Some(if request.word(1).ends_with("long") { WORK } else { Duration::from_millis(20) });
+    let work = |request: &Message| Some(if request.word(1).ends_with("long") { WORK } else { MEAN });
     let mut upstreams = Vec::new();
-    for i in 0..16 {
+    for i in 0..24 {
         let id = format!("i-{i}");
         let upstream = Upstream::start(ip, (&id, "nashist", "zone-a"), 3, record, Box::new(work))?;
         store.put("servers", &id, &upstream.entry());
@@ -63,17 +65,32 @@
         max_attempts: 2,
     }];
     store.put("op", "config", &config::config(3, &routes, 67_108_864));
-    let mut daemons = fleet::start(&folder, Site::Sabaq, &["zone-a", "zone-a", "zone-a"], &store, record)?;
-    let mut kept = Vec::new();
+    let mut daemons = fleet::start(&folder, Site::Sabaq, &["zone-a"; 4], &store, record)?;
+    // Ordinary requests, by which the daemons come to use all slots of the upstreams.
+    let mut opening = Vec::new();
     for i in 0..KEPT {
-        let mut connection = daemons[0].connect()?;
-        let end = exchange(record, &mut connection, &format!("early-{i}"), "/seats/short", Instant::now())?;
-        if end.status != Some(200) {
-            return Err(io::Error::other("an ordinary request is not served"));
-        }
-        kept.push(connection);
+        let (mut connection, record) = (daemons[0].connect()?, record.clone());
+        opening.push(thread::spawn(move || {
+            for n in 0..3 {
+                let end = exchange(&record, &mut connection, &format!("early-{i}-{n}"), "/seats/short", Instant::now())?;
+                if end.status != Some(200) {
+                    return Err(io::Error::other("an ordinary request is not served"));
+                }
+            }
+            Ok(connection)
+        }));
+    }
+    let mut kept = Vec::new();
+    for opened in opening {
+        kept.push(opened.join().map_err(|_| io::Error::other("a client failed"))??);
     }
     thread::sleep(Duration::from_secs(1));
+    if review_standin::has_trouble() {
+        daemons[1].signal(system::SIGTERM);
+        record.add(&format!("SIGTERM to {}, which has no clients", daemons[1].name));
+        let began = Instant::now();
+        end_of(&mut daemons[1], record, began);
+    }
     let term = Instant::now();
     if review_standin::has_trouble() {
         daemons[0].signal(system::SIGTERM);
@@ -103,10 +120,10 @@
     Ok(lost > 0)
 }
 
-/// Waits for the process to end within the grace.
+/// Waits for the process to end within the grace, and kills it after that, as the platform does.
 fn end_of(daemon: &mut Daemon, record: &Record, term: Instant) {
     daemon.wait_for_end(GRACE.saturating_sub(term.elapsed()));
-    record.add(&format!("{} has ended {} ms after SIGTERM", daemon.name, term.elapsed().as_millis()));
+    record.add(&format!("{} has ended, or was killed, {} ms after SIGTERM", daemon.name, term.elapsed().as_millis()));
 }
 
 /// Sends a request on a connection that stays open.
