index: a prefix with a slash at its end matches only paths that begin with it

Cause: the index removed the last slash of each prefix and of the path before it compared them. The adapter was ruled out, it passes prefixes on unchanged. Prefixes are now compared as they are: one with a slash at its end matches paths that begin with it, one without matches whole segments, as the bundle's own format has it.

Tests: index, a table of paths for both forms.

--- a/src/state/bundle/mod.rs
+++ b/src/state/bundle/mod.rs
@@ -243,7 +243,8 @@
     /// The host of the requests, in lower case and without a port; if absent, the route matches any host.
     #[serde(default)]
     pub host: Option<String>,
-    /// The prefix of the path, matched by whole segments.
+    /// The prefix of the path, compared byte by byte. One that ends with a slash matches the paths that begin with it;
+    /// any other matches the path that equals it, and those that continue after it with a slash.
     pub prefix: String,
     /// The name of the service; unused if `split` is given.
     #[serde(default)]
--- a/src/state/index.rs
+++ b/src/state/index.rs
@@ -49,7 +49,7 @@
                 .routes
                 .entry(host.to_owned())
                 .or_default()
-                .insert(normalize_prefix(&route.prefix).to_owned(), at);
+                .insert(route.prefix.clone(), at);
         }
         index
     }
@@ -80,17 +80,10 @@
         bundle.routes.get(at)
     }
 
-    /// Returns the index of the route for `host` with the longest prefix of `path`.
+    /// Returns the index of the route for `host` with the longest prefix that matches `path`.
     fn longest_match(&self, host: &str, path: &str) -> Option<usize> {
         let routes = self.routes.get(host)?;
-        let mut prefix = normalize_prefix(path);
-        loop {
-            if let Some(at) = routes.get(prefix) {
-                return Some(*at);
-            }
-            let cut = prefix.rfind('/')?;
-            prefix = &prefix[..cut];
-        }
+        matching_prefixes(path).find_map(|prefix| routes.get(prefix).copied())
     }
 
     /// Returns the organisation and tier of a request on `route` with the credential `token`, if any.
@@ -151,9 +144,14 @@
     hex::encode(Sha256::digest(token.as_bytes()))
 }
 
-/// Returns `path` without trailing slashes.
-fn normalize_prefix(path: &str) -> &str {
-    path.trim_end_matches('/')
+/// Returns the prefixes that match `path`, the longest first: `path` itself, and its start up to each slash, with and
+/// without that slash.
+///
+/// `/fees/` does not match `/fees`, since the path does not begin with it, whereas `/fees` matches both.
+fn matching_prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let slashes = path.rmatch_indices('/').map(|(at, _)| at);
+    let starts = slashes.flat_map(|at| [&path[..=at], &path[..at]]);
+    std::iter::once(path).chain(starts)
 }
 
 /// Returns `host` without the port.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod findings;
 mod freshness;
 mod homes;
+mod index;
 mod late_changes;
 mod malformed;
 mod memory;
