quarantine: connections that break together count once, and a quarantine is tried again

Cause: each connection that broke counted as a crash by its request, also where several requests for one page broke in the same moment, whatever had been answered before. Ejection was ruled out, the other route used the same targets.

Breaks of requests in flight together count once. A fingerprint that was answered lately needs three crashes without an answer between. The first quarantine lasts 10 s; then one request at a time runs in each cell, the cells a second apart, until one is answered or crashes its target, which starts one of 60 s, then 300 s. Starts and ends are logged and counted.

Tried first: only counting tries granted after the last counted crash; a request sent three times at once then crashed 15 targets in the test, now 9 at most, as the next try of a request that broke counts too.

--- a/crates/lab/src/replay/fleet/home.rs
+++ b/crates/lab/src/replay/fleet/home.rs
@@ -94,7 +94,7 @@
                     self.table.release(&target, location.daemon);
                 }
             }
-            cell::Action::Record { .. } => {}
+            cell::Action::Record { .. } | cell::Action::EndProbation { .. } => {}
             cell::Action::Quarantine { fingerprint, span } => {
                 let until = sim.now() + span;
                 for daemon in 0..self.selectors.len() {
--- a/src/coordination/cell/event.rs
+++ b/src/coordination/cell/event.rs
@@ -167,4 +167,9 @@
         /// How long the quarantine lasts.
         span: clock::Millis,
     },
+    /// A request with a fingerprint on probation was answered, so this cell runs such requests without limit again.
+    EndProbation {
+        /// The fingerprint of the requests.
+        fingerprint: ids::Fingerprint,
+    },
 }
--- a/src/coordination/cell/finish.rs
+++ b/src/coordination/cell/finish.rs
@@ -17,6 +17,8 @@
 const MIN_LINGER: clock::Millis = clock::Millis(20);
 /// The longest time that the slot of an abandoned request stays in use.
 const MAX_LINGER: clock::Millis = clock::Millis(2_000);
+/// The time between the turns of two cells to run a request on probation.
+const TRIAL_INTERVAL: clock::Millis = clock::Millis(1_000);
 
 impl Cell {
     /// Records that a granted request is being sent, and starts the timer of its age.
@@ -157,7 +159,10 @@
         let Phase::Sent(at) = phase else {
             return;
         };
-        self.crash_history.clear(fingerprint);
+        self.crash_history.record_answer(fingerprint);
+        if self.quarantine.end_probation(now, fingerprint) {
+            actions.push(cell::Action::EndProbation { fingerprint });
+        }
         if let Some(target) = self.targets.get_mut(&name) {
             target.evidence.record_time(now - at);
             target.record_answer();
@@ -307,13 +312,19 @@
         // A crash that another request explains is not counted against this one. Targets are ranked by failure
         // probability where they often break the connections of harmless requests.
         let counts = crash_risk || kind != target::BreakKind::Explained;
-        let quarantined = counts
-            && self
-                .crash_history
-                .record_crash(now, fingerprint, &name, self.rules.rank_by_failure);
-        if quarantined {
+        let broken = quarantine::Break {
+            fingerprint,
+            target: &name,
+            granted: run.granted,
+            repeated: run.request.unknown_cause == Some(refusal::Cause::TargetBroke),
+            noisy: self.rules.rank_by_failure,
+        };
+        let is_suspect = counts && self.crash_history.record_crash(now, broken);
+        let is_on_probation = self.quarantine.probation(now, fingerprint).is_some();
+        if is_suspect || counts && is_on_probation {
             self.start_quarantine(now, fingerprint, actions);
         }
+        let quarantined = self.quarantine.remaining(now, fingerprint).is_some();
         let mut request = run.request;
         request.excluded.push(name);
         let retry = !quarantined && self.may_repeat(now, &request);
@@ -324,23 +335,47 @@
         self.retry_or_give_up(now, request, retry, actions);
     }
 
-    /// Quarantines, in the whole fleet, a fingerprint whose requests crashed targets.
+    /// Quarantines, in the whole fleet, a fingerprint whose requests crashed targets, unless it is quarantined already.
     fn start_quarantine(
         &mut self,
         now: clock::Millis,
         fingerprint: ids::Fingerprint,
         actions: &mut Vec<cell::Action>,
     ) {
-        let span = quarantine::SPAN;
+        if self.quarantine.remaining(now, fingerprint).is_some() {
+            return;
+        }
+        let span = self.quarantine.next_span(now, fingerprint);
+        let targets = self.crash_history.targets(fingerprint).join(", ");
         actions.push(cell::Action::Quarantine { fingerprint, span });
         actions.push(cell::Action::Record {
             kind: timeline::Kind::Quarantined,
             target: String::new(),
-            detail: format!("fingerprint {:016x} crashed targets", fingerprint.0),
+            detail: format!("fingerprint {fingerprint} crashed {targets}; refused for {span}"),
         });
         self.apply_quarantine(now, fingerprint, span, actions);
     }
 
+    /// Returns how long a request with a fingerprint on probation has to wait, or `None` if it may run now.
+    ///
+    /// The service's cells take turns, so that a request that still crashes targets does not crash one in each cell.
+    pub(super) fn probation_wait(
+        &self,
+        now: clock::Millis,
+        fingerprint: ids::Fingerprint,
+    ) -> Option<clock::Millis> {
+        let since = self.quarantine.probation(now, fingerprint)?;
+        let before = self.other_cells.keys().filter(|id| **id < self.id).count();
+        let turn = since + clock::Millis(TRIAL_INTERVAL.0 * before as u64);
+        if turn > now {
+            return Some(turn - now);
+        }
+        let matches = |arrival: &cell::Arrival| arrival.fingerprint == fingerprint;
+        let is_running = self.running.values().any(|r| matches(&r.request.arrival));
+        let is_waiting = self.queue.iter().any(|w| matches(&w.arrival));
+        (is_running || is_waiting).then_some(TRIAL_INTERVAL)
+    }
+
     /// Refuses requests with a quarantined fingerprint for `span`, including those in the queue.
     pub(super) fn apply_quarantine(
         &mut self,
--- a/src/coordination/cell/mod.rs
+++ b/src/coordination/cell/mod.rs
@@ -355,6 +355,9 @@
         if let Some(left) = self.quarantine.remaining(now, arrival.fingerprint) {
             return refuse(refusal::Cause::Quarantined, Some(left));
         }
+        if let Some(wait) = self.probation_wait(now, arrival.fingerprint) {
+            return refuse(refusal::Cause::Quarantined, Some(wait));
+        }
         if arrival.deadline <= now {
             return refuse(refusal::Cause::DeadlinePassed, None);
         }
--- a/src/daemon/broadcast.rs
+++ b/src/daemon/broadcast.rs
@@ -75,7 +75,7 @@
         {
             return;
         }
-        let detail = format!("fingerprint {:016x} for {span}", fingerprint.0);
+        let detail = format!("fingerprint {fingerprint} for {span}");
         self.options.recorder.record(
             timeline::Kind::Quarantined,
             timeline::Subject::default(),
--- a/src/daemon/cell.rs
+++ b/src/daemon/cell.rs
@@ -332,8 +332,20 @@
                 self.options.recorder.record(kind, subject, &detail);
             }
             Action::Quarantine { fingerprint, span } => {
+                log::warn!(
+                    cell = self.options.id.to_string(), fingerprint = fingerprint.to_string(), span_ms = span.0;
+                    "quarantined requests that crash targets"
+                );
+                self.options.metrics.record_quarantine("started");
                 self.options.broadcast.quarantine(fingerprint, span);
             }
+            Action::EndProbation { fingerprint } => {
+                log::info!(
+                    cell = self.options.id.to_string(), fingerprint = fingerprint.to_string();
+                    "a request was answered after its quarantine"
+                );
+                self.options.metrics.record_quarantine("ended");
+            }
         }
     }
 
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -34,6 +34,7 @@
     token_requests: Counter<u64>,
     quota_refusals: Counter<u64>,
     scarcity: Counter<u64>,
+    quarantines: Counter<u64>,
 }
 
 /// The instruments could not be created.
@@ -128,6 +129,10 @@
                 .u64_counter("peridotspread.cell.scarcity")
                 .with_description("Requests that a cell refused or delayed, by tier and check")
                 .build(),
+            quarantines: meter
+                .u64_counter("peridotspread.cell.quarantines")
+                .with_description("Quarantines that this daemon's cells started or ended, by event")
+                .build(),
             registry,
             provider,
         })
@@ -215,6 +220,11 @@
         self.scarcity.add(count, &labels);
     }
 
+    /// Counts that a cell at this home started a quarantine, or that a request was answered after one.
+    pub fn record_quarantine(&self, event: &'static str) {
+        self.quarantines.add(1, &[KeyValue::new("event", event)]);
+    }
+
     /// Counts that the platform was restored from an earlier copy.
     pub fn record_restore(&self) {
         self.restores.add(1, &[]);
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -99,3 +99,9 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/tests/testsuite/cell/mod.rs
+++ b/tests/testsuite/cell/mod.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod ejection;
 mod overload;
+mod quarantine;
 mod random;
 mod retry;
 mod scarcity;
--- a/tests/testsuite/cell/random.rs
+++ b/tests/testsuite/cell/random.rs
@@ -391,7 +391,7 @@
             Action::ReleaseEjection { target } => {
                 self.ejected.remove(&target);
             }
-            Action::Record { .. } | Action::Quarantine { .. } => {}
+            Action::Record { .. } | Action::Quarantine { .. } | Action::EndProbation { .. } => {}
         }
     }
 
--- a/tests/testsuite/cell/scene.rs
+++ b/tests/testsuite/cell/scene.rs
@@ -351,7 +351,7 @@
                 self.ejected.remove(&target);
             }
             Action::Record { kind, target, .. } => self.record(kind, &target),
-            Action::Abandon { .. } | Action::Quarantine { .. } => {}
+            Action::Abandon { .. } | Action::Quarantine { .. } | Action::EndProbation { .. } => {}
         }
     }
 
