shutdown: one schedule for all parts of a stop, and no request that may outlive it

Another operator reports the same of one stop in calm, with requests that must not be repeated.

Cause: the limits of the parts added up, telling other daemons 1 s, accepting 3 s, last requests 0.2 s, what runs 2.6 s, relayed requests 2.6 s, peers 0.5 s, in a grace period of 6 s; and nothing compared the time that a request may take with the time left. Slow targets were ruled out: without a stop all are answered.

The times are now set once, when the signal is handled, and parts that need not wait for each other run side by side. A request is passed on only if it ends before the cut even at its deadline, or if it may be repeated and the balancer still sends; others are refused at once as not run.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -28,5 +28,6 @@
 pub mod reply_time;
 pub mod retry;
 pub mod scarcity;
+pub mod shutdown;
 pub mod statements;
 pub mod trial;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -26,6 +26,7 @@
 use crate::daemon::memory;
 use crate::daemon::metrics;
 use crate::daemon::quota;
+use crate::daemon::shutdown;
 use crate::protocol::refusal::{Cause, Refusal};
 use crate::protocol::{dialect, headers, peer};
 use crate::state::{bundle, clock, ids, index, settings, timeline};
@@ -79,6 +80,8 @@
     pub client: exchange::TargetClient,
     /// The memory of this daemon.
     pub memory: sync::Arc<memory::Memory>,
+    /// The shutdown of this daemon.
+    pub shutdown: sync::Arc<shutdown::Shutdown>,
 }
 
 /// Serves the requests of callers.
@@ -261,6 +264,13 @@
                 let refusal = Refusal::not_run(Cause::RulesChanged, Some(clock::Millis::ZERO));
                 return Err(refusal.after_unknown_try(parsed.outgoing.unknown_cause));
             };
+            let outgoing = &parsed.outgoing;
+            let now = self.options.clock.now();
+            let shutdown = &self.options.shutdown;
+            if !shutdown.admits(now, outgoing.deadline, outgoing.idempotent) {
+                last = exchange::draining();
+                break;
+            }
             let Some(choice) = self.select_home(service, &failed) else {
                 break;
             };
@@ -396,7 +406,12 @@
             .unwrap_or(service.deadline_ms);
         let timeout = route.timeout_ms.unwrap_or(MAX_TIMEOUT);
         let left = left.min(timeout).min(MAX_TIMEOUT);
-        let deadline = self.options.clock.now() + left;
+        let now = self.options.clock.now();
+        let deadline = now + left;
+        let idempotent = route.is_idempotent(&parts.method);
+        if !self.options.shutdown.admits(now, deadline, idempotent) {
+            return Err(exchange::draining());
+        }
         let key = header_text(&parts.headers, headers::IDEMPOTENCY_KEY).map(str::to_owned);
         if key
             .as_ref()
@@ -444,7 +459,6 @@
         if headers::accepts_trailers(&parts.headers) {
             fields.append(header::TE, HeaderValue::from_static("trailers"));
         }
-        let idempotent = route.is_idempotent(&parts.method);
         let name = dialect.request_name(&parts.headers).to_owned();
         let objective = route.objective_ms.unwrap_or(left).min(left);
         let more = prefix.rest.is_some();
@@ -646,6 +660,7 @@
             record_statement: &record_statement,
             accepts: &accepts,
             claim: &claim,
+            shutdown: &self.options.shutdown,
         };
         exchange
             .run(stream, slot_request, &mut parsed.outgoing)
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -18,7 +18,7 @@
 use tokio::time as timers;
 
 use crate::coordination::homes;
-use crate::daemon::{claim, claims, forward, home, memory};
+use crate::daemon::{claim, claims, forward, home, memory, shutdown};
 use crate::protocol::dialect::{self, ResponseClass};
 use crate::protocol::peer::{FromHome, Outcome, ToHome};
 use crate::protocol::refusal::{self, Cause, Refusal};
@@ -231,6 +231,8 @@
     pub accepts: &'a (dyn Fn(&str) -> bool + Sync),
     /// The claim of the request's key.
     pub claim: &'a claim::Claim<'a>,
+    /// The shutdown of this daemon.
+    pub shutdown: &'a shutdown::Shutdown,
 }
 
 /// The progress of a request at one home.
@@ -283,7 +285,7 @@
         }
         let deadline = self.client.clock.instant(outgoing.deadline);
         let mut timeout = MESSAGE_TIMEOUT;
-        loop {
+        while self.admits(outgoing) {
             match stream.receive(deadline, timeout).await {
                 Received::Message(FromHome::Queued) => timeout = QUEUED_TIMEOUT,
                 // The try ended before the home's message arrived.
@@ -297,6 +299,10 @@
                     if let Some(refused) = self.claim_key(&mut stream, outgoing, progress).await {
                         return refused;
                     }
+                    if !self.admits(outgoing) {
+                        stream.report_outcome(Outcome::Withdrawn, None).await;
+                        break;
+                    }
                     match self.use_grant(stream, outgoing, &target).await {
                         GrantResult::Answered(result) => return result,
                         GrantResult::Failed(last, rest) => {
@@ -325,6 +331,16 @@
                 Received::Broken => return HomeResult::Lost(homes::Observation::Lost),
             }
         }
+        let last = progress.last.take();
+        let last = last.unwrap_or_else(|| LastTry::Refusal(draining()));
+        self.final_result(Some(last), stream, outgoing)
+    }
+
+    /// Returns whether the request may be sent to a target, although this daemon may be shutting down.
+    fn admits(&self, outgoing: &Outgoing) -> bool {
+        let now = self.client.clock.now();
+        self.shutdown
+            .admits(now, outgoing.deadline, outgoing.idempotent)
     }
 
     /// Claims the request's key before the first try; returns the final result where the request may not be sent.
@@ -643,6 +659,11 @@
     Refusal::not_run(Cause::MemoryFull, Some(memory::RETRY_AFTER))
 }
 
+/// Returns the refusal of a request that may not end before this daemon does.
+pub fn draining() -> Refusal {
+    Refusal::not_run(Cause::Draining, Some(clock::Millis::ZERO))
+}
+
 /// Reads a response that is not forwarded, so that its connection can be reused.
 async fn discard(response: TargetResponse, pool: sync::Arc<pool::Pool>) {
     let keep = response.keep;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 pub mod quota;
 pub mod registry;
 pub mod relay;
+pub mod shutdown;
 mod stop;
 
 pub use node::{ConfigSource, Error, Parts, run, run_with, stop_signal};
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -8,18 +8,15 @@
 use tokio::{net as tcp, signal, sync as tokio_sync, task, time};
 
 use crate::coordination::member as membership;
+use crate::coordination::shutdown as graceful;
 use crate::daemon::{
     admin, background, broadcast, cell, claims, control, egress, entry, exchange, follower, home,
-    lease, links, member, memory, metrics, quota, registry, relay,
+    lease, links, member, memory, metrics, quota, registry, relay, shutdown,
 };
 use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
 use crate::transport::{http, platform as client, pool, quic, tls};
 
-/// How long requests may still arrive on open connections once the daemon no longer accepts others: several round trips
-/// to a caller.
-const LAST_REQUESTS: clock::Millis = clock::Millis(200);
-
 /// An error that prevents the daemon from starting.
 #[derive(Debug, snafu::Snafu)]
 pub enum Error {
@@ -175,6 +172,8 @@
 struct Node {
     settings: settings::Settings,
     recorder: sync::Arc<timeline::Recorder>,
+    clock: clock::Clock,
+    shutdown: sync::Arc<shutdown::Shutdown>,
     peers: quic::Peers,
     members: member::Handle,
     home: sync::Arc<home::Home>,
@@ -202,6 +201,7 @@
     metrics: sync::Arc<metrics::Metrics>,
     peers: quic::Peers,
     memory: sync::Arc<memory::Memory>,
+    shutdown: sync::Arc<shutdown::Shutdown>,
 }
 
 /// The live daemons, and the sender of control messages to them.
@@ -233,6 +233,7 @@
             dialect: parts.dialect,
             metrics: parts.metrics,
             peers,
+            shutdown: sync::Arc::default(),
         })
     }
 
@@ -443,6 +444,7 @@
                 dialect: self.dialect.clone(),
             },
             memory: self.memory.clone(),
+            shutdown: self.shutdown.clone(),
         }))
     }
 
@@ -532,6 +534,8 @@
         Ok(Node {
             settings: shared.settings,
             recorder: shared.recorder,
+            clock: shared.clock,
+            shutdown: shared.shutdown,
             peers: shared.peers,
             members,
             home,
@@ -555,7 +559,7 @@
             listener: self.caller_listener,
             limits: self.limits.clone(),
             tls: self.tls.clone(),
-            last_requests: LAST_REQUESTS,
+            last_requests: graceful::last_requests(self.settings.limits.drain_ms),
         };
         let caller_server = tokio::spawn(http::serve(
             options,
@@ -596,14 +600,24 @@
         self.admin.draining.send_replace(true);
         self.recorder
             .record(timeline::Kind::Draining, timeline::Subject::default(), "");
-        self.members.leave().await;
+        let schedule = self.shutdown.begin(self.clock.now(), &self.settings.limits);
+        let cut = self.clock.instant(schedule.cut);
+        let members = self.members.clone();
+        let leaving = tokio::spawn(async move { members.leave().await });
         self.home.drain().await;
-        time::sleep(self.settings.limits.linger_ms.span()).await;
+        time::sleep_until(self.clock.instant(schedule.closes).into()).await;
         stop_callers.send_replace(true);
-        if let Err(e) = caller_server.await {
-            log::error!("the server for callers failed: {e}");
+        let finished = async {
+            let (served, ()) = tokio::join!(caller_server, self.relay.drain());
+            if let Err(e) = served {
+                log::error!("the server for callers failed: {e}");
+            }
+            // The messages that announce the end of this daemon need the connections to its peers.
+            let _ = leaving.await;
+        };
+        if time::timeout_at(cut.into(), finished).await.is_err() {
+            log::warn!("aborted the requests in flight: they took longer than the drain");
         }
-        self.relay.drain().await;
         self.recorder
             .record(timeline::Kind::Stopped, timeline::Subject::default(), "");
         stop_admin.send_replace(true);
--- a/src/transport/quic/mod.rs
+++ b/src/transport/quic/mod.rs
@@ -37,7 +37,7 @@
 /// How long after a failed dial further dials of the same peer fail without a try.
 const DIAL_BACKOFF: clock::Millis = clock::Millis(250);
 /// How long [`Peers::close`] waits for its peers to acknowledge the close.
-const CLOSE_TIMEOUT: clock::Millis = clock::Millis(500);
+const CLOSE_TIMEOUT: clock::Millis = clock::Millis(200);
 /// The most unidirectional streams that a peer may hold open; they only signal that a connection is retired.
 const MAX_UNI_STREAMS: u32 = 2;
 /// The receive window of one stream, in bytes.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod registry;
 mod relay;
 mod restore;
+mod schedule;
 mod service;
 mod shutdown;
 mod store_calls;
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -164,6 +164,7 @@
             dialect: sync::Arc::new(dialect::Native),
         },
         memory,
+        shutdown: sync::Arc::default(),
     }));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
