exchange: a fingerprint covers the same bytes of a body however it arrives

It now covers the first 64 KiB.

Test: an upload that crashes three targets, sent in pieces of different lengths, is refused the fourth time; the former code ran it (502), now 503. Longer bodies that start alike share a fingerprint, as shorter ones that are alike do.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -443,7 +443,7 @@
             &parts.method,
             &uri,
             key.as_deref(),
-            &prefix.first,
+            prefix.start(limits.replay_bytes),
         );
         if let Some(left) = self.options.broadcaster.remaining(fingerprint) {
             return Err(Refusal::not_run(Cause::Quarantined, Some(left)));
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -684,6 +684,14 @@
     pub trailers: HeaderMap,
 }
 
+impl BodyPrefix {
+    /// Returns the first bytes of the body, `limit` at most. How many more were read depends on the pieces in which they
+    /// arrived.
+    pub fn start(&self, limit: usize) -> &[u8] {
+        &self.first[..self.first.len().min(limit)]
+    }
+}
+
 /// Reads a body to its end, or until more than `limit` bytes were read.
 ///
 /// # Errors
