--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -159,6 +159,15 @@
         self.signal(unix::Signal::TERM)
     }
 
+    /// Asks the process to read its settings again with SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has exited.
+    pub fn reload(&self) -> Result<(), Error> {
+        self.signal(unix::Signal::HUP)
+    }
+
     /// Kills the process with SIGKILL and waits until it has exited.
     ///
     /// # Errors
