--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -94,7 +94,7 @@
     /// Returns how long the next quarantine of `fingerprint` lasts.
     pub fn next_span(&self, now: clock::Millis, fingerprint: ids::Fingerprint) -> clock::Millis {
         let known = self.periods.get(&fingerprint);
-        let last = known.filter(|p| p.until + PROBATION > now).map(|s| s.span);
+        let last = known.filter(|p| p.until + PROBATION > now).map(|p| p.span);
         let longer = SPANS
             .iter()
             .find(|span| last.is_none_or(|last| **span > last));
--- a/src/coordination/shutdown.rs
+++ b/src/coordination/shutdown.rs
@@ -6,12 +6,12 @@
 
 use crate::state::clock::Millis;
 
-/// How long before the load balancer is expected to have stopped sending requests they are admitted only if they can end
-/// in time: several round trips, and the time that the signal may take to be handled.
+/// How long before [`Schedule::closes`] the last request that may outlive the shutdown is admitted: the time that the
+/// signal may take to be handled, and several round trips.
 const LINGER_MARGIN: Millis = Millis(500);
 /// How long requests may still arrive on open connections once no others are accepted: several round trips to a caller.
 const LAST_REQUESTS: Millis = Millis(200);
-/// How long before the requests in flight are cut off a request must have ended, so that its response is delivered.
+/// How long before [`Schedule::cut`] a request must have ended, so that its response is delivered.
 const RESPONSE_MARGIN: Millis = Millis(100);
 
 /// The times of a graceful shutdown.
