logs: lines about changes have a rate and room of their own

Change: coordination::log_limit admits lines about single requests, which name the request, and all others by separate rates; the former leave room in the queue. Lines are judged before they are formatted. A relay names the request. Tests: log_limit (new; the single bucket of before fails the first of them by its construction, not run).

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod fanout;
 pub mod homes;
 pub mod lease;
+pub mod log_limit;
 pub mod member;
 pub mod memory;
 pub mod outlier;
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -161,20 +161,24 @@
 
     /// Sends a request to its target, and returns the response with a mark of what became of the request.
     async fn send(&self, request: Request<Incoming>, mut link: Link) -> Response<body::Body> {
+        let client = self.options.entry.client();
+        let name = client.dialect.request_name(request.headers()).to_owned();
         let request = request.map(|b| b.map_err(body::Error::from).boxed_unsync());
         let response = match link.connection.send(request).await {
             Ok(response) => response,
             Err(e) => {
-                log::info!(target = link.target, result = e.to_string(); "relayed");
+                log::info!(request = name, target = link.target, result = e.to_string(); "relayed");
                 return failure(match e.never_sent() {
                     true => RelayResult::NotSent,
                     false => RelayResult::Broken,
                 });
             }
         };
-        log::info!(target = link.target, result = response.status().as_str(); "relayed");
+        log::info!(
+            request = name, target = link.target, result = response.status().as_str();
+            "relayed"
+        );
         let (mut head, body) = response.into_parts();
-        let client = self.options.entry.client();
         let statement = dialect::Dialect::statement(client.dialect.as_ref(), &head);
         self.options
             .entry
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,25 +1,24 @@
 //! The log: JSON lines by `env_logger`, with the key-values of each record as fields beside its message.
 //!
 //! [`start`] writes to standard error. [`start_on_stdout`] writes to standard output from a thread of its own, so that
-//! a reader that is slow or stops does not block the daemon; lines above the rate limit are dropped and counted.
+//! a reader that is slow or stops does not block the daemon. Lines above the rate limit are dropped and counted; lines
+//! about single requests leave room for all others ([`coordination::log_limit`]).
 
 use std::collections::BTreeMap;
 use std::error;
 use std::io;
 use std::io::Write;
+use std::sync;
 use std::sync::mpsc;
 use std::thread;
 
 use log::kv;
 
+use crate::coordination::log_limit;
 use crate::state::clock;
 
-/// The most lines that wait for a slow reader.
-const QUEUED_LINES: usize = 2_048;
-/// The most lines that may be written in a burst.
-const BURST_LINES: f64 = 400.0;
-/// The sustained rate in lines per second; a busy daemon writes several lines per request.
-const LINES_PER_S: f64 = 200.0;
+/// The key-value that names the request which a line is about.
+const REQUEST_KEY: &str = "request";
 
 /// Starts the log of the daemon called `name` with the minimum level `level`, which `RUST_LOG` overrides.
 pub fn start(name: &str, level: &str) {
@@ -28,19 +27,33 @@
 
 /// Starts the log as [`start`] does, but on standard output, rate-limited and without blocking the callers.
 pub fn start_on_stdout(name: &str, level: &str) {
-    let (sender, lines) = mpsc::sync_channel::<Vec<u8>>(QUEUED_LINES);
+    let (sender, lines) = mpsc::channel::<Vec<u8>>();
+    let limit = sync::Arc::new(sync::Mutex::new(log_limit::LogLimit::default()));
+    let written = limit.clone();
     let spawned = thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&lines));
+        .spawn(move || write_lines(&lines, &written));
     if let Err(e) = spawned {
         eprintln!("warning: failed to start the log thread, logging to standard error: {e}");
         return start(name, level);
     }
     let mut builder = builder(name, level);
-    builder.target(env_logger::Target::Pipe(Box::new(LimitedWriter::new(
-        sender,
-    ))));
-    init(builder);
+    let queue = LineQueue {
+        lines: sender.clone(),
+    };
+    builder.target(env_logger::Target::Pipe(Box::new(queue)));
+    let lines = builder.build();
+    let max_level = lines.filter();
+    let logger = LimitedLog {
+        lines,
+        notes: sync::Mutex::new(sender),
+        clock: clock::Clock::start(),
+        limit,
+    };
+    match log::set_boxed_logger(Box::new(logger)) {
+        Ok(()) => log::set_max_level(max_level),
+        Err(e) => eprintln!("warning: the log was already started: {e}"),
+    }
 }
 
 fn builder(name: &str, level: &str) -> env_logger::Builder {
@@ -99,59 +112,71 @@
     }
 }
 
-/// Sends lines to the writing thread under a token bucket, and counts those that it drops.
-struct LimitedWriter {
-    lines: mpsc::SyncSender<Vec<u8>>,
+/// Passes on the records that its limit admits.
+struct LimitedLog {
+    lines: env_logger::Logger,
+    /// Receives the notes about lines that were dropped.
+    notes: sync::Mutex<mpsc::Sender<Vec<u8>>>,
     clock: clock::Clock,
-    last: clock::Millis,
-    tokens: f64,
-    dropped: u64,
+    limit: sync::Arc<sync::Mutex<log_limit::LogLimit>>,
 }
 
-impl LimitedWriter {
-    fn new(lines: mpsc::SyncSender<Vec<u8>>) -> LimitedWriter {
-        LimitedWriter {
-            lines,
-            clock: clock::Clock::start(),
-            last: clock::Millis::ZERO,
-            tokens: BURST_LINES,
-            dropped: 0,
+impl LimitedLog {
+    /// Returns whether a line may be written, and how many were dropped before it.
+    fn admit(&self, kind: log_limit::LineKind) -> (bool, u64) {
+        let Ok(mut limit) = self.limit.lock() else {
+            return (false, 0);
+        };
+        match limit.admit(self.clock.now(), kind) {
+            true => (true, limit.take_dropped()),
+            false => (false, 0),
         }
     }
+}
 
-    fn take_token(&mut self) -> bool {
-        let now = self.clock.now();
-        let refill = (now - self.last).0 as f64 / 1_000.0 * LINES_PER_S;
-        self.tokens = (self.tokens + refill).min(BURST_LINES);
-        self.last = now;
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+impl log::Log for LimitedLog {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        self.lines.enabled(metadata)
     }
 
-    fn try_send(&mut self, line: &[u8]) -> bool {
-        self.lines.try_send(line.to_vec()).is_ok()
+    fn log(&self, record: &log::Record<'_>) {
+        if !self.lines.matches(record) {
+            return;
+        }
+        let is_of_request = record.key_values().get(REQUEST_KEY.into()).is_some();
+        let (is_admitted, dropped) = self.admit(match is_of_request {
+            true => log_limit::LineKind::Request,
+            false => log_limit::LineKind::Other,
+        });
+        if !is_admitted {
+            return;
+        }
+        self.lines.log(record);
+        if dropped == 0 {
+            return;
+        }
+        let note = serde_json::json!({
+            "time_ms": clock::wall(), "level": "warn", "module": "log",
+            "message": "lines were dropped", "dropped": dropped,
+        });
+        if let Ok(notes) = self.notes.lock() {
+            // The writing thread ends only once nobody reads the log.
+            let _ = notes.send(format!("{note}\n").into_bytes());
+        }
     }
+
+    fn flush(&self) {}
 }
 
-impl io::Write for LimitedWriter {
+/// Hands lines to the writing thread.
+struct LineQueue {
+    lines: mpsc::Sender<Vec<u8>>,
+}
+
+impl io::Write for LineQueue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if !self.take_token() || !self.try_send(line) {
-            self.dropped += 1;
-            return Ok(line.len());
-        }
-        if self.dropped > 0 {
-            let dropped = self.dropped;
-            let note = serde_json::json!({
-                "time_ms": clock::wall(), "level": "warn", "module": "log",
-                "message": "lines were dropped", "dropped": dropped,
-            });
-            if self.try_send(format!("{note}\n").as_bytes()) {
-                self.dropped = 0;
-            }
-        }
+        // The writing thread ends only once nobody reads the log.
+        let _ = self.lines.send(line.to_vec());
         Ok(line.len())
     }
 
@@ -161,16 +186,21 @@
 }
 
 /// Writes lines until the senders are dropped; all lines that wait are written in one call.
-fn write_lines(lines: &mpsc::Receiver<Vec<u8>>) {
+fn write_lines(lines: &mpsc::Receiver<Vec<u8>>, limit: &sync::Mutex<log_limit::LogLimit>) {
     let mut out = io::stdout();
     while let Ok(mut batch) = lines.recv() {
+        let mut count = 1;
         while let Ok(line) = lines.try_recv() {
             batch.extend_from_slice(&line);
+            count += 1;
         }
         if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
             // The reader has closed standard output, and there is no other place to report that.
             return;
         }
+        if let Ok(mut limit) = limit.lock() {
+            limit.record_written(count);
+        }
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod homes;
 mod index;
 mod late_changes;
+mod log_limit;
 mod malformed;
 mod memory;
 mod path;
