registry: polls and state have files of their own

The state's fields are private to its file; its creation, the results of polls and the timer are methods.

--- a/src/daemon/registry.rs
+++ b/src/daemon/registry/state.rs
@@ -1,27 +1,19 @@
-//! The actor of the registry: runs [`coordination::registry::Registry`] over a platform that keeps rules and targets.
-//!
-//! One task per topic polls for updates. [`readers`] decides where: at the platform, at the reader of the failure
-//! domain or at any other daemon. The registry makes a bundle of the updates and publishes it to the daemon.
+//! The state of the registry's actor: what it polls next, and what it does with the results.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync;
 
-use futures_util::future;
-use ractor::{Actor, ActorProcessingErr, ActorRef};
+use ractor::ActorRef;
 use tokio::{sync as tokio_sync, time};
 
+use super::poll::{EscalationReply, NextPoll, PeerUpdates, Poll, PollResult, Revisions};
+use super::{Message, Options, Progress};
 use crate::coordination;
 use crate::coordination::{escalation, homes, member, readers, reply_time};
-use crate::daemon::{metrics, stop};
 use crate::protocol::source::{self, Batch, Topic};
 use crate::protocol::{peer, platform, version};
 use crate::state::{bundle, clock, timeline};
 
-/// How long a peer's reply may take beyond the time of the long poll: several round trips between failure domains.
-const REPLY_TIMEOUT: clock::Millis = clock::Millis(300);
-/// The pause after a poll of a peer that returned changes, so that one reply contains all further changes of the same
-/// series. It is a small part of the time within which changes must be in force.
-const PEER_PAUSE: clock::Millis = clock::Millis(100);
 /// The same pause of a reader after a poll of the platform, each of which has a price. With two pauses of peers it stays
 /// below a fifth of the time within which changes must be in force.
 const PLATFORM_PAUSE: clock::Millis = clock::Millis(250);
@@ -31,7 +23,6 @@
 /// How long changes are collected before a bundle is published, since each bundle costs processor time in every part of
 /// the daemon. This is a small part of the time within which changes must be in force.
 const PUBLISH_DELAY: clock::Millis = clock::Millis(60);
-
 /// The shortest time over which the daemons of a fleet spread the rewriting of their rows after the platform was
 /// restored. Rows should be back within two seconds.
 const REWRITE_SPREAD: clock::Millis = clock::Millis(1_200);
@@ -50,415 +41,6 @@
 /// The name of the platform in log lines about the origin of updates.
 const PLATFORM: &str = "platform";
 
-/// Options of the registry.
-pub struct Options {
-    /// The daemon's name.
-    pub name: String,
-    /// The daemon's failure domain.
-    pub domain: String,
-    /// The daemon's clock.
-    pub clock: clock::Clock,
-    /// Reads and follows rules and targets.
-    pub source: sync::Arc<dyn source::Source>,
-    /// The live daemons.
-    pub members: tokio_sync::watch::Receiver<sync::Arc<member::View>>,
-    /// Sends control messages to peers.
-    pub sender: sync::Arc<dyn peer::ControlSender>,
-    /// Rewrites this daemon's rows after the platform was restored.
-    pub hosts: sync::Arc<dyn platform::Hosts>,
-    /// The daemon's metrics.
-    pub metrics: sync::Arc<metrics::Metrics>,
-    /// Records events in the daemon's time line.
-    pub recorder: sync::Arc<timeline::Recorder>,
-}
-
-/// A handle of the registry's actor, which stops when the last handle is dropped.
-#[derive(Clone)]
-pub struct Handle {
-    actor: sync::Arc<stop::StopOnDrop<Message>>,
-    bundle: tokio_sync::watch::Receiver<sync::Arc<bundle::Bundle>>,
-    progress: tokio_sync::watch::Receiver<Progress>,
-}
-
-/// What peers that wait for updates need to know.
-#[derive(Clone, Copy, Debug, Default)]
-struct Progress {
-    /// The number of updates and losses of the platform.
-    events: u64,
-    /// When the platform last answered for all topics.
-    answered: clock::Millis,
-}
-
-/// Updates of all topics from one daemon to another.
-#[derive(Default, serde::Serialize, serde::Deserialize)]
-struct PeerUpdates {
-    rules: Batch,
-    targets: Batch,
-    /// The version of the protocol that the sender speaks.
-    #[serde(default)]
-    version: version::Version,
-}
-
-impl PeerUpdates {
-    fn is_empty(&self) -> bool {
-        self.rules.changes.is_empty() && self.targets.changes.is_empty()
-    }
-
-    /// Returns whether the rules may lack parts that the sender does not know, such as quotas.
-    fn may_lack_rules(&self) -> bool {
-        self.version == version::Version::FIRST && !self.rules.changes.is_empty()
-    }
-
-    /// Removes the parts of the rules that a daemon of version 1 refuses.
-    fn convert_to_version_1(&mut self) {
-        for change in &mut self.rules.changes {
-            if let Some(source::Item::Rules(bundle)) = &mut change.item {
-                **bundle = bundle.for_version_1();
-            }
-        }
-    }
-}
-
-/// The result of one poll.
-enum PollResult {
-    /// The result of polling the platform for a topic.
-    Platform(Topic, Result<Batch, source::Error>),
-    /// The reply of a peer, with the time since the platform last answered it; absent if it did not reply.
-    Peer(String, Option<(Option<clock::Millis>, PeerUpdates)>),
-}
-
-impl PollResult {
-    /// Returns whether the poll returned changes.
-    fn has_changes(&self) -> bool {
-        match self {
-            PollResult::Platform(_, Ok(batch)) => !batch.changes.is_empty(),
-            PollResult::Peer(_, Some((_, updates))) => !updates.is_empty(),
-            PollResult::Platform(_, Err(_)) | PollResult::Peer(_, None) => false,
-        }
-    }
-}
-
-/// A message to the actor.
-enum Message {
-    /// The task of a topic requests its next poll.
-    NextPoll {
-        topic: Topic,
-        reply: tokio_sync::oneshot::Sender<NextPoll>,
-    },
-    /// The task of escalations requests the polls to make beside those of the topics.
-    NextEscalation {
-        reply: tokio_sync::oneshot::Sender<EscalationReply>,
-    },
-    /// A poll has ended.
-    Polled {
-        result: Box<PollResult>,
-        /// When the poll was made.
-        asked: clock::Millis,
-        /// How long the source could hold it.
-        wait: clock::Millis,
-    },
-    /// A peer requests the updates after its revisions.
-    GetUpdates {
-        revisions: Revisions,
-        version: version::Version,
-        reply: tokio_sync::oneshot::Sender<peer::ControlMessage>,
-    },
-    /// The timer fired.
-    Tick,
-}
-
-/// The revisions up to which the topics are known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Revisions {
-    rules: u64,
-    targets: u64,
-}
-
-/// The next poll of a topic.
-struct NextPoll {
-    topic: Topic,
-    poll: Poll,
-    /// When it was decided.
-    at: clock::Millis,
-}
-
-/// What the task of escalations does next.
-enum EscalationReply {
-    /// Wait for a while.
-    Wait(clock::Millis),
-    /// Make these polls.
-    Polls(Vec<NextPoll>),
-}
-
-/// What the task of a topic polls next.
-enum Poll {
-    /// Read the whole topic from the platform.
-    Read,
-    /// Wait for changes after a revision at the platform.
-    Follow {
-        revision: u64,
-        /// How long the platform may hold the call.
-        wait: clock::Millis,
-        /// The pause if there are changes.
-        pause: clock::Millis,
-    },
-    /// Request the updates of all topics from a peer, which may hold the reply for some time.
-    Peer(String, Revisions, clock::Millis),
-    /// Poll nothing for a while, unless another source is selected before.
-    Pause(clock::Millis),
-}
-
-impl Poll {
-    /// Returns how long the source may hold the poll.
-    fn wait(&self) -> clock::Millis {
-        match self {
-            Poll::Follow { wait, .. } | Poll::Peer(_, _, wait) => *wait,
-            Poll::Read | Poll::Pause(_) => clock::Millis::ZERO,
-        }
-    }
-}
-
-/// Starts the registry.
-///
-/// # Errors
-///
-/// Returns an error if the actor cannot be started.
-pub async fn spawn(options: Options) -> Result<Handle, ractor::SpawnErr> {
-    let (sender, bundle) = tokio_sync::watch::channel(sync::Arc::default());
-    let (source, peers) = (options.source.clone(), options.sender.clone());
-    let (progress, progress_seen) = tokio_sync::watch::channel(Progress::default());
-    let (stale_peers, stale_peers_seen) = tokio_sync::watch::channel(0);
-    let publishers = Publishers {
-        bundle: sender,
-        progress,
-        stale_peers,
-    };
-    let (actor, _) = Actor::spawn(None, RegistryActor, (options, publishers)).await?;
-    let poller = Poller {
-        source,
-        peers,
-        actor: actor.clone(),
-    };
-    for topic in Topic::ALL {
-        tokio::spawn(poll_topic(topic, poller.clone(), stale_peers_seen.clone()));
-    }
-    tokio::spawn(escalate(poller));
-    Ok(Handle {
-        actor: sync::Arc::new(stop::StopOnDrop(actor)),
-        bundle,
-        progress: progress_seen,
-    })
-}
-
-impl Handle {
-    /// Returns the bundle in force, version 0 while there is none.
-    pub fn bundle(&self) -> tokio_sync::watch::Receiver<sync::Arc<bundle::Bundle>> {
-        self.bundle.clone()
-    }
-}
-
-impl peer::ControlHandler for Handle {
-    fn handle<'a>(
-        &'a self,
-        _from: &'a str,
-        version: version::Version,
-        message: peer::ControlMessage,
-    ) -> future::BoxFuture<'a, peer::ControlMessage> {
-        Box::pin(async move {
-            let peer::ControlMessage::GetUpdates {
-                rules,
-                targets,
-                wait,
-            } = message
-            else {
-                return peer::ControlMessage::Ack;
-            };
-            let revisions = Revisions { rules, targets };
-            let mut progress = self.progress.clone();
-            let before = *progress.borrow_and_update();
-            let first = self.updates_since(revisions, version).await;
-            // A daemon that starts waits until this one has something, if it starts too.
-            let both_start = rules == 0 && targets == 0 && is_empty(&first);
-            if !is_current_and_empty(&first) && !both_start {
-                return first;
-            }
-            let has_news = |now: &Progress| {
-                now.events != before.events
-                    || now.answered >= before.answered + readers::REFRESH_STEP
-            };
-            // Without news within that time, the reply at least states how fresh this daemon is.
-            let wait = wait.min(readers::PEER_POLL).span();
-            let _ = time::timeout(wait, progress.wait_for(has_news)).await;
-            self.updates_since(revisions, version).await
-        })
-    }
-}
-
-/// Returns whether a reply has no changes, and comes from a daemon that is not cut off from the platform.
-fn is_current_and_empty(reply: &peer::ControlMessage) -> bool {
-    matches!(reply, peer::ControlMessage::Updates { age: Some(_), changes } if changes.is_empty())
-}
-
-/// Returns whether a reply has no changes.
-fn is_empty(reply: &peer::ControlMessage) -> bool {
-    matches!(reply, peer::ControlMessage::Updates { changes, .. } if changes.is_empty())
-}
-
-impl Handle {
-    async fn updates_since(
-        &self,
-        revisions: Revisions,
-        version: version::Version,
-    ) -> peer::ControlMessage {
-        let (reply, replied) = tokio_sync::oneshot::channel();
-        if self
-            .actor
-            .0
-            .send_message(Message::GetUpdates {
-                revisions,
-                version,
-                reply,
-            })
-            .is_err()
-        {
-            return peer::ControlMessage::Ack;
-        }
-        replied.await.unwrap_or(peer::ControlMessage::Ack)
-    }
-}
-
-/// Makes the polls that the actor decides on.
-#[derive(Clone)]
-struct Poller {
-    source: sync::Arc<dyn source::Source>,
-    peers: sync::Arc<dyn peer::ControlSender>,
-    actor: ActorRef<Message>,
-}
-
-impl Poller {
-    /// Makes a poll and sends its result to the actor. Returns whether there were changes, or nothing if the actor has
-    /// stopped or the poll is a pause.
-    async fn run(&self, next: NextPoll) -> Option<bool> {
-        let NextPoll { topic, poll, at } = next;
-        let wait = poll.wait();
-        let result = match poll {
-            Poll::Read => PollResult::Platform(topic, self.source.read(topic).await),
-            Poll::Follow { revision, wait, .. } => {
-                PollResult::Platform(topic, self.source.follow(topic, revision, wait).await)
-            }
-            Poll::Peer(name, revisions, wait) => {
-                let reply = poll_peer(self.peers.as_ref(), &name, revisions, wait).await;
-                PollResult::Peer(name, reply)
-            }
-            Poll::Pause(_) => return None,
-        };
-        let has_changes = result.has_changes();
-        let result = Box::new(result);
-        let sent = self.actor.send_message(Message::Polled {
-            result,
-            asked: at,
-            wait,
-        });
-        sent.is_ok().then_some(has_changes)
-    }
-}
-
-/// Polls for updates of one topic until the actor stops.
-async fn poll_topic(
-    topic: Topic,
-    poller: Poller,
-    mut stale_peers: tokio_sync::watch::Receiver<u64>,
-) {
-    loop {
-        let (reply, replied) = tokio_sync::oneshot::channel();
-        let asked = poller
-            .actor
-            .send_message(Message::NextPoll { topic, reply });
-        if asked.is_err() {
-            return;
-        }
-        let Ok(next) = replied.await else { return };
-        if let Poll::Pause(span) = next.poll {
-            // The sender is gone only if the actor has stopped, which the next message shows.
-            let _ = time::timeout(span.span(), stale_peers.changed()).await;
-            continue;
-        }
-        let pause = match next.poll {
-            Poll::Follow { pause, .. } => pause,
-            _ => PEER_PAUSE,
-        };
-        match poller.run(next).await {
-            None => return,
-            Some(true) => time::sleep(pause.span()).await,
-            Some(false) => {}
-        }
-    }
-}
-
-/// Makes further polls while the updates are too old, until the actor stops.
-async fn escalate(poller: Poller) {
-    loop {
-        let (reply, replied) = tokio_sync::oneshot::channel();
-        let asked = poller.actor.send_message(Message::NextEscalation { reply });
-        if asked.is_err() {
-            return;
-        }
-        match replied.await {
-            Err(_) => return,
-            Ok(EscalationReply::Wait(span)) => time::sleep(span.span()).await,
-            Ok(EscalationReply::Polls(polls)) => {
-                // None of them waits for another, since each may go unanswered.
-                for next in polls {
-                    let poller = poller.clone();
-                    tokio::spawn(async move { poller.run(next).await });
-                }
-            }
-        }
-    }
-}
-
-/// Requests the updates of all topics from a peer; returns them with the time since the platform last answered it.
-async fn poll_peer(
-    peers: &dyn peer::ControlSender,
-    name: &str,
-    revisions: Revisions,
-    wait: clock::Millis,
-) -> Option<(Option<clock::Millis>, PeerUpdates)> {
-    let request = peer::ControlMessage::GetUpdates {
-        rules: revisions.rules,
-        targets: revisions.targets,
-        wait,
-    };
-    let polled = peers.send(name, request);
-    let Ok(replied) = time::timeout((wait + REPLY_TIMEOUT).span(), polled).await else {
-        log::info!(peer = name; "no reply from a peer in time");
-        return None;
-    };
-    match replied {
-        Ok(peer::ControlMessage::Updates { age, changes }) if changes.is_empty() => {
-            Some((age, PeerUpdates::default()))
-        }
-        Ok(peer::ControlMessage::Updates { age, changes }) => {
-            match serde_json::from_slice(&changes) {
-                Ok(updates) if PeerUpdates::may_lack_rules(&updates) => {
-                    log::info!(peer = name; "passed over the rules of a peer of an older build");
-                    None
-                }
-                Ok(updates) => Some((age, updates)),
-                Err(e) => {
-                    log::warn!(peer = name; "failed to decode the updates of a peer: {e}");
-                    None
-                }
-            }
-        }
-        Ok(_) => None,
-        Err(e) => {
-            log::info!(peer = name, reason = e.to_string(); "no updates from a peer");
-            None
-        }
-    }
-}
-
 /// Returns how long one of `daemons` waits before it rewrites its rows, by hash, which spreads them evenly.
 fn rewrite_delay(name: &str, era: u64, daemons: usize) -> clock::Millis {
     let spread = (daemons as u64 * 1_000 / REWRITES_PER_S).max(REWRITE_SPREAD.0);
@@ -482,15 +64,13 @@
     }
 }
 
-struct RegistryActor;
-
 /// The senders of what the actor publishes.
-struct Publishers {
-    bundle: tokio_sync::watch::Sender<sync::Arc<bundle::Bundle>>,
+pub(super) struct Publishers {
+    pub(super) bundle: tokio_sync::watch::Sender<sync::Arc<bundle::Bundle>>,
     /// What peers that wait for updates need to know.
-    progress: tokio_sync::watch::Sender<Progress>,
+    pub(super) progress: tokio_sync::watch::Sender<Progress>,
     /// Counts the peers that were found stale, after which the tasks of all topics select their sources again.
-    stale_peers: tokio_sync::watch::Sender<u64>,
+    pub(super) stale_peers: tokio_sync::watch::Sender<u64>,
 }
 
 /// Updates for peers that know the topics up to the same revisions. A reader has many such peers, and encoding the rules
@@ -511,7 +91,7 @@
     confirmed_after: Option<clock::Millis>,
 }
 
-struct State {
+pub(super) struct State {
     registry: coordination::registry::Registry,
     selector: readers::SourceSelector,
     escalation: escalation::Escalation,
@@ -547,18 +127,11 @@
     next_tick: clock::Millis,
 }
 
-impl Actor for RegistryActor {
-    type Msg = Message;
-    type State = State;
-    type Arguments = (Options, Publishers);
-
-    async fn pre_start(
-        &self,
-        _myself: ActorRef<Message>,
-        (options, publishers): Self::Arguments,
-    ) -> Result<State, ActorProcessingErr> {
+impl State {
+    /// Returns the state of a registry that knows nothing yet.
+    pub(super) fn new(options: Options, publishers: Publishers) -> State {
         let now = options.clock.now();
-        Ok(State {
+        State {
             registry: coordination::registry::Registry::default(),
             selector: readers::SourceSelector::new(now, &options.name, &options.domain),
             escalation: escalation::Escalation::new(now),
@@ -578,77 +151,51 @@
             encoded: None,
             unpublished: None,
             next_tick: clock::Millis::MAX,
-        })
+        }
     }
 
-    async fn handle(
-        &self,
-        myself: ActorRef<Message>,
-        message: Message,
-        state: &mut State,
-    ) -> Result<(), ActorProcessingErr> {
-        let now = state.options.clock.now();
-        match message {
-            Message::NextPoll { topic, reply } => {
-                // The task of a topic ends when the actor stops, so a failed reply needs no handling.
-                let poll = state.next_poll(now, topic);
-                let _ = reply.send(NextPoll {
-                    topic,
-                    poll,
-                    at: now,
-                });
-            }
-            Message::NextEscalation { reply } => {
-                // This task ends when the actor stops, too.
-                let _ = reply.send(state.next_escalation(now));
-            }
-            Message::Polled {
-                result,
-                asked,
-                wait,
-            } => {
-                state.encoded = None;
-                match *result {
-                    PollResult::Platform(topic, outcome) => {
-                        let made = state.platform_time.made_at(now, asked, wait);
-                        state.handle_platform(now, made, topic, outcome);
-                    }
-                    PollResult::Peer(name, None) => state.handle_late_peer(now, &name),
-                    PollResult::Peer(name, Some(reply)) => {
-                        let made = state.peer_time.made_at(now, asked, wait);
-                        state.handle_peer(now, made, &name, reply);
-                    }
-                }
+    /// Returns the current time.
+    pub(super) fn now(&self) -> clock::Millis {
+        self.options.clock.now()
+    }
+
+    /// Handles the result of a poll that was made at `asked`, and that its source could hold for `wait`.
+    pub(super) fn handle_polled(
+        &mut self,
+        now: clock::Millis,
+        result: PollResult,
+        asked: clock::Millis,
+        wait: clock::Millis,
+    ) {
+        self.encoded = None;
+        match result {
+            PollResult::Platform(topic, outcome) => {
+                let made = self.platform_time.made_at(now, asked, wait);
+                self.handle_platform(now, made, topic, outcome);
             }
-            Message::GetUpdates {
-                revisions,
-                version,
-                reply,
-            } => {
-                // A peer whose poll timed out polls again.
-                let _ = reply.send(state.updates_since(now, revisions, version));
-            }
-            Message::Tick => {
-                state.next_tick = clock::Millis::MAX;
-                state.encoded = None;
-                if state.registry.tick(now) {
-                    state.record_change(now, "absent targets were removed", None);
-                }
-                if !state.has_published() && state.registry.rules_version() > 0 {
-                    // The tasks poll a daemon with later rules at once.
-                    state.publishers.stale_peers.send_modify(|n| *n += 1);
-                }
+            PollResult::Peer(name, None) => self.handle_late_peer(now, &name),
+            PollResult::Peer(name, Some(reply)) => {
+                let made = self.peer_time.made_at(now, asked, wait);
+                self.handle_peer(now, made, &name, reply);
             }
         }
-        state.publish_due(now);
-        state.schedule_tick(&myself, now);
-        Ok(())
     }
-}
 
-impl State {
+    /// Handles the timer.
+    pub(super) fn handle_tick(&mut self, now: clock::Millis) {
+        self.next_tick = clock::Millis::MAX;
+        self.encoded = None;
+        if self.registry.tick(now) {
+            self.record_change(now, "absent targets were removed", None);
+        }
+        if !self.has_published() && self.registry.rules_version() > 0 {
+            // The tasks poll a daemon with later rules at once.
+            self.publishers.stale_peers.send_modify(|n| *n += 1);
+        }
+    }
+
     /// Returns the next poll for the task of a topic. The task of the targets polls peers for all topics.
-    fn next_poll(&mut self, now: clock::Millis, topic: Topic) -> Poll {
+    pub(super) fn next_poll(&mut self, now: clock::Millis, topic: Topic) -> Poll {
         let view = self.options.members.borrow().clone();
         if topic == Topic::Rules
             && let Some(name) = self.peer_ahead(now, &view)
@@ -696,7 +243,7 @@
     }
 
     /// Returns the polls to make beside those of the topics, or how long to wait before any are due.
-    fn next_escalation(&mut self, now: clock::Millis) -> EscalationReply {
+    pub(super) fn next_escalation(&mut self, now: clock::Millis) -> EscalationReply {
         let view = self.options.members.borrow().clone();
         // Without a bundle in force, the polls of the topics still look for the first updates.
         let answered = self.answered_at().filter(|_| self.has_published());
@@ -971,7 +518,7 @@
     }
 
     /// Returns the updates after a peer's revisions, and how fresh they are.
-    fn updates_since(
+    pub(super) fn updates_since(
         &mut self,
         now: clock::Millis,
         revisions: Revisions,
@@ -1130,7 +677,7 @@
 
     /// Publishes the bundle if its first unpublished change is old enough, or if no bundle is in force yet and its
     /// rules are confirmed.
-    fn publish_due(&mut self, now: clock::Millis) {
+    pub(super) fn publish_due(&mut self, now: clock::Millis) {
         let first = !self.has_published();
         // A change before the targets are known has to be published once they are, also if there are none.
         let has_targets = self.registry.revision(Topic::Targets).is_some();
@@ -1173,7 +720,7 @@
     }
 
     /// Schedules the next tick, for the registry or for publishing, if it is due before the one that is scheduled.
-    fn schedule_tick(&mut self, myself: &ActorRef<Message>, now: clock::Millis) {
+    pub(super) fn schedule_tick(&mut self, myself: &ActorRef<Message>, now: clock::Millis) {
         let unpublished = self.unpublished.as_ref();
         let publish_at = unpublished.map(|changes| match self.has_published() {
             true => changes.since + PUBLISH_DELAY,
