registry: news of the platform's return travels between daemons, and no wait outlives an outage

What callers saw: 404 for a route that was added just after the store had returned from an outage of 8 s, 2.5 s after its confirmation (bound 2 s).

Cause: what a daemon learns to avoid in an outage outlives it. Peers that were stale were left for 3 s, the backoff of a daemon that is no reader grew to 3.2 s, polls beside the source were 2 s apart at peers and up to 8 s at the platform. All are earned by every daemon at once, none ended with the return, and nobody told the others of it.

Change - A daemon with old updates awaits news at its source and at two other daemons, which hold the poll also while they have lost the platform, and reply once it answers them. Whoever has the first answer so tells all in a few steps. - Fresh updates after old ones end all exclusions and backoffs. - A platform that answers nobody is called one topic at a time, by readers each 0.8 s and by all other daemons together at the rate of CALL_SPACING; a daemon whose peers are silent calls as often as a reader. The backoff counts from the call, since one that is not answered takes a second by itself. - Once one topic is answered, the others are polled at once. - The failure of a call from before the last answer no longer counts as a loss. - A reply states for how long it was held, so updates look no fresher than they are (an early reply on a lossy link looked up to 0.7 s fresher). - Rules in force that no source has confirmed count as old. Both fields are in extensions, which the earlier build passes over.

--- a/src/coordination/escalation.rs
+++ b/src/coordination/escalation.rs
@@ -8,7 +8,8 @@
 //! Readers do so earlier than other daemons, which get the result by the polls that they have in flight. So the loss of
 //! a reader that many daemons depend on costs the platform the calls of a few.
 //!
-//! While sources answer in time, updates are never that old, so none of this costs a message.
+//! While sources answer in time, updates are never that old, so none of this costs a message. If the updates stay old,
+//! the daemon awaits the news that the platform answers again at several peers at a time.
 //!
 //! Load pattern: most daemons are killed or frozen at the same moment, readers among them, and the platform turns many
 //! of the others away. The daemons that are left must have a change in time, but they must not all poll a platform that
@@ -38,8 +39,8 @@
 /// The time after the start of a daemon in which it polls no further sources. The views of daemons that start together
 /// differ, so their updates are old for reasons that further polls do not change.
 const START_SPAN: clock::Millis = clock::Millis(2_900);
-/// The time between two polls of other readers, which have many daemons to answer while the platform is lost.
-const PEER_INTERVAL: clock::Millis = clock::Millis(2_000);
+/// The time between two polls of peers for news, which may hold them almost as long.
+const PEER_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// The time between the first two polls of the platform, as long as a call may take; it doubles with each further one.
 const PLATFORM_INTERVAL: clock::Millis = clock::Millis(1_000);
 /// The longest time between two polls of the platform.
@@ -52,17 +53,41 @@
     Wait(clock::Millis),
     /// Poll two other readers, of which one may have failed too.
     PollPeers,
+    /// Await the news that the platform answers again at several peers.
+    AwaitNews,
     /// Poll the platform.
     PollPlatform,
 }
 
+impl Step {
+    /// Returns the name that is used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Step::Wait(_) => "wait",
+            Step::PollPeers => "poll-peers",
+            Step::AwaitNews => "await-news",
+            Step::PollPlatform => "poll-platform",
+        }
+    }
+}
+
+/// Returns the ages at a daemon that is a reader, or is none.
+pub fn ages(is_reader: bool) -> Ages {
+    match is_reader {
+        true => READER_AGES,
+        false => FOLLOWER_AGES,
+    }
+}
+
 /// Decides when one daemon polls more than one source.
 #[derive(Debug)]
 pub struct Escalation {
     /// When the daemon started.
     start: clock::Millis,
-    /// When other readers may be polled again.
+    /// When peers may be polled again.
     peer_at: clock::Millis,
+    /// Whether other readers were polled since the updates became old.
+    has_polled: bool,
     /// When the platform may be polled again.
     platform_at: clock::Millis,
     /// The time from the next poll of the platform to the one after it.
@@ -75,6 +100,7 @@
         Escalation {
             start: now,
             peer_at: now + START_SPAN,
+            has_polled: false,
             platform_at: now + START_SPAN,
             interval: PLATFORM_INTERVAL,
         }
@@ -88,10 +114,7 @@
         answered: Option<clock::Millis>,
         is_reader: bool,
     ) -> Step {
-        let ages = match is_reader {
-            true => READER_AGES,
-            false => FOLLOWER_AGES,
-        };
+        let ages = ages(is_reader);
         let Some(answered) = answered else {
             return Step::Wait(now + ages.peer);
         };
@@ -107,7 +130,10 @@
         }
         if now >= self.peer_at {
             self.peer_at = now + PEER_INTERVAL;
-            return Step::PollPeers;
+            return match std::mem::replace(&mut self.has_polled, true) {
+                false => Step::PollPeers,
+                true => Step::AwaitNews,
+            };
         }
         Step::Wait(self.peer_at.min(platform_due))
     }
--- a/src/coordination/readers.rs
+++ b/src/coordination/readers.rs
@@ -11,6 +11,11 @@
 //! A daemon that starts receives rules and targets from a peer that the platform answers, and reads the platform only if
 //! it finds none in time. See `docs/design/store-calls.md`.
 //!
+//! While the platform answers nobody, daemons that are no readers call it at a rate that is that of the whole fleet
+//! ([`CALL_SPACING`]), and await the news of its return at each other ([`SourceSelector::news_sources`]).
+//! Whoever gets the first answer replies to the polls that it holds, and so do their senders. What a daemon learned to
+//! leave out meanwhile says nothing about the time after that, so it ends with the first fresh updates.
+//!
 //! Load pattern: the platform turns some daemons away, readers among them. If all daemons of their failure domains polled
 //! the platform instead, its calls would grow with the fleet just while it is in trouble.
 
@@ -44,12 +49,21 @@
 /// How long a peer that did not reply in time is not polled: short, since a daemon that finds no other one polls the
 /// platform meanwhile, and a peer that is only slow for a moment is back soon.
 const LATE_PEER_SPAN: clock::Millis = clock::Millis(1_000);
+/// The longest such time, for a peer that stays silent: each further poll of it would cost a timeout.
+const MAX_LATE_PEER_SPAN: clock::Millis = clock::Millis(8_000);
+/// The peers at which a daemon awaits news at a time: several, since each may have failed too.
+const NEWS_SOURCES: usize = 2;
 /// The backoff after the platform first fails to answer; grows with each further failure.
 const INITIAL_BACKOFF: clock::Millis = clock::Millis(100);
 /// The longest backoff of a reader after the platform failed to answer.
 const MAX_BACKOFF: clock::Millis = clock::Millis(800);
-/// The same for other daemons, which meanwhile poll peers and so learn from a reader that the platform is back.
-const MAX_FALLBACK_BACKOFF: clock::Millis = clock::Millis(3_200);
+/// The time between two calls of all daemons that are no readers to a platform that answers nobody: short, since the
+/// first answer is news for the whole fleet.
+const CALL_SPACING: clock::Millis = clock::Millis(100);
+/// The longest backoff of a daemon that is no reader, however large the fleet is.
+const MAX_FALLBACK_BACKOFF: clock::Millis = clock::Millis(60_000);
+/// The number of peers that state that they have lost the platform, from which on a daemon takes it for lost to all.
+const LOST_PEERS: usize = 3;
 /// The time after the start in which a daemon knows too few others to rely on a reader. It obtains rules and targets
 /// once and does not keep polling: each change in this time would cost one call per daemon.
 const STARTUP_SPAN: clock::Millis = clock::Millis(700);
@@ -105,6 +119,24 @@
     Wait(clock::Millis),
 }
 
+/// Why a peer is not polled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    /// Its updates were old.
+    Stale,
+    /// It stated that it has lost the platform.
+    Lost,
+    /// It did not reply in time.
+    Late,
+}
+
+/// A peer that is not polled for some time.
+#[derive(Clone, Copy, Debug)]
+struct Exclusion {
+    until: clock::Millis,
+    reason: Reason,
+}
+
 /// Selects the source from which one daemon polls updates.
 #[derive(Debug)]
 pub struct SourceSelector {
@@ -115,12 +147,20 @@
     has_read: bool,
     /// Whether the platform has failed to answer since the start.
     has_failed: bool,
-    /// The peers that are not polled, each until a time.
-    stale_peers: BTreeMap<String, clock::Millis>,
+    /// The peers that are not polled.
+    excluded: BTreeMap<String, Exclusion>,
+    /// For how long the peers were left out last that did not reply; ends with a reply.
+    late_spans: BTreeMap<String, clock::Millis>,
     /// When the platform may be polled again.
     platform_retry_at: clock::Millis,
+    /// When the last poll that the platform did not answer was made; absent after an answer.
+    failed_poll: Option<clock::Millis>,
+    /// When a poll of a peer was last given up.
+    silent_at: clock::Millis,
     /// Whether this daemon was the reader of its failure domain when it last selected a source.
     was_reader: bool,
+    /// The number of alive daemons at that time.
+    fleet_size: usize,
     /// The backoff after the platform's next failure.
     backoff: clock::Millis,
     /// The number of readers that were selected beside the source, which selects the next one.
@@ -137,9 +177,13 @@
             start: now,
             has_read: false,
             has_failed: false,
-            stale_peers: BTreeMap::new(),
+            excluded: BTreeMap::new(),
+            late_spans: BTreeMap::new(),
             platform_retry_at: clock::Millis::ZERO,
+            failed_poll: None,
+            silent_at: clock::Millis::ZERO,
             was_reader: false,
+            fleet_size: 1,
             backoff: INITIAL_BACKOFF,
             extra_polls: 0,
             random: random::Random::new(homes::hash(&["readers", name])),
@@ -148,17 +192,18 @@
 
     /// Returns the source to poll next.
     pub fn next_source(&mut self, now: clock::Millis, view: &member::View) -> Source {
-        self.stale_peers.retain(|_, until| *until > now);
+        self.excluded.retain(|_, e| e.until > now);
         let reader = reader(&self.domain, view);
         let reads_itself = reader.is_none_or(|r| r == self.name);
         self.was_reader = reads_itself;
+        self.fleet_size = alive(view).count();
         let age = now - self.start;
         let started = age >= STARTUP_SPAN;
         if !started && self.has_read {
             return Source::Wait(self.start + STARTUP_SPAN);
         }
         let asks_peers = started || age < PEER_SPAN;
-        let usable = |r: &&str| asks_peers && *r != self.name && !self.stale_peers.contains_key(*r);
+        let usable = |r: &&str| asks_peers && *r != self.name && !self.excluded.contains_key(*r);
         if let Some(reader) = reader.filter(usable) {
             return Source::Peer(reader.to_owned());
         }
@@ -182,8 +227,10 @@
         if let Some(other) = other {
             return Source::Peer(other.to_owned());
         }
-        self.random_peer(view)
-            .map_or(Source::Wait(self.platform_retry_at), Source::Peer)
+        let until = self.excluded.values().map(|e| e.until).min();
+        let until = until.map_or(self.platform_retry_at, |u| u.min(self.platform_retry_at));
+        self.random_peer(view, |_, e| e.is_none())
+            .map_or(Source::Wait(until), Source::Peer)
     }
 
     /// Returns whether other daemons poll this one: it is the reader of its failure domain.
@@ -204,26 +251,53 @@
         let others = readers.filter(|r| *r != self.name && *r != source);
         let rank = |r: &&str| homes::hash(&["another reader", r, &self.name]);
         let mut others: Vec<_> = others.collect();
-        others.sort_by_key(|r| (self.stale_peers.contains_key(*r), rank(r)));
-        let fresh = others
-            .iter()
-            .filter(|r| !self.stale_peers.contains_key(**r));
+        others.sort_by_key(|r| (self.excluded.contains_key(*r), rank(r)));
+        let fresh = others.iter().filter(|r| !self.excluded.contains_key(**r));
         let choices = match fresh.count() {
             0 => others.len(),
             fresh => fresh,
         };
         if choices == 0 {
-            return self.random_peer(view);
+            return self.random_peer(view, |_, e| e.is_none());
         }
         self.extra_polls += 1;
         Some(others[self.extra_polls % choices].to_owned())
     }
 
+    /// Returns the peers at which a daemon with old updates awaits the news that the platform answers again, beside its
+    /// poll of `source`: any daemons, but not those that were silent lately.
+    ///
+    /// Each daemon awaits it at others, so the news reaches all of them in a few steps from whoever has it first.
+    pub fn news_sources(&mut self, view: &member::View, source: &str) -> BTreeSet<String> {
+        let mut sources = BTreeSet::new();
+        for _ in 0..NEWS_SOURCES {
+            let is_new = |name: &str| name != source && !sources.contains(name);
+            let peer = self.random_peer(view, |name, e| is_new(name) && !is_late(e));
+            sources.extend(peer);
+        }
+        sources
+    }
+
     /// Returns whether the platform may be polled: it has not failed to answer lately.
     pub fn may_poll_platform(&self, now: clock::Millis) -> bool {
         self.platform_retry_at <= now
     }
 
+    /// Returns when a platform that failed to answer is polled next; absent if it has answered since.
+    pub fn next_call(&self) -> Option<clock::Millis> {
+        self.failed_poll.map(|_| self.platform_retry_at)
+    }
+
+    /// Records that the platform is polled although it failed to answer before, so that no other poll is made meanwhile.
+    pub fn record_call(&mut self, now: clock::Millis) {
+        self.platform_retry_at = self.platform_retry_at.max(now + self.backoff);
+    }
+
+    /// Returns the number of peers that are not polled.
+    pub fn excluded_peers(&self) -> usize {
+        self.excluded.len()
+    }
+
     /// Returns the age up to which updates of a peer count as fresh.
     pub fn fresh_span(&self, view: &member::View) -> clock::Millis {
         match self.is_reader(view) {
@@ -245,38 +319,106 @@
 
     /// Records that the updates of `peer` were stale.
     pub fn record_stale_peer(&mut self, now: clock::Millis, peer: &str) {
-        self.exclude(now, peer, STALE_PEER_SPAN);
+        self.late_spans.remove(peer);
+        self.exclude(now, peer, Reason::Stale, STALE_PEER_SPAN);
+    }
+
+    /// Records that `peer` stated that it has lost the platform.
+    ///
+    /// If several do, the platform answers nobody. Daemons that are no readers then call it one after the other, since
+    /// the peers need not be wrong, but the whole fleet must not call at once.
+    pub fn record_lost_peer(&mut self, now: clock::Millis, peer: &str) {
+        self.late_spans.remove(peer);
+        self.exclude(now, peer, Reason::Lost, STALE_PEER_SPAN);
+        let lost = self.excluded.values().filter(|e| e.reason == Reason::Lost);
+        let is_tried = self.platform_retry_at > clock::Millis::ZERO;
+        if !self.was_reader && !is_tried && lost.count() >= LOST_PEERS {
+            let spread = self.fallback_backoff().0;
+            self.platform_retry_at = now + clock::Millis(self.random.index(spread as usize) as u64);
+        }
     }
 
-    /// Records that `peer` did not reply in time.
+    /// Records that `peer` did not reply in time. If it did not after the last time either, it is left out for longer.
     pub fn record_late_peer(&mut self, now: clock::Millis, peer: &str) {
-        self.exclude(now, peer, LATE_PEER_SPAN);
+        let span = match self.late_spans.get(peer) {
+            Some(last) => clock::Millis(last.0 * 2).min(MAX_LATE_PEER_SPAN),
+            None => LATE_PEER_SPAN,
+        };
+        self.late_spans.insert(peer.to_owned(), span);
+        self.exclude(now, peer, Reason::Late, span);
+    }
+
+    /// Records that a poll of a peer was given up. Where peers are silent, the news may not reach this daemon through
+    /// others, so it calls a platform that fails to answer as often as a reader does.
+    pub fn record_silence(&mut self, now: clock::Millis) {
+        self.silent_at = now;
+        let last = self.failed_poll.unwrap_or_default();
+        let retry_at = (last + MAX_BACKOFF).max(now);
+        self.platform_retry_at = self.platform_retry_at.min(retry_at);
+    }
+
+    /// Records that the updates of `peer` were fresh.
+    pub fn record_fresh_peer(&mut self, peer: &str) {
+        self.late_spans.remove(peer);
+        self.excluded.remove(peer);
     }
 
-    fn exclude(&mut self, now: clock::Millis, peer: &str, span: clock::Millis) {
+    /// Records that the updates are fresh again after they were old: what peers and the platform failed to do before
+    /// says nothing about what they do now.
+    pub fn record_recovery(&mut self) {
+        self.excluded.retain(|_, e| e.reason == Reason::Late);
+        self.reset_backoff();
+    }
+
+    fn reset_backoff(&mut self) {
+        self.platform_retry_at = clock::Millis::ZERO;
+        self.failed_poll = None;
+        self.backoff = INITIAL_BACKOFF;
+    }
+
+    fn exclude(&mut self, now: clock::Millis, peer: &str, reason: Reason, span: clock::Millis) {
         // A peer that starts at the same time has data soon.
         let starts = now - self.start < STARTUP_SPAN;
         let span = if starts { PEER_INTERVAL } else { span };
-        self.stale_peers.insert(peer.to_owned(), now + span);
+        let until = now + span;
+        self.excluded
+            .insert(peer.to_owned(), Exclusion { until, reason });
     }
 
-    /// Records whether the platform answered a poll.
-    pub fn record_platform(&mut self, now: clock::Millis, answered: bool) {
+    /// Records whether the platform answered a poll: at `at`, or not, if it was made at `at`.
+    pub fn record_platform(&mut self, at: clock::Millis, answered: bool) {
         self.has_read |= answered;
         self.has_failed |= !answered;
         if answered {
-            self.platform_retry_at = clock::Millis::ZERO;
-            self.backoff = INITIAL_BACKOFF;
+            self.reset_backoff();
             return;
         }
-        self.platform_retry_at = now + self.backoff;
+        self.failed_poll = Some(at);
+        let backoff = match self.was_reader {
+            true => self.backoff,
+            false if self.silent_at > at => self.backoff.min(MAX_BACKOFF),
+            false => self.jittered(self.backoff),
+        };
+        self.platform_retry_at = at + backoff;
         let (factor, longest) = match self.was_reader {
             true => (2, MAX_BACKOFF),
-            false => (8, MAX_FALLBACK_BACKOFF),
+            false => (8, self.fallback_backoff()),
         };
         self.backoff = clock::Millis(self.backoff.0 * factor).min(longest);
     }
 
+    /// Returns a random time from half of a backoff to all of it, since the platform is lost to many daemons at once.
+    fn jittered(&mut self, backoff: clock::Millis) -> clock::Millis {
+        let half = backoff.0 / 2;
+        clock::Millis(half + self.random.index(half as usize + 1) as u64)
+    }
+
+    /// Returns the longest backoff of this daemon, if it is no reader.
+    fn fallback_backoff(&self) -> clock::Millis {
+        let spacing = clock::Millis(CALL_SPACING.0 * self.fleet_size as u64);
+        spacing.clamp(MAX_BACKOFF, MAX_FALLBACK_BACKOFF)
+    }
+
     /// Returns whether this daemon's failure domain is one of those whose readers poll the platform.
     fn is_primary(&self, view: &member::View) -> bool {
         self.primaries(view).contains(&self.domain.as_str())
@@ -309,15 +451,15 @@
         readers.filter_map(|domain| reader(domain, view)).collect()
     }
 
-    /// Returns a random other daemon that is alive and not stale.
-    fn random_peer(&mut self, view: &member::View) -> Option<String> {
-        let members = view.members.iter();
-        let candidates = members.filter(|(name, m)| {
-            **name != self.name
-                && m.liveness == member::Liveness::Alive
-                && !self.stale_peers.contains_key(*name)
-        });
-        let candidates: Vec<_> = candidates.map(|(name, _)| name).collect();
+    /// Returns a random other daemon that is alive and passes `is_usable`, given its name and why it is not polled.
+    fn random_peer(
+        &mut self,
+        view: &member::View,
+        is_usable: impl Fn(&str, Option<&Exclusion>) -> bool,
+    ) -> Option<String> {
+        let candidates = alive(view)
+            .filter(|name| **name != self.name && is_usable(name, self.excluded.get(*name)));
+        let candidates: Vec<_> = candidates.collect();
         if candidates.is_empty() {
             return None;
         }
@@ -325,6 +467,18 @@
     }
 }
 
+/// Returns whether a peer is left out because it did not reply in time.
+fn is_late(exclusion: Option<&Exclusion>) -> bool {
+    exclusion.is_some_and(|e| e.reason == Reason::Late)
+}
+
+/// Returns the names of the alive daemons of a view.
+fn alive(view: &member::View) -> impl Iterator<Item = &String> {
+    let members = view.members.iter();
+    let alive = members.filter(|(_, m)| m.liveness == member::Liveness::Alive);
+    alive.map(|(name, _)| name)
+}
+
 /// Returns the failure domains of a view.
 fn domains(view: &member::View) -> BTreeSet<&str> {
     view.members.values().map(|m| m.domain.as_str()).collect()
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use snafu::ResultExt;
+
 use crate::daemon::{broadcast, home, quota};
 use crate::protocol::{frame, peer, version};
 use crate::transport::quic;
@@ -30,9 +32,12 @@
         mut recv: quic::RecvStream,
         mut send: quic::SendStream,
     ) -> Result<(), frame::Error> {
-        let message = frame::receive(&mut recv).await?;
+        let (mut message, extension): (peer::ControlMessage, _) =
+            frame::receive_extended(&mut recv).await?;
+        message.extend(&extension).context(frame::CodecSnafu)?;
         let reply = self.handle(from, send.version(), message).await;
-        frame::send(&mut send, &reply).await
+        let extension = reply.extension().context(frame::CodecSnafu)?;
+        frame::send_extended(&mut send, &reply, &extension).await
     }
 
     async fn handle(
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -136,9 +136,14 @@
     ) -> Result<peer::ControlMessage, String> {
         let opened = self.peers.open(to, address, peer::Purpose::Control).await;
         let (mut send, mut recv) = opened.map_err(|e| e.to_string())?;
-        frame::send(&mut send, message)
+        let extension = message.extension().map_err(|e| e.to_string())?;
+        frame::send_extended(&mut send, message, &extension)
             .await
             .map_err(|e| e.to_string())?;
-        frame::receive(&mut recv).await.map_err(|e| e.to_string())
+        let received = frame::receive_extended(&mut recv).await;
+        let (mut reply, extension): (peer::ControlMessage, _) =
+            received.map_err(|e| e.to_string())?;
+        reply.extend(&extension).map_err(|e| e.to_string())?;
+        Ok(reply)
     }
 }
--- a/src/daemon/registry/mod.rs
+++ b/src/daemon/registry/mod.rs
@@ -59,6 +59,20 @@
     answered: clock::Millis,
 }
 
+impl Progress {
+    /// Returns whether a peer that waits since `before` learns something. One that waits through an outage does only once
+    /// the platform has answered again.
+    fn is_news(&self, before: &Progress, through_outage: bool) -> bool {
+        match through_outage {
+            true => self.answered > before.answered || self.events != before.events,
+            false => {
+                self.events != before.events
+                    || self.answered >= before.answered + readers::REFRESH_STEP
+            }
+        }
+    }
+}
+
 /// A message to the actor.
 enum Message {
     /// The task of a topic requests its next poll.
@@ -116,7 +130,7 @@
             stale_peers_seen.clone(),
         ));
     }
-    tokio::spawn(poll::escalate(poller));
+    tokio::spawn(poll::escalate(poller, stale_peers_seen));
     Ok(Handle {
         actor: sync::Arc::new(stop::StopOnDrop(actor)),
         bundle,
@@ -143,34 +157,34 @@
                 rules,
                 targets,
                 wait,
+                through_outage,
             } = message
             else {
                 return peer::ControlMessage::Ack;
             };
             let revisions = Revisions { rules, targets };
-            let mut progress = self.progress.clone();
-            let before = *progress.borrow_and_update();
-            let first = self.updates_since(revisions, version).await;
-            // A daemon that starts waits until this one has something, if it starts too.
-            let both_start = rules == 0 && targets == 0 && is_empty(&first);
-            if !is_current_and_empty(&first) && !both_start {
-                return first;
+            let begin = time::Instant::now();
+            let end = begin + wait.min(readers::PEER_POLL).span();
+            let mut reply = self
+                .await_updates(revisions, version, end, through_outage)
+                .await;
+            if let peer::ControlMessage::Updates { held, .. } = &mut reply {
+                *held = Some(begin.elapsed().into());
             }
-            let has_news = |now: &Progress| {
-                now.events != before.events
-                    || now.answered >= before.answered + readers::REFRESH_STEP
-            };
-            // Without news within that time, the reply at least states how fresh this daemon is.
-            let wait = wait.min(readers::PEER_POLL).span();
-            let _ = time::timeout(wait, progress.wait_for(has_news)).await;
-            self.updates_since(revisions, version).await
+            reply
         })
     }
 }
 
-/// Returns whether a reply has no changes, and comes from a daemon that is not cut off from the platform.
-fn is_current_and_empty(reply: &peer::ControlMessage) -> bool {
-    matches!(reply, peer::ControlMessage::Updates { age: Some(_), changes } if changes.is_empty())
+/// Returns whether a reply comes from a daemon that is not cut off from the platform.
+fn is_current(reply: &peer::ControlMessage) -> bool {
+    matches!(reply, peer::ControlMessage::Updates { age: Some(_), .. })
+}
+
+/// Returns whether a reply has no changes, and comes from a daemon whose own updates are old.
+fn is_old_and_empty(reply: &peer::ControlMessage) -> bool {
+    let is_old = |age: &Option<clock::Millis>| age.is_none_or(|age| age > readers::FRESH_SPAN);
+    matches!(reply, peer::ControlMessage::Updates { age, changes, .. } if changes.is_empty() && is_old(age))
 }
 
 /// Returns whether a reply has no changes.
@@ -179,6 +193,39 @@
 }
 
 impl Handle {
+    /// Returns the updates after a peer's revisions, once there is news for the peer, or at `end`.
+    async fn await_updates(
+        &self,
+        revisions: Revisions,
+        version: version::Version,
+        end: time::Instant,
+        through_outage: bool,
+    ) -> peer::ControlMessage {
+        let mut progress = self.progress.clone();
+        let mut before = *progress.borrow_and_update();
+        let mut reply = self.updates_since(revisions, version).await;
+        // A daemon that starts waits until this one has something, if it starts too.
+        let both_start = revisions.rules == 0 && revisions.targets == 0;
+        let waits = match through_outage {
+            true => is_old_and_empty(&reply),
+            false => is_empty(&reply) && (both_start || is_current(&reply)),
+        };
+        if !waits {
+            return reply;
+        }
+        loop {
+            let has_news = |now: &Progress| now.is_news(&before, through_outage);
+            let waited = time::timeout_at(end, progress.wait_for(has_news));
+            let is_over = waited.await.map_or(true, |news| news.is_err());
+            before = *progress.borrow_and_update();
+            // Without news within that time, the reply at least states how fresh this daemon is.
+            reply = self.updates_since(revisions, version).await;
+            if is_over || !through_outage || !is_old_and_empty(&reply) {
+                return reply;
+            }
+        }
+    }
+
     async fn updates_since(
         &self,
         revisions: Revisions,
--- a/src/daemon/registry/poll.rs
+++ b/src/daemon/registry/poll.rs
@@ -50,8 +50,17 @@
 pub(super) enum PollResult {
     /// The result of polling the platform for a topic.
     Platform(Topic, Result<Batch, source::Error>),
-    /// The reply of a peer, with the time since the platform last answered it; absent if it did not reply.
-    Peer(String, Option<(Option<clock::Millis>, PeerUpdates)>),
+    /// The reply of a peer; absent if it did not reply.
+    Peer(String, Option<PeerReply>),
+}
+
+/// The reply of a peer to a request for updates.
+pub(super) struct PeerReply {
+    /// The time since the platform last answered the peer, when it made the reply; absent while it does not answer.
+    pub(super) age: Option<clock::Millis>,
+    /// How long the peer held the request; absent if it does not state it.
+    pub(super) held: Option<clock::Millis>,
+    pub(super) updates: PeerUpdates,
 }
 
 impl PollResult {
@@ -59,7 +68,7 @@
     fn has_changes(&self) -> bool {
         match self {
             PollResult::Platform(_, Ok(batch)) => !batch.changes.is_empty(),
-            PollResult::Peer(_, Some((_, updates))) => !updates.is_empty(),
+            PollResult::Peer(_, Some(reply)) => !reply.updates.is_empty(),
             PollResult::Platform(_, Err(_)) | PollResult::Peer(_, None) => false,
         }
     }
@@ -100,8 +109,15 @@
         /// The pause if there are changes.
         pause: clock::Millis,
     },
-    /// Request the updates of all topics from a peer, which may hold the reply for some time.
-    Peer(String, Revisions, clock::Millis),
+    /// Request the updates of all topics from a peer.
+    Peer {
+        name: String,
+        revisions: Revisions,
+        /// How long the peer may hold the reply.
+        wait: clock::Millis,
+        /// Whether it may do so although it has lost the platform.
+        through_outage: bool,
+    },
     /// Poll nothing for a while, unless another source is selected before.
     Pause(clock::Millis),
 }
@@ -110,7 +126,7 @@
     /// Returns how long the source may hold the poll.
     fn wait(&self) -> clock::Millis {
         match self {
-            Poll::Follow { wait, .. } | Poll::Peer(_, _, wait) => *wait,
+            Poll::Follow { wait, .. } | Poll::Peer { wait, .. } => *wait,
             Poll::Read | Poll::Pause(_) => clock::Millis::ZERO,
         }
     }
@@ -135,8 +151,19 @@
             Poll::Follow { revision, wait, .. } => {
                 PollResult::Platform(topic, self.source.follow(topic, revision, wait).await)
             }
-            Poll::Peer(name, revisions, wait) => {
-                let reply = poll_peer(self.peers.as_ref(), &name, revisions, wait).await;
+            Poll::Peer {
+                name,
+                revisions,
+                wait,
+                through_outage,
+            } => {
+                let request = peer::ControlMessage::GetUpdates {
+                    rules: revisions.rules,
+                    targets: revisions.targets,
+                    wait,
+                    through_outage,
+                };
+                let reply = poll_peer(self.peers.as_ref(), &name, request, wait).await;
                 PollResult::Peer(name, reply)
             }
             Poll::Pause(_) => return None,
@@ -185,7 +212,7 @@
 }
 
 /// Makes further polls while the updates are too old, until the actor stops.
-pub(super) async fn escalate(poller: Poller) {
+pub(super) async fn escalate(poller: Poller, mut stale_peers: tokio_sync::watch::Receiver<u64>) {
     loop {
         let (reply, replied) = tokio_sync::oneshot::channel();
         let asked = poller.actor.send_message(Message::NextEscalation { reply });
@@ -194,7 +221,10 @@
         }
         match replied.await {
             Err(_) => return,
-            Ok(EscalationReply::Wait(span)) => time::sleep(span.span()).await,
+            Ok(EscalationReply::Wait(span)) => {
+                // The sender is gone only if the actor has stopped, which the next message shows.
+                let _ = time::timeout(span.span(), stale_peers.changed()).await;
+            }
             Ok(EscalationReply::Polls(polls)) => {
                 // None of them waits for another, since each may go unanswered.
                 for next in polls {
@@ -206,43 +236,43 @@
     }
 }
 
-/// Requests the updates of all topics from a peer; returns them with the time since the platform last answered it.
+/// Requests the updates of all topics from a peer, which may hold the reply for `wait`.
 async fn poll_peer(
     peers: &dyn peer::ControlSender,
     name: &str,
-    revisions: Revisions,
+    request: peer::ControlMessage,
     wait: clock::Millis,
-) -> Option<(Option<clock::Millis>, PeerUpdates)> {
-    let request = peer::ControlMessage::GetUpdates {
-        rules: revisions.rules,
-        targets: revisions.targets,
-        wait,
-    };
+) -> Option<PeerReply> {
     let polled = peers.send(name, request);
     let Ok(replied) = time::timeout((wait + REPLY_TIMEOUT).span(), polled).await else {
         log::info!(peer = name; "no reply from a peer in time");
         return None;
     };
-    match replied {
-        Ok(peer::ControlMessage::Updates { age, changes }) if changes.is_empty() => {
-            Some((age, PeerUpdates::default()))
+    let (age, held, changes) = match replied {
+        Ok(peer::ControlMessage::Updates { age, held, changes }) => (age, held, changes),
+        Ok(_) => return None,
+        Err(e) => {
+            log::info!(peer = name, reason = e.to_string(); "no updates from a peer");
+            return None;
         }
-        Ok(peer::ControlMessage::Updates { age, changes }) => {
-            match serde_json::from_slice(&changes) {
-                Ok(updates) if PeerUpdates::may_lack_rules(&updates) => {
-                    log::info!(peer = name; "passed over the rules of a peer of an older build");
-                    None
-                }
-                Ok(updates) => Some((age, updates)),
-                Err(e) => {
-                    log::warn!(peer = name; "failed to decode the updates of a peer: {e}");
-                    None
-                }
-            }
+    };
+    let updates = match changes.is_empty() {
+        true => PeerUpdates::default(),
+        false => decode_updates(name, &changes)?,
+    };
+    Some(PeerReply { age, held, updates })
+}
+
+/// Decodes the updates of a peer; returns nothing if they cannot be used.
+fn decode_updates(name: &str, changes: &[u8]) -> Option<PeerUpdates> {
+    match serde_json::from_slice(changes) {
+        Ok(updates) if PeerUpdates::may_lack_rules(&updates) => {
+            log::info!(peer = name; "passed over the rules of a peer of an older build");
+            None
         }
-        Ok(_) => None,
+        Ok(updates) => Some(updates),
         Err(e) => {
-            log::info!(peer = name, reason = e.to_string(); "no updates from a peer");
+            log::warn!(peer = name; "failed to decode the updates of a peer: {e}");
             None
         }
     }
--- a/src/daemon/registry/state.rs
+++ b/src/daemon/registry/state.rs
@@ -6,7 +6,7 @@
 use ractor::ActorRef;
 use tokio::{sync as tokio_sync, time};
 
-use super::poll::{EscalationReply, NextPoll, PeerUpdates, Poll, PollResult, Revisions};
+use super::poll::{EscalationReply, NextPoll, PeerReply, PeerUpdates, Poll, PollResult, Revisions};
 use super::{Message, Options, Progress};
 use crate::coordination;
 use crate::coordination::{escalation, homes, member, readers, reply_time};
@@ -33,6 +33,8 @@
 /// How long another daemon may have rules of a higher version in force before they are requested from it: longer than
 /// the platform takes to tell both.
 const BEHIND_SPAN: clock::Millis = clock::Millis(800);
+/// The pause of a topic's task while the platform is called beside it.
+const CALL_PAUSE: clock::Millis = clock::Millis(50);
 /// How often rules that are not confirmed are compared with those of other daemons.
 const CONFIRM_INTERVAL: clock::Millis = clock::Millis(50);
 /// How long a daemon that starts waits for confirmation of the rules it has, before it serves by them. Other daemons
@@ -107,6 +109,10 @@
     history_dropped: BTreeSet<Topic>,
     /// The latest era of a revision; absent before the first batch.
     era: Option<u64>,
+    /// The topics to poll at the platform because it has answered for another one again.
+    regained_topics: BTreeSet<Topic>,
+    /// The number of calls to a platform that failed to answer, which selects the topic of the next one.
+    calls: usize,
     /// Whether the platform was the last source that was selected.
     polls_platform: bool,
     /// The last source that was selected, for logs.
@@ -142,6 +148,8 @@
             answered: BTreeMap::new(),
             history_dropped: BTreeSet::new(),
             era: None,
+            regained_topics: BTreeSet::new(),
+            calls: 0,
             polls_platform: false,
             source: String::new(),
             behind_since: None,
@@ -169,18 +177,46 @@
     ) {
         self.encoded = None;
         match result {
+            PollResult::Platform(topic, Err(source::Error::Unavailable { .. }))
+                if self.answered.get(&topic).is_some_and(|at| *at > asked) =>
+            {
+                // The platform has answered since, here or along the path of the updates.
+                log::info!(topic = topic.as_str(); "passed over the failure of an earlier poll");
+            }
             PollResult::Platform(topic, outcome) => {
                 let made = self.platform_time.made_at(now, asked, wait);
+                // The backoff counts from the poll, since a call that is not answered takes long by itself.
+                match outcome {
+                    Err(source::Error::Unavailable { .. }) => {
+                        self.selector.record_platform(asked, false);
+                    }
+                    _ => self.selector.record_platform(now, true),
+                }
+                if outcome.is_ok() && self.is_escalated(now) {
+                    self.selector.record_recovery();
+                    self.poll_other_topics(topic);
+                }
                 self.handle_platform(now, made, topic, outcome);
             }
             PollResult::Peer(name, None) => self.handle_late_peer(now, &name),
             PollResult::Peer(name, Some(reply)) => {
-                let made = self.peer_time.made_at(now, asked, wait);
+                let made = match reply.held {
+                    // The reply may have been made that much later than the request was sent, and not later.
+                    Some(held) => (asked + held).min(now),
+                    None => self.peer_time.made_at(now, asked, wait),
+                };
                 self.handle_peer(now, made, &name, reply);
             }
         }
     }
 
+    /// Has all other topics polled at the platform too, which answers again. Their own tasks may wait for peers.
+    fn poll_other_topics(&mut self, answered: Topic) {
+        let others = Topic::ALL.into_iter().filter(|t| *t != answered);
+        self.regained_topics.extend(others);
+        self.publishers.stale_peers.send_modify(|n| *n += 1);
+    }
+
     /// Handles the timer.
     pub(super) fn handle_tick(&mut self, now: clock::Millis) {
         self.next_tick = clock::Millis::MAX;
@@ -204,7 +240,12 @@
                 rules: 0,
                 ..self.revisions()
             };
-            return Poll::Peer(name, revisions, clock::Millis::ZERO);
+            return Poll::Peer {
+                name,
+                revisions,
+                wait: clock::Millis::ZERO,
+                through_outage: false,
+            };
         }
         let source = self.selector.next_source(now, &view);
         self.log_source(now, &source);
@@ -224,9 +265,20 @@
                     false => readers::PEER_START_WAIT,
                 };
                 self.polls_platform = false;
-                Poll::Peer(name, self.revisions(), wait)
+                let through_outage = self.is_escalated(now);
+                Poll::Peer {
+                    name,
+                    revisions: self.revisions(),
+                    wait: match through_outage {
+                        true => readers::PEER_POLL,
+                        false => wait,
+                    },
+                    through_outage,
+                }
             }
             readers::Source::Wait(until) => Poll::Pause(until - now + clock::Millis(1)),
+            // The task of escalations calls a platform that has failed to answer, with one topic at a time.
+            readers::Source::Platform if self.next_call(now).is_some() => Poll::Pause(CALL_PAUSE),
             readers::Source::Platform => {
                 let pause = match self.selector.is_reader(&view) {
                     true => PLATFORM_PAUSE,
@@ -244,25 +296,39 @@
 
     /// Returns the polls to make beside those of the topics, or how long to wait before any are due.
     pub(super) fn next_escalation(&mut self, now: clock::Millis) -> EscalationReply {
+        let regained = std::mem::take(&mut self.regained_topics);
+        if !regained.is_empty() && self.is_escalated(now) {
+            return EscalationReply::Polls(self.polls_of_platform(now, regained));
+        }
         let view = self.options.members.borrow().clone();
-        // Without a bundle in force, the polls of the topics still look for the first updates.
-        let answered = self.answered_at().filter(|_| self.has_published());
+        let answered = self.answered_in_force();
         let is_reader = self.selector.is_reader(&view);
-        let polls = match self.escalation.next_step(now, answered, is_reader) {
+        let age = answered.map_or(clock::Millis::ZERO, |at| now - at);
+        let call_at = self.next_call(now);
+        let step = match (self.escalation.next_step(now, answered, is_reader), call_at) {
+            (escalation::Step::Wait(_), Some(at)) if at <= now => escalation::Step::PollPlatform,
+            (escalation::Step::Wait(until), Some(at)) => escalation::Step::Wait(until.min(at)),
+            (step, _) => step,
+        };
+        let polls = match step {
             escalation::Step::Wait(until) => {
                 return EscalationReply::Wait((until - now).max(clock::Millis(1)));
             }
             escalation::Step::PollPeers => self.polls_of_other_readers(now, &view),
-            escalation::Step::PollPlatform => self.polls_of_platform(now),
+            escalation::Step::AwaitNews => self.polls_for_news(now, &view),
+            escalation::Step::PollPlatform => {
+                let topics = self.topics_to_call(now);
+                self.polls_of_platform(now, topics)
+            }
         };
-        let age = answered.map_or(clock::Millis::ZERO, |at| now - at);
         for next in &polls {
             let (kind, name) = match &next.poll {
-                Poll::Peer(name, ..) => ("peer", name.as_str()),
+                Poll::Peer { name, .. } => ("peer", name.as_str()),
                 _ => ("platform", PLATFORM),
             };
             log::info!(
-                topic = next.topic.as_str(), to = name, source = self.source, age_ms = age.0;
+                topic = next.topic.as_str(), to = name, source = self.source, age_ms = age.0, step = step.as_str(),
+                excluded = self.selector.excluded_peers();
                 "updates are old; polling another source too"
             );
             self.options.metrics.record_escalation(kind);
@@ -270,30 +336,84 @@
         EscalationReply::Polls(polls)
     }
 
+    /// Returns when this daemon next calls a platform that has failed to answer, although its updates are old.
+    fn next_call(&self, now: clock::Millis) -> Option<clock::Millis> {
+        let is_reader = self.selector.is_reader(&self.options.members.borrow());
+        let age = self.answered_in_force().map(|at| now - at);
+        let is_old = age.is_some_and(|age| age >= escalation::ages(is_reader).platform);
+        self.selector.next_call().filter(|_| is_old)
+    }
+
+    /// Returns the topics to poll at the platform: all, or one after the other while it fails to answer. The others
+    /// follow once it answers.
+    fn topics_to_call(&mut self, now: clock::Millis) -> BTreeSet<Topic> {
+        if self.next_call(now).is_none() {
+            return Topic::ALL.into();
+        }
+        self.calls += 1;
+        BTreeSet::from([Topic::ALL[self.calls % Topic::ALL.len()]])
+    }
+
+    /// Returns when the platform last answered for what is in force. Without a bundle in force, the polls of the topics
+    /// still look for the first updates; rules that no source has confirmed count as old.
+    fn answered_in_force(&self) -> Option<clock::Millis> {
+        self.has_published()
+            .then(|| self.answered_at().unwrap_or_default())
+    }
+
+    /// Returns whether the updates are so old that the daemon polls more than one source.
+    fn is_escalated(&self, now: clock::Millis) -> bool {
+        let is_reader = self.selector.is_reader(&self.options.members.borrow());
+        let age = self.answered_in_force().map(|at| now - at);
+        age.is_some_and(|age| age >= escalation::ages(is_reader).peer)
+    }
+
     /// Returns polls of two readers other than the source, which reply at once.
     fn polls_of_other_readers(&mut self, now: clock::Millis, view: &member::View) -> Vec<NextPoll> {
         let mut another = || self.selector.another_reader(view, &self.source);
         let names: BTreeSet<_> = [another(), another()].into_iter().flatten().collect();
+        self.polls_of_peers(now, names, clock::Millis::ZERO, false)
+    }
+
+    /// Returns polls of peers that reply once the platform has answered them again.
+    fn polls_for_news(&mut self, now: clock::Millis, view: &member::View) -> Vec<NextPoll> {
+        let names = self.selector.news_sources(view, &self.source);
+        self.polls_of_peers(now, names, readers::PEER_POLL, true)
+    }
+
+    fn polls_of_peers(
+        &self,
+        now: clock::Millis,
+        names: BTreeSet<String>,
+        wait: clock::Millis,
+        through_outage: bool,
+    ) -> Vec<NextPoll> {
         let revisions = self.revisions();
         let poll = |name| NextPoll {
             topic: Topic::Targets,
-            poll: Poll::Peer(name, revisions, clock::Millis::ZERO),
+            poll: Poll::Peer {
+                name,
+                revisions,
+                wait,
+                through_outage,
+            },
             at: now,
         };
         names.into_iter().map(poll).collect()
     }
 
-    /// Returns polls of the platform for all topics, which it answers at once; none while it fails to answer.
-    fn polls_of_platform(&self, now: clock::Millis) -> Vec<NextPoll> {
+    /// Returns polls of the platform for topics, which it answers at once; none while it fails to answer.
+    fn polls_of_platform(&mut self, now: clock::Millis, topics: BTreeSet<Topic>) -> Vec<NextPoll> {
         if !self.selector.may_poll_platform(now) {
             return Vec::new();
         }
+        self.selector.record_call(now);
         let poll = |topic| NextPoll {
             topic,
             poll: self.platform_poll(topic, clock::Millis::ZERO, PLATFORM_PAUSE),
             at: now,
         };
-        Topic::ALL.map(poll).into()
+        topics.into_iter().map(poll).collect()
     }
 
     /// Logs and counts the source of updates if it is another one than before.
@@ -308,7 +428,8 @@
         }
         let age = self.answered_at().map(|at| now - at);
         log::info!(
-            source = name, source_before = self.source, age_ms = age.unwrap_or_default().0;
+            source = name, source_before = self.source, age_ms = age.unwrap_or_default().0,
+            excluded = self.selector.excluded_peers();
             "selected another source of updates"
         );
         self.options.metrics.record_source(kind);
@@ -408,9 +529,7 @@
         topic: Topic,
         outcome: Result<Batch, source::Error>,
     ) {
-        let is_unavailable = matches!(outcome, Err(source::Error::Unavailable { .. }));
         let answered_before = self.answered.get(&topic).copied();
-        self.selector.record_platform(now, !is_unavailable);
         match outcome {
             Ok(batch) if self.is_outdated(batch.revision) => {
                 log::info!(topic = topic.as_str(), mark = batch.revision; "ignored an answer of an earlier era");
@@ -449,21 +568,32 @@
         now: clock::Millis,
         made: clock::Millis,
         name: &str,
-        (age, updates): (Option<clock::Millis>, PeerUpdates),
+        reply: PeerReply,
     ) {
+        let PeerReply { age, updates, .. } = reply;
         let answered_before = self.answered_at();
+        let is_lost = age.is_none();
         let age = age.map(|age| age + (now - made));
         let span = self.selector.fresh_span(&self.options.members.borrow());
         let fresh = age.filter(|age| *age <= span);
         match fresh {
             Some(age) => {
+                self.selector.record_fresh_peer(name);
+                let was_escalated = self.is_escalated(now);
                 for topic in Topic::ALL {
                     self.record_answer(topic, now - age);
                 }
+                if was_escalated && !self.is_escalated(now) {
+                    self.selector.record_recovery();
+                }
                 self.record_contact(now);
             }
             None => {
-                self.record_stale_peer(now, name);
+                match is_lost {
+                    true => self.selector.record_lost_peer(now, name),
+                    false => self.selector.record_stale_peer(now, name),
+                }
+                self.publishers.stale_peers.send_modify(|n| *n += 1);
                 if !self.selector.accepts_stale() {
                     return;
                 }
@@ -494,11 +624,7 @@
     /// Handles a peer that did not reply in time.
     fn handle_late_peer(&mut self, now: clock::Millis, name: &str) {
         self.selector.record_late_peer(now, name);
-        self.publishers.stale_peers.send_modify(|n| *n += 1);
-    }
-
-    fn record_stale_peer(&mut self, now: clock::Millis, name: &str) {
-        self.selector.record_stale_peer(now, name);
+        self.selector.record_silence(now);
         self.publishers.stale_peers.send_modify(|n| *n += 1);
     }
 
@@ -543,6 +669,7 @@
         peer::ControlMessage::Updates {
             age: self.age(now),
             changes,
+            held: None,
         }
     }
 
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -355,6 +355,10 @@
         targets: u64,
         /// The maximum time for which the reply may wait for a change (long polling).
         wait: clock::Millis,
+        /// Whether the reply may wait although the receiver has lost the platform, until it answers again. The field is
+        /// in the extension of the message; a receiver that does not know it replies at once.
+        #[serde(skip)]
+        through_outage: bool,
     },
     /// Carries the platform's changes that the sender knows and that are newer than the requested revisions.
     #[serde(rename = "News")]
@@ -363,6 +367,10 @@
         age: Option<clock::Millis>,
         /// The changes, encoded as JSON; empty if there are none.
         changes: Vec<u8>,
+        /// How long the sender held the request. The field is in the extension of the message; absent if the sender does
+        /// not state it.
+        #[serde(skip)]
+        held: Option<clock::Millis>,
     },
     /// Requests tokens of quotas from their holder; only sent to daemons of version 2.
     GetTokens(Box<TokenRequest>),
@@ -370,6 +378,62 @@
     Tokens(Option<Vec<TokenLot>>),
 }
 
+/// The field `through_outage` of [`ControlMessage::GetUpdates`] in the extension of the message.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ThroughOutage(bool);
+
+impl extension::Field for ThroughOutage {
+    const TAG: u32 = 1;
+}
+
+/// The field `held` of [`ControlMessage::Updates`] in the extension of the message.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Held(clock::Millis);
+
+impl extension::Field for Held {
+    const TAG: u32 = 2;
+}
+
+impl ControlMessage {
+    /// Returns the extension of the message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the codec fails to encode a field.
+    pub fn extension(&self) -> Result<extension::Extension, postcard::Error> {
+        match self {
+            ControlMessage::GetUpdates {
+                through_outage: true,
+                ..
+            } => extension::Extension::of(&ThroughOutage(true)),
+            ControlMessage::Updates {
+                held: Some(held), ..
+            } => extension::Extension::of(&Held(*held)),
+            _ => Ok(extension::Extension::default()),
+        }
+    }
+
+    /// Adds the fields of an extension to the message that it followed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a field cannot be decoded.
+    pub fn extend(&mut self, extension: &extension::Extension) -> Result<(), postcard::Error> {
+        match self {
+            ControlMessage::GetUpdates { through_outage, .. } => {
+                let field: Option<ThroughOutage> = extension.get()?;
+                *through_outage = field.is_some_and(|field| field.0);
+            }
+            ControlMessage::Updates { held, .. } => {
+                let field: Option<Held> = extension.get()?;
+                *held = field.map(|field| field.0);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
 /// A home's request for tokens of quotas, for all organisations of one holder.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TokenRequest {
--- a/tests/testsuite/readers.rs
+++ b/tests/testsuite/readers.rs
@@ -280,3 +280,87 @@
     selector.record_stale_peer(STARTED, &reader);
     assert_eq!(returns(&mut selector), Some(STARTED + Millis(3_000)));
 }
+
+/// Guards against waits that outlive an outage: what a daemon left out while the platform answered nobody says nothing
+/// about the time after that.
+#[test]
+fn a_daemon_whose_updates_are_fresh_again_leaves_out_no_peer_that_had_lost_the_platform() {
+    let view = view(20);
+    let (mut selector, reader) = peer_poller(&view);
+    for name in view.members.keys() {
+        selector.record_lost_peer(STARTED, name);
+    }
+    for i in 0..5 {
+        selector.record_platform(STARTED + Millis(100 * i), false);
+    }
+    let now = STARTED + Millis(500);
+    assert!(matches!(selector.next_source(now, &view), Source::Wait(_)));
+    selector.record_recovery();
+    assert_eq!(selector.next_source(now, &view), Source::Peer(reader));
+    assert!(selector.may_poll_platform(now));
+}
+
+/// Returns when each of `count` daemons next calls a platform that they and their peers found lost at [`STARTED`].
+fn first_calls(count: usize) -> Vec<Millis> {
+    let view = view(count);
+    let mut followers: Vec<_> = (0..count).map(daemon).collect();
+    followers
+        .retain_mut(|selector| matches!(selector.next_source(STARTED, &view), Source::Peer(_)));
+    let calls = followers.iter_mut().map(|selector| {
+        for peer in ["d0", "d1", "d2", "d3"] {
+            selector.record_lost_peer(STARTED, peer);
+        }
+        let mut times = (0..100_000).step_by(10).map(|ms| STARTED + Millis(ms));
+        let call = times.find(|now| selector.may_poll_platform(*now));
+        call.expect("the platform is called")
+    });
+    calls.collect()
+}
+
+/// Guards against a fleet that calls the platform as one when it comes to know that it is away.
+#[test]
+fn calls_to_a_platform_that_peers_have_lost_are_spread_over_the_fleet() {
+    for count in [40, 300] {
+        let calls = first_calls(count);
+        let early = calls.iter().filter(|at| **at < STARTED + Millis(1_000));
+        assert!(early.count() <= 25, "{count} daemons: {calls:?}");
+        let last = calls.iter().max().expect("there are daemons");
+        assert!(*last <= STARTED + Millis(count as u64 * 100));
+    }
+}
+
+/// Guards against a daemon that relies on the news of peers that are silent.
+#[test]
+fn a_daemon_whose_peers_are_silent_calls_the_platform_as_often_as_a_reader() {
+    let view = view(300);
+    let mut selector = daemon(0);
+    selector.next_source(STARTED, &view);
+    for i in 0..6 {
+        selector.record_platform(STARTED + Millis(100 * i), false);
+    }
+    let given_up = STARTED + Millis(1_700);
+    assert!(!selector.may_poll_platform(given_up));
+    selector.record_late_peer(given_up, "d1");
+    selector.record_silence(given_up);
+    assert!(selector.may_poll_platform(given_up));
+    // The call was made before the peer was known to be silent, and is not answered either.
+    let asked = given_up - Millis(100);
+    selector.record_platform(asked, false);
+    assert!(!selector.may_poll_platform(asked + Millis(700)));
+    assert!(selector.may_poll_platform(asked + Millis(800)));
+    selector.record_platform(asked + Millis(800), false);
+    assert!(!selector.may_poll_platform(asked + Millis(1_600)));
+}
+
+#[test]
+fn news_is_awaited_at_other_daemons_that_were_not_silent() {
+    let view = view(6);
+    let mut selector = daemon(0);
+    for silent in ["d1", "d2"] {
+        selector.record_late_peer(STARTED, silent);
+    }
+    for _ in 0..50 {
+        let sources = selector.news_sources(&view, "d3");
+        assert_eq!(sources, BTreeSet::from(["d4", "d5"].map(str::to_owned)));
+    }
+}
--- a/tests/testsuite/restore.rs
+++ b/tests/testsuite/restore.rs
@@ -490,6 +490,7 @@
         let reply = peer::ControlMessage::Updates {
             age: Some(Millis::ZERO),
             changes: updates.to_string().into_bytes(),
+            held: None,
         };
         Box::pin(async { Ok(reply) })
     }
@@ -602,6 +603,7 @@
                 changes: Vec::from_iter(is_news.then(|| updates.to_string()))
                     .concat()
                     .into_bytes(),
+                held: None,
             })
         })
     }
--- a/tests/testsuite/wire_forms.rs
+++ b/tests/testsuite/wire_forms.rs
@@ -136,12 +136,14 @@
         rules: 5,
         targets: 6,
         wait: Millis(700),
+        through_outage: false,
     };
     assert_eq!(request, request_then);
     let (updates, _) = decode::<peer::ControlMessage>(UPDATES);
     let updates_then = peer::ControlMessage::Updates {
         age: Some(Millis(3)),
         changes: b"{}".to_vec(),
+        held: None,
     };
     assert_eq!(updates, updates_then);
 }
@@ -185,6 +187,30 @@
     assert_eq!(gossip::decode(&sent).unwrap(), datagram());
 }
 
+/// Guards against builds side by side that misread each other's polls for updates.
+#[test]
+fn polls_for_updates_are_read_by_the_older_build_and_keep_their_new_fields() {
+    let request = peer::ControlMessage::GetUpdates {
+        rules: 5,
+        targets: 6,
+        wait: Millis(700),
+        through_outage: true,
+    };
+    let updates = peer::ControlMessage::Updates {
+        age: Some(Millis(3)),
+        changes: b"{}".to_vec(),
+        held: Some(Millis(40)),
+    };
+    for (message, older) in [(request, GET_UPDATES), (updates, UPDATES)] {
+        let sent = message.extension().unwrap().encode_after(&message).unwrap();
+        assert!(sent.starts_with(&bytes(older)));
+        let (mut read, extension): (peer::ControlMessage, _) =
+            Extension::decode_after(&sent).unwrap();
+        read.extend(&extension).unwrap();
+        assert_eq!(read, message);
+    }
+}
+
 /// A later build may add fields that this one does not know.
 #[test]
 fn unknown_fields_of_an_extension_are_passed_over() {
--- a/tests/testsuite/withdrawn.rs
+++ b/tests/testsuite/withdrawn.rs
@@ -163,6 +163,7 @@
             Ok(peer::ControlMessage::Updates {
                 age,
                 changes: changes.concat().into_bytes(),
+                held: None,
             })
         })
     }
