entry: what rules lack that were confirmed too long ago is refused as not known (503), not as missing (404, 401)

What callers saw: 404 for a route that existed, from a daemon whose rules were older than a change may take; a caller does not try again after a 404.

The age of its rules was known to the registry alone.

If that is longer ago than limits.apply_ms, a missing route or credential is refused as rules-lapsed, 503, Retry-After 0.5 s.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -22,6 +22,7 @@
 use crate::daemon::claims::Claims;
 use crate::daemon::exchange;
 use crate::daemon::exchange::HomeResult;
+use crate::daemon::freshness;
 use crate::daemon::home;
 use crate::daemon::memory;
 use crate::daemon::metrics;
@@ -38,6 +39,9 @@
 const MAX_HOMES: usize = 4;
 /// The `Retry-After` of refusals while no bundle is in force, no home is reachable or the entry is full.
 const RETRY_AFTER: clock::Millis = clock::Millis(1_000);
+/// The `Retry-After` of requests that newer rules may have a route or a credential for: the time in which a daemon that
+/// is behind catches up. Other daemons may have them already.
+const LAPSED_RETRY_AFTER: clock::Millis = clock::Millis(500);
 /// How far a head may exceed its limit where the bundle refuses unknown callers, in bytes. The server would refuse a
 /// long credential as a long head, whereas its caller is to learn that the credential is not known.
 pub const LONG_CREDENTIAL_BYTES: usize = 68 * 1024;
@@ -64,6 +68,8 @@
     pub recorder: sync::Arc<timeline::Recorder>,
     /// The bundle in force.
     pub bundle: tokio_sync::watch::Receiver<sync::Arc<bundle::Bundle>>,
+    /// How long ago the platform confirmed the rules.
+    pub freshness: freshness::Freshness,
     /// The live daemons.
     pub view: tokio_sync::watch::Receiver<sync::Arc<member::View>>,
     /// Opens streams to homes.
@@ -195,8 +201,8 @@
                     .record_request(&record.service, record.tier, "answered", took);
                 log::info!(
                     request = record.name, id = id.to_string(), route = record.route, service = record.service,
-                    home = record.home, tried = record.homes_tried, bundle = record.version, status = response.status().as_u16(),
-                    took_ms = took.0;
+                    home = record.home, tried = record.homes_tried, bundle = record.version, rules_age_ms = record.rules_age.0,
+                    status = response.status().as_u16(), took_ms = took.0;
                     "answered"
                 );
                 response
@@ -220,8 +226,8 @@
                     .record_refusal(refusal.cause.as_str(), refusal.outcome.as_str());
                 log::info!(
                     request = record.name, id = id.to_string(), route = record.route, service = record.service,
-                    home = record.home, tried = record.homes_tried, bundle = record.version, outcome = refusal.outcome.as_str(),
-                    cause = refusal.cause.as_str(), retry_after_ms = refusal.retry_after.unwrap_or_default().0,
+                    home = record.home, tried = record.homes_tried, bundle = record.version, rules_age_ms = record.rules_age.0,
+                    outcome = refusal.outcome.as_str(), cause = refusal.cause.as_str(), retry_after_ms = refusal.retry_after.unwrap_or_default().0,
                     took_ms = took.0;
                     "refused"
                 );
@@ -243,6 +249,7 @@
     ) -> Result<Response<body::Body>, Refusal> {
         let current = self.indexed_bundle();
         record.version = current.bundle.version;
+        record.rules_age = self.options.freshness.age().unwrap_or_default();
         let mut parsed = self.parse(&current, id, from, request).await?;
         record.service.clone_from(&parsed.slot_request.cell.service);
         record.tier = parsed.slot_request.tier;
@@ -361,11 +368,19 @@
         let route = index.route(bundle, host(parts), parts.uri.path());
         let credential = self.options.client.dialect.credential(&parts.headers);
         let caller = index.caller(bundle, route, credential);
-        let caller = caller.ok_or(Refusal::not_run(Cause::UnknownCaller, None))?;
-        let route = route.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+        let caller = caller.ok_or_else(|| self.refusal_by_rules(Cause::UnknownCaller))?;
+        let route = route.ok_or_else(|| self.refusal_by_rules(Cause::NoRoute))?;
         Ok((caller, route))
     }
 
+    /// Returns the refusal of a request for something that the rules lack, unless newer rules may have it.
+    fn refusal_by_rules(&self, cause: Cause) -> Refusal {
+        match self.options.freshness.is_lapsed() {
+            true => Refusal::not_run(Cause::RulesLapsed, Some(LAPSED_RETRY_AFTER)),
+            false => Refusal::not_run(cause, None),
+        }
+    }
+
     /// Reads the head and the first part of the body, and authenticates and routes the request.
     async fn parse(
         &self,
@@ -385,7 +400,7 @@
         let service = current
             .index
             .service(&current.bundle, route.service_for(id.0 as u64));
-        let service = service.ok_or(Refusal::not_run(Cause::NoRoute, None))?;
+        let service = service.ok_or_else(|| self.refusal_by_rules(Cause::NoRoute))?;
         let blocked = self
             .options
             .quotas
@@ -679,6 +694,8 @@
     tier: u8,
     /// The version of the bundle that the request was routed by.
     version: u64,
+    /// The time since the platform confirmed the rules when the request arrived.
+    rules_age: clock::Millis,
     /// The last home that the request was sent to.
     home: String,
     /// The number of homes that the request was sent to.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 pub mod exchange;
 pub mod follower;
 pub mod forward;
+pub mod freshness;
 pub mod home;
 pub mod lease;
 pub mod links;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -10,8 +10,8 @@
 use crate::coordination::member as membership;
 use crate::coordination::shutdown as graceful;
 use crate::daemon::{
-    admin, background, broadcast, cell, claims, control, egress, entry, exchange, follower, home,
-    lease, links, member, memory, metrics, quota, registry, relay, shutdown,
+    admin, background, broadcast, cell, claims, control, egress, entry, exchange, follower,
+    freshness, home, lease, links, member, memory, metrics, quota, registry, relay, shutdown,
 };
 use crate::protocol::{dialect, peer, platform, source};
 use crate::state::{bundle, clock, ids, operator, settings, timeline};
@@ -162,6 +162,7 @@
 /// The bundle in force, and the handler of control messages about it.
 struct BundleSource {
     bundle: BundleReceiver,
+    freshness: freshness::Freshness,
     handler: sync::Arc<dyn peer::ControlHandler>,
 }
 
@@ -293,6 +294,7 @@
         let follower = follower.context(ActorSnafu { part })?;
         Ok(BundleSource {
             bundle: follower.bundle(),
+            freshness: freshness::Freshness::unlimited(self.clock),
             handler: sync::Arc::new(follower),
         })
     }
@@ -316,8 +318,10 @@
         let part = "registry of rules and targets";
         let registry = registry::spawn(options).await;
         let registry = registry.context(ActorSnafu { part })?;
+        let bound = self.settings.limits.apply_ms;
         Ok(BundleSource {
             bundle: registry.bundle(),
+            freshness: freshness::Freshness::new(self.clock, registry.confirmations(), bound),
             handler: sync::Arc::new(registry),
         })
     }
@@ -416,7 +420,7 @@
     async fn entry(
         &self,
         fleet: &Fleet,
-        bundle: &BundleReceiver,
+        rules: &BundleSource,
         home: &sync::Arc<home::Home>,
         broadcaster: &sync::Arc<broadcast::Broadcaster>,
         quotas: &sync::Arc<quota::Quotas>,
@@ -431,7 +435,8 @@
             settings: self.settings.clone(),
             clock: self.clock,
             recorder: self.recorder.clone(),
-            bundle: bundle.clone(),
+            bundle: rules.bundle.clone(),
+            freshness: rules.freshness.clone(),
             view: fleet.view.clone(),
             links: sync::Arc::new(links),
             claims: self.claims(fleet).await?,
@@ -485,7 +490,8 @@
         let (peers, incoming) = bound.context(PeersSnafu)?;
         let shared = Shared::new(parts, peers)?;
         let fleet = shared.fleet().await?;
-        let BundleSource { bundle, handler } = shared.bundle_source(&fleet).await?;
+        let rules = shared.bundle_source(&fleet).await?;
+        let bundle = rules.bundle.clone();
         let broadcaster = shared.broadcaster(&fleet);
         let quotas = shared.quotas(&fleet, &bundle);
         let home = shared.home(&fleet, &bundle, &broadcaster, &quotas);
@@ -496,7 +502,7 @@
             true => pool.with_stall_timeout(),
             false => pool,
         });
-        let entry = shared.entry(&fleet, &bundle, &home, &broadcaster, &quotas, &pool);
+        let entry = shared.entry(&fleet, &rules, &home, &broadcaster, &quotas, &pool);
         let entry = sync::Arc::new(entry.await?);
         let relay = sync::Arc::new(relay::Relay::new(relay::Options {
             limits: shared.settings.limits.clone(),
@@ -508,7 +514,7 @@
             broadcaster,
             home: home.clone(),
             quotas: quotas.clone(),
-            handler,
+            handler: rules.handler,
         };
         let (limits, limits_seen) = tokio_sync::watch::channel(shared.settings.limits.clone());
         let members = fleet.members;
--- a/src/daemon/registry/mod.rs
+++ b/src/daemon/registry/mod.rs
@@ -15,7 +15,7 @@
 use self::poll::{EscalationReply, NextPoll, PollResult, Poller, Revisions};
 use self::state::{Publishers, State};
 use crate::coordination::{member, readers};
-use crate::daemon::{metrics, stop};
+use crate::daemon::{freshness, metrics, stop};
 use crate::protocol::source::{self, Topic};
 use crate::protocol::{peer, platform, version};
 use crate::state::{bundle, clock, timeline};
@@ -48,6 +48,7 @@
     actor: sync::Arc<stop::StopOnDrop<Message>>,
     bundle: tokio_sync::watch::Receiver<sync::Arc<bundle::Bundle>>,
     progress: tokio_sync::watch::Receiver<Progress>,
+    confirmed: freshness::Confirmations,
 }
 
 /// What peers that wait for updates need to know.
@@ -112,10 +113,12 @@
     let (source, peers) = (options.source.clone(), options.sender.clone());
     let (progress, progress_seen) = tokio_sync::watch::channel(Progress::default());
     let (stale_peers, stale_peers_seen) = tokio_sync::watch::channel(0);
+    let (confirmed, confirmed_seen) = tokio_sync::watch::channel(None);
     let publishers = Publishers {
         bundle: sender,
         progress,
         stale_peers,
+        confirmed,
     };
     let (actor, _) = Actor::spawn(None, RegistryActor, (options, publishers)).await?;
     let poller = Poller {
@@ -135,6 +138,7 @@
         actor: sync::Arc::new(stop::StopOnDrop(actor)),
         bundle,
         progress: progress_seen,
+        confirmed: confirmed_seen,
     })
 }
 
@@ -143,6 +147,11 @@
     pub fn bundle(&self) -> tokio_sync::watch::Receiver<sync::Arc<bundle::Bundle>> {
         self.bundle.clone()
     }
+
+    /// Returns when the platform last confirmed the rules, by the daemon's clock.
+    pub fn confirmations(&self) -> freshness::Confirmations {
+        self.confirmed.clone()
+    }
 }
 
 impl peer::ControlHandler for Handle {
--- a/src/daemon/registry/state.rs
+++ b/src/daemon/registry/state.rs
@@ -73,6 +73,8 @@
     pub(super) progress: tokio_sync::watch::Sender<Progress>,
     /// Counts the peers that were found stale, after which the tasks of all topics select their sources again.
     pub(super) stale_peers: tokio_sync::watch::Sender<u64>,
+    /// When the platform last confirmed the rules.
+    pub(super) confirmed: tokio_sync::watch::Sender<Option<clock::Millis>>,
 }
 
 /// Updates for peers that know the topics up to the same revisions. A reader has many such peers, and encoding the rules
@@ -717,6 +719,9 @@
     fn record_answer(&mut self, topic: Topic, at: clock::Millis) {
         let last = self.answered.entry(topic).or_default();
         *last = at.max(*last);
+        if topic == Topic::Rules {
+            self.publishers.confirmed.send_replace(Some(*last));
+        }
         let Some(answered) = self.answered_at() else {
             return;
         };
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -87,6 +87,8 @@
     MemoryFull,
     /// The service of the request was removed while the request waited; its route may lead to another one by now.
     RulesChanged,
+    /// The rules have no route or no credential for the request, but were confirmed so long ago that newer ones may.
+    RulesLapsed,
 }
 
 /// A refusal, as sent by homes and reported to callers.
@@ -133,7 +135,7 @@
 
 impl Cause {
     /// All causes, in the order of the reference page.
-    pub const ALL: [Cause; 26] = [
+    pub const ALL: [Cause; 27] = [
         Cause::NoBundle,
         Cause::NoRoute,
         Cause::UnknownCaller,
@@ -160,6 +162,7 @@
         Cause::OverQuota,
         Cause::MemoryFull,
         Cause::RulesChanged,
+        Cause::RulesLapsed,
     ];
 
     /// Returns the name that is used in problem types, the time line and metrics.
@@ -191,6 +194,7 @@
             Cause::OverQuota => "over-quota",
             Cause::MemoryFull => "memory-full",
             Cause::RulesChanged => "rules-changed",
+            Cause::RulesLapsed => "rules-lapsed",
         }
     }
 
@@ -225,6 +229,7 @@
             Cause::OverQuota => "The organisation has used up its quota",
             Cause::MemoryFull => "The daemon's memory budget is used up",
             Cause::RulesChanged => "The service was removed while the request waited",
+            Cause::RulesLapsed => "The daemon has not heard of changes for too long to know",
         }
     }
 
@@ -253,7 +258,8 @@
             | Cause::ConnectFailed
             | Cause::CutOff
             | Cause::MemoryFull
-            | Cause::RulesChanged => StatusCode::SERVICE_UNAVAILABLE,
+            | Cause::RulesChanged
+            | Cause::RulesLapsed => StatusCode::SERVICE_UNAVAILABLE,
             Cause::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         }
     }
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -104,6 +104,8 @@
     pub idle_ms: clock::Millis,
     /// The maximum size of a request body, in bytes.
     pub body_bytes: u64,
+    /// The time within which a change that a platform has confirmed must be in force, in milliseconds.
+    pub apply_ms: clock::Millis,
     /// The most bytes that the daemon holds for callers, targets and other daemons; absent if there is no limit.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub memory_bytes: Option<u64>,
@@ -122,6 +124,7 @@
             head_ms: clock::Millis(10_000),
             idle_ms: clock::Millis(10_000),
             body_bytes: u64::MAX,
+            apply_ms: clock::Millis(2_000),
             memory_bytes: None,
         }
     }
@@ -162,6 +165,9 @@
 /// The maximum of all durations, in milliseconds (one hour).
 const MAX_TIME_MS: u64 = 3_600_000;
 
+/// The shortest time within which a change can be in force everywhere, in milliseconds.
+const MIN_APPLY_MS: u64 = 500;
+
 /// The maximum of all counts, except sizes in bytes.
 const MAX_COUNT: u64 = 10_000_000;
 
@@ -311,6 +317,7 @@
         "head_ms",
         "idle_ms",
         "body_bytes",
+        "apply_ms",
         "memory_bytes",
     ]);
     check_range(table, "head_bytes", 1024, MAX_BUFFER_BYTES);
@@ -323,6 +330,7 @@
     check_range(table, "head_ms", 1, MAX_TIME_MS);
     check_range(table, "idle_ms", 1, MAX_TIME_MS);
     check_range(table, "body_bytes", 1, u64::MAX);
+    check_range(table, "apply_ms", MIN_APPLY_MS, MAX_TIME_MS);
     check_range(table, "memory_bytes", MIN_MEMORY_BYTES, u64::MAX);
 }
 
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -9,13 +9,14 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use peridotspread::state::clock::Millis;
 use peridotspread::state::settings;
 use peridotspread::transport::body;
 use tokio::sync::watch;
 
 use crate::support::path::{
-    chunked_body, daemon, daemon_with_limits, daemon_with_lost_home, daemon_without_service,
-    request,
+    chunked_body, daemon, daemon_with_confirmations, daemon_with_limits, daemon_with_lost_home,
+    daemon_without_service, request,
 };
 
 const MIB: usize = 1024 * 1024;
@@ -322,3 +323,42 @@
     assert_eq!(response.headers()["peridotspread-outcome"], "not-run");
     assert!(response.headers().contains_key("retry-after"));
 }
+
+/// Guards against a 404 or 401 that is not true: the daemon has not heard of changes for so long that a route or a
+/// credential may exist by now.
+#[tokio::test]
+async fn what_lapsed_rules_lack_is_refused_as_not_known_and_what_they_have_is_served() {
+    let confirmed = |at| watch::channel(at).1;
+    let lapsed = confirmed(None);
+    for (is_private, uri, name) in [(false, "/clubs/1", "route"), (true, "/fees/1", "caller")] {
+        let test = format!("lapsed-{name}");
+        let daemon =
+            daemon_with_confirmations(&test, name_fields, is_private, lapsed.clone()).await;
+        let response = daemon
+            .send(request("GET", uri).body(empty()).unwrap())
+            .await;
+        let response = response.unwrap();
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE, "{name}");
+        assert!(response.headers().contains_key("retry-after"), "{name}");
+        let cause = response.into_body().collect().await.unwrap().to_bytes();
+        assert!(String::from_utf8_lossy(&cause).contains("rules-lapsed"));
+    }
+    let daemon = daemon_with_confirmations("lapsed-known", name_fields, false, lapsed).await;
+    let response = daemon.send(request("GET", "/fees/1").body(empty()).unwrap());
+    assert_eq!(response.await.unwrap().status(), StatusCode::OK);
+}
+
+#[tokio::test]
+async fn what_fresh_rules_lack_is_refused_as_missing_at_once_until_they_lapse() {
+    let (confirm, confirmed) = watch::channel(Some(Millis::ZERO));
+    let daemon = daemon_with_confirmations("fresh-rules", name_fields, false, confirmed).await;
+    let get = || daemon.send(request("GET", "/clubs/1").body(empty()).unwrap());
+    let status = async || get().await.unwrap().status();
+    assert_eq!(status().await, StatusCode::NOT_FOUND);
+    tokio::time::sleep(time::Duration::from_millis(2_100)).await;
+    assert_eq!(status().await, StatusCode::SERVICE_UNAVAILABLE);
+    confirm.send_replace(Some(Millis(2_100)));
+    let begin = time::Instant::now();
+    assert_eq!(status().await, StatusCode::NOT_FOUND);
+    assert!(begin.elapsed() < time::Duration::from_millis(500));
+}
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt;
 use peridotspread::coordination::member;
 use peridotspread::daemon::{
-    broadcast, cell, claims, egress, entry, exchange, home, memory, metrics, quota,
+    broadcast, cell, claims, egress, entry, exchange, freshness, home, memory, metrics, quota,
 };
 use peridotspread::protocol::{dialect, frame, peer};
 use peridotspread::state::{bundle, clock, ids, settings, timeline};
@@ -47,13 +47,40 @@
     respond: Respond,
     limits: settings::Limits,
 ) -> Daemon {
-    start(test, respond, limits, None, None, "").await
+    let setup = Setup {
+        limits,
+        ..Setup::default()
+    };
+    start(test, respond, setup).await
+}
+
+/// Starts a daemon as [`daemon`] does, which has a route for `/fees` alone and serves callers with a known credential
+/// only if `is_private`; `confirmed` tells when the platform confirmed its rules.
+pub(crate) async fn daemon_with_confirmations(
+    test: &str,
+    respond: Respond,
+    is_private: bool,
+    confirmed: freshness::Confirmations,
+) -> Daemon {
+    let setup = Setup {
+        prefix: Some("/fees"),
+        rules: match is_private {
+            true => "[unknown]\naction = \"refuse\"\n",
+            false => "",
+        },
+        confirmed: Some(confirmed),
+        ..Setup::default()
+    };
+    start(test, respond, setup).await
 }
 
 /// Starts a daemon as [`daemon`] does, whose bundle also holds `rules`.
 pub(crate) async fn daemon_with_rules(test: &str, respond: Respond, rules: &str) -> Daemon {
-    let limits = settings::Limits::default();
-    start(test, respond, limits, None, None, rules).await
+    let setup = Setup {
+        rules,
+        ..Setup::default()
+    };
+    start(test, respond, setup).await
 }
 
 /// Starts a daemon that opens connections to its target by `direct` or through the relays `r1` and `r2`.
@@ -62,26 +89,36 @@
     direct: sync::Arc<dyn pool::Connector>,
     relays: sync::Arc<dyn egress::Relays>,
 ) -> Daemon {
-    let limits = settings::Limits::default();
     let never = |_| -> future::BoxFuture<'static, Response<body::Body>> {
         Box::pin(std::future::pending())
     };
-    start(test, never, limits, None, Some((direct, relays)), "").await
+    let setup = Setup {
+        paths: Some((direct, relays)),
+        ..Setup::default()
+    };
+    start(test, never, setup).await
 }
 
 /// Starts a daemon as [`daemon`] does, whose home grants the target `grants` times for each request and is then lost.
 pub(crate) async fn daemon_with_lost_home(test: &str, respond: Respond, grants: u32) -> Daemon {
-    let limits = settings::Limits::default();
-    start(test, respond, limits, Some(grants), None, "").await
+    let setup = Setup {
+        grants: Some(grants),
+        ..Setup::default()
+    };
+    start(test, respond, setup).await
 }
 
 /// Starts a daemon as [`daemon`] does, whose home is lost with each request, and whose service is removed then.
 pub(crate) async fn daemon_without_service(test: &str) -> Daemon {
-    let limits = settings::Limits::default();
     let never = |_| -> future::BoxFuture<'static, Response<body::Body>> {
         Box::pin(std::future::pending())
     };
-    start(test, never, limits, Some(0), None, REMOVED).await
+    let setup = Setup {
+        grants: Some(0),
+        rules: REMOVED,
+        ..Setup::default()
+    };
+    start(test, never, setup).await
 }
 
 /// Rules by which [`daemon_without_service`] removes the service.
@@ -93,20 +130,37 @@
     sync::Arc<dyn egress::Relays>,
 );
 
-async fn start(
-    test: &str,
-    respond: Respond,
+/// How a daemon differs from that of [`daemon`].
+#[derive(Default)]
+struct Setup<'a> {
     limits: settings::Limits,
+    /// The number of grants for each request after which its home is lost.
     grants: Option<u32>,
     paths: Option<Paths>,
-    rules: &str,
-) -> Daemon {
+    /// The prefix of its route; absent if the route matches all requests.
+    prefix: Option<&'a str>,
+    /// Further rules of the bundle.
+    rules: &'a str,
+    /// When the platform last confirmed the rules.
+    confirmed: Option<freshness::Confirmations>,
+}
+
+async fn start(test: &str, respond: Respond, setup: Setup<'_>) -> Daemon {
+    let Setup {
+        limits,
+        grants,
+        paths,
+        prefix,
+        rules,
+        confirmed,
+    } = setup;
+    let prefix = prefix.unwrap_or("/");
     let target = target(respond).await;
     let mut own = fleet::files(test).settings("d1");
     own.limits = limits.clone();
     let clock = clock::Clock::start();
     let recorder = sync::Arc::new(timeline::Recorder::new("d1", ids::Incarnation(1)));
-    let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target, rules)));
+    let (bundle, bundle_seen) = watch::channel(sync::Arc::new(bundle_of(target, prefix, rules)));
     let (view, view_seen) = watch::channel(sync::Arc::new(view_of(&["d1"])));
     let metrics = sync::Arc::new(metrics::Metrics::new().unwrap());
     let memory = memory::Memory::new(&limits, &metrics);
@@ -148,6 +202,10 @@
         clock,
         recorder,
         bundle: bundle_seen,
+        freshness: match confirmed {
+            Some(confirmed) => freshness::Freshness::new(clock, confirmed, limits.apply_ms),
+            None => freshness::Freshness::unlimited(clock),
+        },
         view: view_seen,
         links: sync::Arc::new(OwnHome {
             home,
@@ -212,11 +270,11 @@
     address
 }
 
-fn bundle_of(target: net::SocketAddr, rules: &str) -> bundle::Bundle {
+fn bundle_of(target: net::SocketAddr, prefix: &str, rules: &str) -> bundle::Bundle {
     let text = format!(
         "version = 1\n[[tiers]]\nname = \"all\"\n[[services]]\nname = \"web\"\nfloor = 1\ndeadline_ms = 5000\n\
          [[services.targets]]\nname = \"web-1\"\naddress = \"{target}\"\ndomain = \"lahore-1\"\nslots = 2\n\
-         [[routes]]\nprefix = \"/\"\nservice = \"web\"\n{rules}"
+         [[routes]]\nprefix = \"{prefix}\"\nservice = \"web\"\n{rules}"
     );
     bundle::parse("bundle.toml", &text).unwrap()
 }
