exchange: a target's leaving is looked up when the request is sent, not when it was handed to a home

What targets saw: requests later than drain_ms after they had said that they are leaving (DRAIN).

Cause: an entry checks each grant by its own rules, but took those of the moment at which it handed the request to the home.

Change: the exchange looks up the address of a target that may get a request now. What targets stated was looked up at that time already.

Test: path::a_grant_is_not_used_for_a_target_that_began_to_leave_while_the_request_waited fails before (200 by the leaving target).

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -584,6 +584,15 @@
         self.known_targets().accepts(now, target)
     }
 
+    /// Returns the address of a target of `service` that may get a request now: it is listed and not leaving in the
+    /// bundle in force, and accepts requests by what it stated.
+    fn usable_target(&self, service: &str, target: &str) -> Option<net::SocketAddr> {
+        let current = self.indexed_bundle();
+        let service = current.index.service(&current.bundle, service)?;
+        let listed = service.targets.iter().find(|t| t.name == target)?;
+        (!listed.leaving && self.accepts(target)).then_some(listed.address)
+    }
+
     /// Records what a target of `service` stated in a response to this daemon.
     pub(super) fn record_statement(
         &self,
@@ -661,7 +670,7 @@
         let record_statement = |target: &str, statement: &peer::Statement| {
             self.record_statement(&service.name, target, statement);
         };
-        let accepts = |target: &str| self.accepts(target);
+        let usable_target = |target: &str| self.usable_target(&service.name, target);
         let claim = claim::Claim {
             claims: self.options.claims.as_ref(),
             scope: [&parsed.organisation, &service.name],
@@ -670,10 +679,9 @@
         };
         let exchange = exchange::Exchange {
             client: &self.options.client,
-            service,
             record_summary: &record_summary,
             record_statement: &record_statement,
-            accepts: &accepts,
+            usable_target: &usable_target,
             claim: &claim,
             shutdown: &self.options.shutdown,
         };
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -23,7 +23,7 @@
 use crate::protocol::peer::{FromHome, Outcome, ToHome};
 use crate::protocol::refusal::{self, Cause, Refusal};
 use crate::protocol::{frame, headers, peer};
-use crate::state::{bundle, clock, ids};
+use crate::state::{clock, ids};
 use crate::transport::{body, pool};
 
 /// How long a home may take for its first message, and for its reply to a failed try: several round trips between
@@ -221,14 +221,13 @@
 pub struct Exchange<'a> {
     /// Sends requests to targets.
     pub client: &'a TargetClient,
-    /// The service in the bundle of this entry.
-    pub service: &'a bundle::Service,
     /// Records each summary of the cell that the home sends.
     pub record_summary: &'a (dyn Fn(&peer::CellSummary) + Sync),
     /// Records what each response of a target states.
     pub record_statement: &'a (dyn Fn(&str, &peer::Statement) + Sync),
-    /// Returns whether a target accepts requests from this entry, by what it stated.
-    pub accepts: &'a (dyn Fn(&str) -> bool + Sync),
+    /// Returns the address of a target that may get a request now, by the rules in force and by what it stated. A
+    /// request may wait for its grant while these change.
+    pub usable_target: &'a (dyn Fn(&str) -> Option<net::SocketAddr> + Sync),
     /// The claim of the request's key.
     pub claim: &'a claim::Claim<'a>,
     /// The shutdown of this daemon.
@@ -443,8 +442,7 @@
         }
     }
 
-    /// Sends the request to a target, unless the target is leaving or absent in this entry's bundle, or stated that it
-    /// accepts no requests.
+    /// Sends the request to a target, unless the target may get none.
     async fn send_to_target(
         &self,
         stream: &mut HomeStream,
@@ -452,10 +450,8 @@
         name: &str,
     ) -> TryResult {
         let client = self.client;
-        let known = self.service.targets.iter().find(|t| t.name == name);
         let began = client.clock.now();
-        let usable = known.filter(|t| !t.leaving && (self.accepts)(name));
-        let Some(target) = usable else {
+        let Some(address) = (self.usable_target)(name) else {
             log_try(
                 outgoing,
                 name,
@@ -467,7 +463,7 @@
         };
         let to = pool::Destination {
             name,
-            address: target.address,
+            address,
             idempotent: outgoing.idempotent,
             direct: false,
             fresh: outgoing.refused_by.contains(name),
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -15,8 +15,8 @@
 use tokio::sync::watch;
 
 use crate::support::path::{
-    chunked_body, daemon, daemon_with_confirmations, daemon_with_limits, daemon_with_lost_home,
-    daemon_without_service, request,
+    chunked_body, daemon, daemon_with_confirmations, daemon_with_late_home, daemon_with_limits,
+    daemon_with_lost_home, daemon_without_service, request,
 };
 
 const MIB: usize = 1024 * 1024;
@@ -362,3 +362,14 @@
     assert_eq!(status().await, StatusCode::NOT_FOUND);
     assert!(begin.elapsed() < time::Duration::from_millis(500));
 }
+
+/// Guards against a request that waits at a home while its target begins to leave, and is sent by the rules of before.
+#[tokio::test]
+async fn a_grant_is_not_used_for_a_target_that_began_to_leave_while_the_request_waited() {
+    let daemon = daemon_with_late_home("late-grant", name_fields).await;
+    for method in ["GET", "POST"] {
+        let response = daemon.send(request(method, "/fees/1").body(empty()).unwrap());
+        let status = response.await.unwrap().status();
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{method}");
+    }
+}
--- a/tests/testsuite/support/path.rs
+++ b/tests/testsuite/support/path.rs
@@ -108,6 +108,20 @@
     start(test, respond, setup).await
 }
 
+/// Starts a daemon as [`daemon`] does, whose home has old rules: it grants the target, which the rules of the daemon list
+/// as leaving since the request was handed to the home.
+pub(crate) async fn daemon_with_late_home(test: &str, respond: Respond) -> Daemon {
+    let setup = Setup {
+        grants: Some(1),
+        rules: LEAVING,
+        ..Setup::default()
+    };
+    start(test, respond, setup).await
+}
+
+/// Rules by which [`daemon_with_late_home`] lists the target as leaving.
+const LEAVING: &str = "# the target leaves while a request waits\n";
+
 /// Starts a daemon as [`daemon`] does, whose home is lost with each request, and whose service is removed then.
 pub(crate) async fn daemon_without_service(test: &str) -> Daemon {
     let never = |_| -> future::BoxFuture<'static, Response<body::Body>> {
@@ -210,7 +224,15 @@
         links: sync::Arc::new(OwnHome {
             home,
             grants,
-            bundle: (rules == REMOVED).then(|| bundle.clone()),
+            change: match rules {
+                REMOVED => Some(|bundle| bundle.services.clear()),
+                LEAVING => Some(|bundle| {
+                    let services = bundle.services.iter_mut();
+                    services.for_each(|s| s.targets.iter_mut().for_each(|t| t.leaving = true));
+                }),
+                _ => None,
+            },
+            bundle: bundle.clone(),
         }),
         claims: sync::Arc::new(claims::NoClaims),
         broadcaster,
@@ -317,8 +339,9 @@
     home: sync::Arc<home::Home>,
     /// The number of grants for each request after which the home is lost; absent if it is never lost.
     grants: Option<u32>,
-    /// Publishes a bundle without services when the home is lost; absent if the bundle stays.
-    bundle: Option<watch::Sender<sync::Arc<bundle::Bundle>>>,
+    /// How the bundle changes when a request is handed to the home; absent if it stays.
+    change: Option<fn(&mut bundle::Bundle)>,
+    bundle: watch::Sender<sync::Arc<bundle::Bundle>>,
 }
 
 /// Grants the target for the slot request and after each outcome but the last, and then closes the stream.
@@ -341,12 +364,12 @@
         _address: net::SocketAddr,
     ) -> future::BoxFuture<'a, Option<(home::RecvHalf, home::SendHalf)>> {
         let (home, grants) = (self.home.clone(), self.grants);
-        if let Some(bundle) = &self.bundle {
-            let empty = bundle::Bundle {
-                version: 2,
-                ..bundle::Bundle::default()
-            };
-            bundle.send_replace(sync::Arc::new(empty));
+        if let Some(change) = self.change {
+            self.bundle.send_modify(|bundle| {
+                let bundle = sync::Arc::make_mut(bundle);
+                bundle.version = 2;
+                change(bundle);
+            });
         }
         Box::pin(async move {
             let (entry_side, home_side) = tokio::io::duplex(16 * 1024);
