--- a/tests/testsuite/cell/dispatch.rs
+++ b/tests/testsuite/cell/dispatch.rs
@@ -157,6 +157,35 @@
     assert_eq!(refusal.cause, refusal::Cause::NoTarget);
 }
 
+/// Guards against a request in the queue, or one that is tried again, that goes to a target which began to leave.
+#[test]
+fn a_target_that_begins_to_leave_gets_neither_queued_requests_nor_retries() {
+    let mut rules = service(2, 1, 0);
+    let mut harness = Harness::new(&rules);
+    let first = granted(&harness.arrive(arrival(1))).unwrap();
+    let second = granted(&harness.arrive(arrival(2))).unwrap();
+    harness.handle(Event::Sent(ids::Ticket(1)));
+    harness.handle(Event::Sent(ids::Ticket(2)));
+    assert_eq!(harness.arrive(arrival(3)), []);
+    for target in &mut rules.targets {
+        target.leaving = target.name == first;
+    }
+    harness.handle(Event::Rules(&rules));
+    harness.end_try(1, Outcome::Answered);
+    let actions = harness.handle(Event::Release(ids::Ticket(1)));
+    assert_eq!(granted(&actions), None, "the slot of {first} is free");
+    // The retry of request 2 may only go to the target that leaves.
+    let mut actions = harness.end_try(2, Outcome::Broken);
+    actions.extend(harness.advance(100));
+    let grants = actions
+        .iter()
+        .filter_map(|a| granted(std::slice::from_ref(a)));
+    assert!(
+        grants.into_iter().all(|target| target == second),
+        "{actions:?}"
+    );
+}
+
 #[test]
 fn the_summary_reports_load_and_statistics() {
     let mut harness = Harness::new(&service(2, 1, 0));
--- a/tests/testsuite/cell/quarantine.rs
+++ b/tests/testsuite/cell/quarantine.rs
@@ -240,6 +240,25 @@
     }
 }
 
+/// Guards against the one request that runs after a quarantine going to a target which began to leave meanwhile.
+#[test]
+fn the_request_that_is_tried_after_a_quarantine_goes_to_no_target_that_leaves() {
+    let (mut harness, span) = quarantined();
+    let mut rules = service(6, 1, 0);
+    for target in &mut rules.targets[1..] {
+        target.leaving = true;
+    }
+    harness.handle(Event::Rules(&rules));
+    harness.advance(span.0);
+    let target = granted(&harness.arrive(read(3)));
+    assert!(target.is_none_or(|t| t == "t0"));
+    rules.targets[0].leaving = true;
+    harness.handle(Event::Rules(&rules));
+    harness.handle(Event::Cancel(ids::Ticket(3)));
+    harness.advance(60_000);
+    assert_eq!(granted(&harness.arrive(read(4))), None);
+}
+
 /// Guards against a request that goes on crashing targets after its quarantine.
 #[test]
 fn a_crash_after_a_quarantine_starts_a_longer_one() {
