settings: the default of limits.apply_ms is not written, since earlier builds refuse it

What operators would see: daemons of an earlier build that do not start from settings written by this one, in an upgrade that is taken back.

Cause: limits.apply_ms is new, earlier builds refuse keys that they do not know, and it was always written.

Change: the default is left out, as absent limits are.

--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -104,7 +104,9 @@
     pub idle_ms: clock::Millis,
     /// The maximum size of a request body, in bytes.
     pub body_bytes: u64,
-    /// The time within which a change that a platform has confirmed must be in force, in milliseconds.
+    /// The time within which a change that a platform has confirmed must be in force, in milliseconds. The default is not
+    /// written, since earlier builds refuse settings that they do not know.
+    #[serde(skip_serializing_if = "is_default_apply")]
     pub apply_ms: clock::Millis,
     /// The most bytes that the daemon holds for callers, targets and other daemons; absent if there is no limit.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -124,12 +126,16 @@
             head_ms: clock::Millis(10_000),
             idle_ms: clock::Millis(10_000),
             body_bytes: u64::MAX,
-            apply_ms: clock::Millis(2_000),
+            apply_ms: DEFAULT_APPLY,
             memory_bytes: None,
         }
     }
 }
 
+fn is_default_apply(apply: &clock::Millis) -> bool {
+    *apply == DEFAULT_APPLY
+}
+
 impl Limits {
     /// Returns the limits, overridden by the limits for callers in a bundle.
     pub fn with_caller_limits(&self, callers: Option<&bundle::Callers>) -> Limits {
@@ -165,6 +171,9 @@
 /// The maximum of all durations, in milliseconds (one hour).
 const MAX_TIME_MS: u64 = 3_600_000;
 
+/// The default of [`Limits::apply_ms`].
+const DEFAULT_APPLY: clock::Millis = clock::Millis(2_000);
+
 /// The shortest time within which a change can be in force everywhere, in milliseconds.
 const MIN_APPLY_MS: u64 = 500;
 
