read_limit: what is read between the pieces of a response's body is limited, like its head

What other operators saw: a target sent bytes that were no answer, without end; the machine that had called it ran out of memory, and the requests of other callers ended with it.

Class: work that a peer decides the amount of, bounded for heads only.

Change: the limit on the bytes of a head is a limit on each part of a response. Between two pieces that are taken it is four buffers of the library, which reads ahead of whoever takes them; a part that is longer breaks the connection.

Not covered: floods through a relaying daemon (the same pool reads them there).

--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -140,6 +140,9 @@
         };
         match next {
             Some(Ok(frame)) => {
+                if let Some(resources) = &self.resources {
+                    resources.connection.record_piece();
+                }
                 if self.body.is_end_stream() {
                     self.finish();
                 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,11 +3,11 @@
 pub mod body;
 pub mod channel;
 pub mod client;
-mod head_limit;
 pub mod http;
 pub mod keys;
 pub mod platform;
 pub mod pool;
 pub mod quic;
+mod read_limit;
 pub mod stall;
 pub mod tls;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -20,7 +20,7 @@
 
 use crate::protocol::relay;
 use crate::state::clock;
-use crate::transport::{body, head_limit, stall};
+use crate::transport::{body, read_limit, stall};
 
 /// How long a target may take to accept a connection: several round trips between failure domains, and far less than
 /// a caller waits, so that the request can still be sent to another target.
@@ -197,8 +197,8 @@
     /// The daemon that relays the request; absent for a direct connection.
     relay: Option<String>,
     sender: http1::SendRequest<body::Body>,
-    /// Limits what is read until the head of a response is complete.
-    limit: head_limit::HeadLimit,
+    /// Limits what is read until the next part of a response is complete.
+    limit: read_limit::ReadLimit,
     head_bytes: usize,
     driver: task::JoinHandle<()>,
 }
@@ -311,7 +311,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(head_bytes);
         let stream = stall::StallGuard::new(stream, self.stall_timeout, |_| {});
-        let (stream, limit) = head_limit::LimitedStream::new(stream);
+        let (stream, limit) = read_limit::LimitedStream::new(stream, head_bytes);
         let handshake = builder.handshake(rt::TokioIo::new(stream)).await;
         let Ok((sender, connection)) = handshake else {
             return NotSentSnafu.fail();
@@ -393,6 +393,11 @@
         self.relay.as_deref()
     }
 
+    /// Records that a piece of the response's body was taken, so that as much may be read until the next one.
+    pub fn record_piece(&self) {
+        self.limit.begin_piece();
+    }
+
     /// Sends a request and returns the response head; the body is read from the connection.
     ///
     /// # Errors
@@ -403,10 +408,10 @@
         &mut self,
         request: Request<body::Body>,
     ) -> Result<Response<Incoming>, Error> {
-        self.limit.begin(self.head_bytes);
+        self.limit.begin_head(self.head_bytes);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                self.limit.end();
+                self.limit.begin_piece();
                 match self.relay {
                     Some(_) => check_relayed(response),
                     None => Ok(response),
--- a/src/transport/head_limit.rs
+++ b/src/transport/read_limit.rs
@@ -1,8 +1,8 @@
-//! A limit on the bytes that are read while the head of a response is due.
+//! A limit on the bytes that are read until the next part of a response is complete: its head, or a piece of its body.
 //!
-//! The HTTP library limits the size of one head, but it skips interim responses (status 1xx) without a limit, and
-//! parses what it has read in one go. A peer that sends them without end would keep a thread busy and the connection
-//! open.
+//! The HTTP library limits the size of one head, but it skips interim responses (status 1xx) and the digits of a chunk's
+//! size without a limit, and parses what it has read in one go. A peer that sends them without end would keep a thread
+//! busy and the connection open.
 
 use std::io;
 use std::pin;
@@ -12,21 +12,26 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// The number of bytes that may be read until the head is complete; unlimited while no head is due.
+/// The most buffers of the library that are read until the next piece of a body: several, since the library reads ahead
+/// of whoever takes the pieces.
+const PIECE_BUFFERS: usize = 4;
+
+/// The number of bytes that may be read until the next part of a response is complete.
 #[derive(Clone, Debug)]
-pub(super) struct HeadLimit {
+pub(super) struct ReadLimit {
     left: sync::Arc<atomic::AtomicUsize>,
+    piece_bytes: usize,
 }
 
-impl HeadLimit {
-    /// Starts to limit what is read to `bytes`.
-    pub(super) fn begin(&self, bytes: usize) {
+impl ReadLimit {
+    /// Limits what is read until the head is complete to `bytes`.
+    pub(super) fn begin_head(&self, bytes: usize) {
         self.left.store(bytes, atomic::Ordering::Relaxed);
     }
 
-    /// Ends the limit, since the head is complete.
-    pub(super) fn end(&self) {
-        self.begin(usize::MAX);
+    /// Limits what is read until the next piece of the body is complete, since the head or a piece is.
+    pub(super) fn begin_piece(&self) {
+        self.left.store(self.piece_bytes, atomic::Ordering::Relaxed);
     }
 
     fn left(&self) -> usize {
@@ -34,26 +39,29 @@
     }
 
     fn take(&self, bytes: usize) {
-        let reduced = |left| (left != usize::MAX).then(|| usize::saturating_sub(left, bytes));
+        let reduced = |left| Some(usize::saturating_sub(left, bytes));
         let order = atomic::Ordering::Relaxed;
-        // Without a limit there is nothing to reduce.
+        // An update that always has a value cannot fail.
         let _ = self.left.fetch_update(order, order, reduced);
     }
 }
 
-/// A stream whose reads fail once its [`HeadLimit`] is used up. The last read may exceed the limit by the buffer that
+/// A stream whose reads fail once its [`ReadLimit`] is used up. The last read may exceed the limit by the buffer that
 /// it fills.
 #[derive(Debug)]
 pub(super) struct LimitedStream<S> {
     stream: S,
-    limit: HeadLimit,
+    limit: ReadLimit,
 }
 
 impl<S> LimitedStream<S> {
-    /// Wraps `stream`; returns it with its limit, which has not begun.
-    pub(super) fn new(stream: S) -> (LimitedStream<S>, HeadLimit) {
-        let limit = HeadLimit {
-            left: sync::Arc::new(atomic::AtomicUsize::new(usize::MAX)),
+    /// Wraps `stream`, which the library reads into a buffer of at most `buffer_bytes`; returns it with its limit, which
+    /// is that of a piece.
+    pub(super) fn new(stream: S, buffer_bytes: usize) -> (LimitedStream<S>, ReadLimit) {
+        let piece_bytes = buffer_bytes.saturating_mul(PIECE_BUFFERS);
+        let limit = ReadLimit {
+            left: sync::Arc::new(atomic::AtomicUsize::new(piece_bytes)),
+            piece_bytes,
         };
         let limited = LimitedStream {
             stream,
@@ -70,7 +78,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         if self.limit.left() == 0 {
-            let error = "the response head is longer than the limit";
+            let error = "a part of the response is longer than the limit";
             return task::Poll::Ready(Err(io::Error::other(error)));
         }
         let before = buf.filled().len();
