forward: a response is given up at its deadline although its caller reads nothing

What callers and targets would see: a caller that stops reading kept the connection to the target and the slot for longer than the deadline.

Cause: the deadline was noticed when the server polled the body, which it does not do while the caller's socket takes nothing.

Change: once a body has more than one piece, a task closes the connection to the target and the stream to the home at the deadline; it ends with the body. The server truncates the response when it polls next.

--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! When the body ends regularly, the connection returns to the pool and the home frees the slot. If the target
 //! truncates the body, or the body has not ended at the deadline, it ends in an error, and the server truncates the
-//! response to the caller.
+//! response to the caller. The server polls no body while its caller reads nothing, so a task of its own closes the
+//! connection at the deadline ([`Release`]).
 
 use std::pin;
 use std::sync;
@@ -12,6 +13,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use tokio::task as task_handle;
 use tokio::time as timers;
 
 use crate::daemon::exchange::HomeStream;
@@ -42,7 +44,11 @@
 pub struct ForwardedBody {
     body: Incoming,
     deadline: Option<pin::Pin<Box<timers::Sleep>>>,
-    resources: Option<Resources>,
+    resources: Shared,
+    /// Releases the resources at the deadline; absent before the first of several pieces.
+    release: Option<Release>,
+    /// Whether the body has ended regularly.
+    is_finished: bool,
     /// The error to return with the next poll, after which the body is truncated.
     error: Option<body::Error>,
     held: sync::Arc<memory::Part>,
@@ -68,6 +74,48 @@
     stream: Option<HomeStream>,
 }
 
+/// The resources of a body, until they are released.
+#[derive(Clone)]
+struct Shared(sync::Arc<sync::Mutex<Option<Resources>>>);
+
+impl Shared {
+    /// Takes the resources; returns nothing if they were released.
+    fn take(&self) -> Option<Resources> {
+        self.0.lock().ok()?.take()
+    }
+
+    /// Returns whether the resources are held.
+    fn is_held(&self) -> bool {
+        self.0.lock().is_ok_and(|resources| resources.is_some())
+    }
+
+    /// Records at the connection that a piece of the body was taken.
+    fn record_piece(&self) {
+        if let Ok(Some(resources)) = self.0.lock().as_deref() {
+            resources.connection.record_piece();
+        }
+    }
+}
+
+/// A task that releases the resources of a body at its deadline, until this is dropped.
+struct Release(task_handle::JoinHandle<()>);
+
+impl Release {
+    fn at(deadline: timers::Instant, resources: Shared) -> Release {
+        Release(tokio::spawn(async move {
+            timers::sleep_until(deadline).await;
+            // Closes the connection to the target, and the stream to the home, which frees the slot.
+            drop(resources.take());
+        }))
+    }
+}
+
+impl Drop for Release {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 impl ForwardedBody {
     /// Creates the body; one that is empty is finished at once.
     pub fn new(options: Options) -> ForwardedBody {
@@ -76,12 +124,14 @@
             deadline: options
                 .deadline
                 .map(|at| Box::pin(timers::sleep_until(at.into()))),
-            resources: Some(Resources {
+            resources: Shared(sync::Arc::new(sync::Mutex::new(Some(Resources {
                 connection: options.connection,
                 keep_alive: options.keep_alive,
                 pool: options.pool,
                 stream: options.stream,
-            }),
+            })))),
+            release: None,
+            is_finished: false,
             error: None,
             held: sync::Arc::new(options.held),
         };
@@ -94,14 +144,25 @@
     /// Truncates the body. The server drops its buffered data when it receives an error, so the error is returned only
     /// by the next poll: the server can write that data before.
     fn truncate<T>(&mut self, cx: &task::Context<'_>, error: body::Error) -> task::Poll<T> {
-        self.resources = None;
+        drop(self.resources.take());
         self.error = Some(error);
         cx.waker().wake_by_ref();
         task::Poll::Pending
     }
 
+    /// Has the resources released at the deadline, although the server may poll the body no more.
+    fn release_at_deadline(&mut self) {
+        if let Some(deadline) = &self.deadline
+            && self.release.is_none()
+        {
+            self.release = Some(Release::at(deadline.deadline(), self.resources.clone()));
+        }
+    }
+
     /// Reports the end of the response to the home, and returns the connection to the pool.
     fn finish(&mut self) {
+        self.release = None;
+        self.is_finished = true;
         let Some(mut resources) = self.resources.take() else {
             return;
         };
@@ -131,7 +192,7 @@
         }
         // A body without end may be ready at each poll.
         let has_passed = |at: &mut pin::Pin<Box<timers::Sleep>>| at.as_mut().poll(cx).is_ready();
-        if self.resources.is_some() && self.deadline.as_mut().is_some_and(has_passed) {
+        if !self.is_finished && self.deadline.as_mut().is_some_and(has_passed) {
             return self.truncate(cx, Box::new(body::Truncated));
         }
         let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
@@ -140,11 +201,10 @@
         };
         match next {
             Some(Ok(frame)) => {
-                if let Some(resources) = &self.resources {
-                    resources.connection.record_piece();
-                }
-                if self.body.is_end_stream() {
-                    self.finish();
+                self.resources.record_piece();
+                match self.body.is_end_stream() {
+                    true => self.finish(),
+                    false => self.release_at_deadline(),
                 }
                 let held = self.held.clone();
                 let frame =
@@ -152,6 +212,10 @@
                 task::Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(e)) => self.truncate(cx, Box::new(e)),
+            // A connection that was closed at the deadline ends its body as if it were complete.
+            None if !self.is_finished && !self.resources.is_held() => {
+                self.truncate(cx, Box::new(body::Truncated))
+            }
             None => {
                 self.finish();
                 task::Poll::Ready(None)
