pool, stall: the system's buffers of a connection are limited without a limit on memory too

What operators would see: a host whose memory fills although the processes are small. The system kept up to several MiB for each response that its caller did not read: 299 MiB of 100 such responses in 3 s, on a host that is to do with 160 MiB.

Change: the receive buffer of a connection to a target and the send buffer of a caller's connection are limited (128 and 256 KiB, which the system doubles). They were limited to less already where memory is limited.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -46,9 +46,8 @@
     handler: sync::Arc<dyn Handler>,
     mut stop: tokio_sync::watch::Receiver<bool>,
 ) {
-    if options.limits.borrow().memory_bytes.is_some() {
-        stall::limit_buffers(&options.listener);
-    }
+    let is_limited = options.limits.borrow().memory_bytes.is_some();
+    stall::limit_buffers(&options.listener, is_limited);
     let permits = sync::Arc::new(tokio_sync::Semaphore::new(
         options.limits.borrow().connections,
     ));
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -134,7 +134,11 @@
     fn trusts_idle(&self) -> bool;
 }
 
-/// Opens TCP connections.
+/// The size of the system's receive buffer of a connection to a target, in bytes: what a target may send ahead of the
+/// caller's reading. It would otherwise grow to several MiB, which the host keeps for each response that nobody reads.
+const RECEIVE_BYTES: u32 = 128 * 1024;
+
+/// Opens TCP connections whose receive buffer in the system is limited.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpConnector;
 
@@ -144,7 +148,7 @@
 
 impl Connector for TcpConnector {
     fn connect<'a>(&'a self, to: Destination<'a>) -> future::BoxFuture<'a, Result<Opened, Error>> {
-        open(to.address, tcp::TcpStream::connect(to.address))
+        open(to.address, connect(to.address, RECEIVE_BYTES, None))
     }
 
     fn trusts_idle(&self) -> bool {
@@ -154,7 +158,8 @@
 
 impl Connector for LimitedTcpConnector {
     fn connect<'a>(&'a self, to: Destination<'a>) -> future::BoxFuture<'a, Result<Opened, Error>> {
-        open(to.address, connect_limited(to.address))
+        let bytes = stall::SOCKET_BYTES as u32;
+        open(to.address, connect(to.address, bytes, Some(bytes)))
     }
 
     fn trusts_idle(&self) -> bool {
@@ -162,13 +167,20 @@
     }
 }
 
-async fn connect_limited(address: net::SocketAddr) -> std::io::Result<tcp::TcpStream> {
+/// Connects with limits on the system's buffers; the send buffer has none if `send_bytes` is absent.
+async fn connect(
+    address: net::SocketAddr,
+    receive_bytes: u32,
+    send_bytes: Option<u32>,
+) -> std::io::Result<tcp::TcpStream> {
     let socket = match address {
         net::SocketAddr::V4(_) => tcp::TcpSocket::new_v4()?,
         net::SocketAddr::V6(_) => tcp::TcpSocket::new_v6()?,
     };
-    socket.set_recv_buffer_size(stall::SOCKET_BYTES as u32)?;
-    socket.set_send_buffer_size(stall::SOCKET_BYTES as u32)?;
+    socket.set_recv_buffer_size(receive_bytes)?;
+    if let Some(bytes) = send_bytes {
+        socket.set_send_buffer_size(bytes)?;
+    }
     socket.connect(address).await
 }
 
--- a/src/transport/stall.rs
+++ b/src/transport/stall.rs
@@ -19,6 +19,10 @@
 /// The size of each of the system's buffers of a connection, if memory is limited: what 10 Mbit/s carry in 26 ms.
 pub const SOCKET_BYTES: usize = 32 * 1024;
 
+/// The size of the system's send buffer of a caller's connection, in bytes, if memory is not limited. It would otherwise
+/// grow to several MiB for each caller that does not read.
+const SEND_BYTES: usize = 256 * 1024;
+
 /// A stream whose writes fail once the other end has read nothing for a time.
 #[derive(Debug)]
 pub(super) struct StallGuard<S> {
@@ -124,12 +128,16 @@
     }
 }
 
-/// Limits the system's buffers of a listener, whose connections inherit the limits.
-pub(super) fn limit_buffers(listener: &tcp::TcpListener) {
+/// Limits the system's buffers of a listener, whose connections inherit the limits: both to [`SOCKET_BYTES`] if memory is
+/// limited, or else the send buffer to [`SEND_BYTES`].
+pub(super) fn limit_buffers(listener: &tcp::TcpListener, is_limited: bool) {
     let socket = socket2::SockRef::from(listener);
-    let limited = socket
-        .set_recv_buffer_size(SOCKET_BYTES)
-        .and_then(|()| socket.set_send_buffer_size(SOCKET_BYTES));
+    let limited = match is_limited {
+        true => socket
+            .set_recv_buffer_size(SOCKET_BYTES)
+            .and_then(|()| socket.set_send_buffer_size(SOCKET_BYTES)),
+        false => socket.set_send_buffer_size(SEND_BYTES),
+    };
     if let Err(e) = limited {
         log::warn!("failed to limit the socket buffers of callers: {e}");
     }
