--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio::task as task_handle;
+use tokio::task as tokio_task;
 use tokio::time as timers;
 
 use crate::daemon::exchange::HomeStream;
@@ -44,7 +44,7 @@
 pub struct ForwardedBody {
     body: Incoming,
     deadline: Option<pin::Pin<Box<timers::Sleep>>>,
-    resources: Shared,
+    resources: SharedResources,
     /// Releases the resources at the deadline; absent before the first of several pieces.
     release: Option<Release>,
     /// Whether the body has ended regularly.
@@ -76,9 +76,9 @@
 
 /// The resources of a body, until they are released.
 #[derive(Clone)]
-struct Shared(sync::Arc<sync::Mutex<Option<Resources>>>);
+struct SharedResources(sync::Arc<sync::Mutex<Option<Resources>>>);
 
-impl Shared {
+impl SharedResources {
     /// Takes the resources; returns nothing if they were released.
     fn take(&self) -> Option<Resources> {
         self.0.lock().ok()?.take()
@@ -98,10 +98,10 @@
 }
 
 /// A task that releases the resources of a body at its deadline, until this is dropped.
-struct Release(task_handle::JoinHandle<()>);
+struct Release(tokio_task::JoinHandle<()>);
 
 impl Release {
-    fn at(deadline: timers::Instant, resources: Shared) -> Release {
+    fn at(deadline: timers::Instant, resources: SharedResources) -> Release {
         Release(tokio::spawn(async move {
             timers::sleep_until(deadline).await;
             // Closes the connection to the target, and the stream to the home, which frees the slot.
@@ -124,7 +124,7 @@
             deadline: options
                 .deadline
                 .map(|at| Box::pin(timers::sleep_until(at.into()))),
-            resources: Shared(sync::Arc::new(sync::Mutex::new(Some(Resources {
+            resources: SharedResources(sync::Arc::new(sync::Mutex::new(Some(Resources {
                 connection: options.connection,
                 keep_alive: options.keep_alive,
                 pool: options.pool,
