late_changes: large rules in a fleet whose hosts have slow links (failing)

48 registries in simulated time, links of 10 Mbit/s, 2,800 routes, a change of one route or 1,400 new ones; the bound is the config_apply_ms of the deployment (2,500 ms). On the change of one route is not in force at all daemons after 12 s, where the test stops to wait.

--- a/tests/testsuite/late_changes/mod.rs
+++ b/tests/testsuite/late_changes/mod.rs
@@ -1,6 +1,7 @@
 //! Fleets of registries in which sources of changes fail at the moment of a change, or the platform was away before it:
 //! the change is in force in time at every daemon that the platform answers.
 
+mod links;
 mod outage;
 mod world;
 
@@ -31,6 +32,8 @@
         outages: Vec::new(),
         absence: Absence::Refuses,
         latency,
+        routes: (0, 0),
+        link: None,
     }
 }
 
--- a/tests/testsuite/late_changes/outage.rs
+++ b/tests/testsuite/late_changes/outage.rs
@@ -28,6 +28,8 @@
             outages: vec![(Millis(BEGIN), Millis(end))],
             absence,
             latency,
+            routes: (0, 0),
+            link: None,
         })
     });
     scenes.collect()
--- a/tests/testsuite/late_changes/world.rs
+++ b/tests/testsuite/late_changes/world.rs
@@ -17,7 +17,7 @@
 use peridotspread::state::clock::{Clock, Millis};
 use peridotspread::state::{bundle, ids, timeline};
 use tokio::sync::watch;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::cell::scene::Random;
 use crate::support::hosts::NoHosts;
@@ -26,6 +26,8 @@
 const START_SPREAD: u64 = 1_000;
 /// How long a call to the platform takes to time out, in addition to the time that it may be held.
 const CALL_TIMEOUT: Millis = Millis(1_000);
+/// How long after the change the slowest daemon is waited for.
+const GIVE_UP: Millis = Millis(12_000);
 /// How long a frozen daemon stands still.
 const FROZEN: Millis = Millis(1_500);
 /// How long the others take to declare a daemon dead that was killed.
@@ -33,6 +35,8 @@
 /// The time within which daemons that were killed start again, in milliseconds.
 const RESTART_SPREAD: u64 = 1_000;
 const DOMAINS: usize = 4;
+/// The bytes that one transfer sends before others on the same link go on.
+const CHUNK: usize = 8 * 1_024;
 const SERVICE: &str = "fees";
 
 /// How daemons fail.
@@ -64,6 +68,13 @@
     Silent,
 }
 
+/// A direction of a daemon's link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Direction {
+    Out,
+    In,
+}
+
 /// A fleet in which some daemons fail, on a platform that is away at times.
 #[derive(Clone, Debug)]
 pub(super) struct Scene {
@@ -81,6 +92,11 @@
     pub(super) absence: Absence,
     /// How long an answer takes beyond the time for which it is held, on average.
     pub(super) latency: Millis,
+    /// The number of routes before and after the change; a change without more of them changes the first one.
+    pub(super) routes: (usize, usize),
+    /// How many bytes the link of a daemon passes per millisecond in either direction, and from when on; absent without
+    /// a limit.
+    pub(super) link: Option<(Millis, u64)>,
 }
 
 impl Scene {
@@ -106,6 +122,10 @@
     /// When the change is confirmed.
     changed_at: Millis,
     random: Mutex<Random>,
+    /// The rules before and after the change.
+    rules: [bundle::Bundle; 2],
+    /// Until when the outgoing and the incoming link of each daemon are in use.
+    links: Mutex<BTreeMap<(String, Direction), Instant>>,
     /// The daemons that called the platform after [`Scene::failed_at`].
     callers: Mutex<BTreeSet<String>>,
     /// The calls to the platform while it was away.
@@ -121,6 +141,8 @@
             scene: scene.clone(),
             changed_at,
             random: Mutex::new(Random(!seed)),
+            rules: [rules(1, scene.routes.0), rules(2, scene.routes.1)],
+            links: Mutex::default(),
             callers: Mutex::default(),
             lost_calls: Mutex::default(),
             handles: Mutex::default(),
@@ -175,11 +197,7 @@
     fn batch(&self, topic: Topic, since: u64, whole: bool) -> Batch {
         let version = 1 + u64::from(self.clock.now() >= self.changed_at);
         let item = match topic {
-            Topic::Rules => Item::Rules(Box::new(bundle::Bundle {
-                version,
-                services: vec![bundle::Service::without_targets(SERVICE)],
-                ..bundle::Bundle::default()
-            })),
+            Topic::Rules => Item::Rules(Box::new(self.rules[version as usize - 1].clone())),
             Topic::Targets => Item::Target(ServiceTarget {
                 service: SERVICE.to_owned(),
                 target: bundle::Target {
@@ -229,6 +247,34 @@
         }
     }
 
+    /// Passes bytes from a daemon, or from the platform, to a daemon, chunk by chunk so that transfers share a link.
+    async fn transmit(&self, from: Option<&str>, to: &str, bytes: usize) {
+        let limit = self.scene.link.filter(|(at, _)| self.clock.now() >= *at);
+        let Some((_, rate)) = limit else { return };
+        let mut left = bytes;
+        let mut arrival = Instant::now();
+        while left > 0 {
+            let chunk = left.min(CHUNK);
+            left -= chunk;
+            let span = time::Duration::from_micros(chunk as u64 * 1_000 / rate);
+            if let Some(from) = from {
+                time::sleep_until(self.reserve(from, Direction::Out, span)).await;
+            }
+            arrival = self.reserve(to, Direction::In, span);
+            time::sleep_until(arrival - span.min(arrival - Instant::now())).await;
+        }
+        time::sleep_until(arrival).await;
+    }
+
+    /// Returns when a link has passed what was sent before, and then `span` more.
+    fn reserve(&self, name: &str, direction: Direction, span: time::Duration) -> Instant {
+        let now = Instant::now();
+        let mut links = self.links.lock().unwrap();
+        let free = links.entry((name.to_owned(), direction)).or_insert(now);
+        *free = now.max(*free) + span;
+        *free
+    }
+
     /// Waits until messages pass between two daemons, or between a daemon and the platform.
     async fn reached(&self, name: &str, from: Option<&str>) {
         let is_lost = || match from {
@@ -342,6 +388,15 @@
             let is_due = world.clock.now() >= begin + wait;
             if whole || is_due || !batch.changes.is_empty() {
                 time::sleep(world.latency(&self.name, None).span()).await;
+                // The store keeps values in base64.
+                let bytes = serde_json::to_vec(&batch).unwrap().len() * 4 / 3;
+                let sent = world.transmit(None, &self.name, bytes);
+                if time::timeout((wait + CALL_TIMEOUT).span(), sent)
+                    .await
+                    .is_err()
+                {
+                    return source::UnavailableSnafu { reason: "too late" }.fail();
+                }
                 // A frozen daemon reads the answer once it goes on.
                 world.reached(&self.name, None).await;
                 return Ok(batch);
@@ -376,12 +431,42 @@
             let reply = handle.handle("", version::Version::CURRENT, message).await;
             let latency = self.world.latency(&self.name, Some(to));
             time::sleep(latency.span()).await;
+            if let peer::ControlMessage::Updates { changes, .. } = &reply {
+                let bytes = changes.len();
+                self.world.transmit(Some(to), &self.name, bytes).await;
+            }
             self.world.reached(&self.name, Some(to)).await;
             Ok(reply)
         })
     }
 }
 
+/// Returns rules with a number of routes.
+fn rules(version: u64, routes: usize) -> bundle::Bundle {
+    let mut random = Random(7);
+    let mut word = || format!("{:08x}", (random.unit() * f64::from(u32::MAX)) as u32);
+    let routes = (0..routes).map(|i| bundle::Route {
+        host: Some(format!("host{}.example", i % 8)),
+        prefix: format!("/{}/", word()),
+        service: SERVICE.to_owned(),
+        timeout_ms: Some(Millis(match i {
+            0 => 4_000 + version,
+            _ => 4_000,
+        })),
+        objective_ms: Some(Millis(1_000)),
+        tries: Some(2),
+        tier: Some("rank-1".to_owned()),
+        repeatable: Some(false),
+        ..bundle::Route::default()
+    });
+    bundle::Bundle {
+        version,
+        services: vec![bundle::Service::without_targets(SERVICE)],
+        routes: routes.collect(),
+        ..bundle::Bundle::default()
+    }
+}
+
 /// Returns a uniform number below `bound`.
 fn below(random: &mut Random, bound: u64) -> u64 {
     (random.unit() * bound as f64) as u64
@@ -455,8 +540,12 @@
             let (world, name) = (world.clone(), name.clone());
             waits.push(async move {
                 let mut bundle = handle.bundle();
-                let changed = bundle.wait_for(|b| is_changed(b)).await;
-                changed.expect("the registry runs");
+                let changed = bundle.wait_for(|b| is_changed(b));
+                let end = time::sleep((world.changed_at + GIVE_UP - world.clock.now()).span());
+                tokio::select! {
+                    changed = changed => drop(changed.expect("the registry runs")),
+                    () = end => {}
+                }
                 (world.clock.now() - world.changed_at, name)
             });
         }
