--- a/tests/testsuite/service/budget.rs
+++ b/tests/testsuite/service/budget.rs
@@ -55,6 +55,7 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
         end: 30_000,
     }
 }
--- a/tests/testsuite/service/floor.rs
+++ b/tests/testsuite/service/floor.rs
@@ -48,6 +48,7 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
         end,
     }
 }
@@ -182,3 +183,16 @@
         assert_floor(&options, seed);
     }
 }
+
+#[test]
+fn targets_stay_in_use_while_the_homes_of_their_cell_stop_one_after_the_other() {
+    for seed in 0..4 {
+        let stops = (0..8).map(|n| (12_000 + n * 500, 1));
+        let options = Options {
+            home_stops: stops.collect(),
+            daemons: 12,
+            ..large_service(seed)
+        };
+        assert_floor(&options, seed);
+    }
+}
--- a/tests/testsuite/service/limit.rs
+++ b/tests/testsuite/service/limit.rs
@@ -32,6 +32,7 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
         end: 32_000,
     }
 }
--- a/tests/testsuite/service/statements.rs
+++ b/tests/testsuite/service/statements.rs
@@ -24,6 +24,7 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
         end: 16_000,
     }
 }
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -22,6 +22,8 @@
 const MAX_HOMES: usize = 4;
 /// How long the other daemons take to notice that a daemon was killed, in milliseconds.
 const DETECTION: u64 = 1_500;
+/// How long the other daemons take to learn that a daemon is leaving, in milliseconds.
+const LEAVE_SPREAD: u64 = 300;
 /// How long a daemon that has started sees no other daemon, in milliseconds.
 const ALONE: u64 = 1_000;
 
@@ -92,6 +94,8 @@
     pub(crate) restart_at: Option<u64>,
     /// When the homes of all cells are killed and start again.
     pub(crate) home_kills: Vec<u64>,
+    /// When the home of a failure domain's cell stops gracefully, and the number of the domain.
+    pub(crate) home_stops: Vec<(u64, usize)>,
     /// The end of the simulation, in milliseconds.
     pub(crate) end: u64,
 }
@@ -161,6 +165,8 @@
     /// When each killed daemon is seen by the others again, and until when it sees itself only.
     alone: BTreeMap<String, u64>,
     hidden: BTreeMap<String, u64>,
+    /// When each daemon began to stop.
+    stopping: BTreeMap<String, u64>,
     entries: BTreeMap<String, homes::Selector>,
     known: BTreeMap<String, statements::KnownTargets>,
     /// When each entry first passed on the limit of a target.
@@ -240,6 +246,7 @@
             now: 0,
             alone: BTreeMap::new(),
             hidden: BTreeMap::new(),
+            stopping: BTreeMap::new(),
             entries: members.iter().map(selector).collect(),
             known: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -269,6 +276,7 @@
         while self.now < self.options.end {
             self.now += STEP;
             self.apply_kills();
+            self.apply_stops();
             self.end_tries();
             self.tick_cells();
             for (d, due) in due.iter_mut().enumerate() {
@@ -308,6 +316,40 @@
         }
     }
 
+    /// Stops the home of the cell of each failure domain that is due, and tells the others of those that stop.
+    fn apply_stops(&mut self) {
+        let stops = self.options.home_stops.iter();
+        let due: Vec<_> = stops.filter(|(at, _)| *at == self.now).collect();
+        for d in due.into_iter().map(|(_, d)| domain(*d)).collect::<Vec<_>>() {
+            self.stop_home(&d);
+        }
+        for (name, at) in &self.stopping {
+            if self.now >= at + LEAVE_SPREAD
+                && let Some(member) = self.members.get_mut(name)
+            {
+                member.liveness = member::Liveness::Leaving;
+            }
+        }
+    }
+
+    /// Stops the daemon that ranks first for the cell of a failure domain: it refuses what has not been dispatched, and
+    /// finishes the rest.
+    fn stop_home(&mut self, domain: &str) {
+        let cell = ids::CellId::new("s", domain);
+        let view = self.view("");
+        let ranked = homes::rank(&cell, &view).into_iter();
+        let first = ranked.filter(|name| !self.stopping.contains_key(*name));
+        let Some(name) = first.map(str::to_owned).next() else {
+            return;
+        };
+        self.stopping.insert(name.clone(), self.now);
+        let keys = self.homes.keys().filter(|(home, _)| *home == name);
+        let keys: Vec<_> = keys.cloned().collect();
+        for key in keys {
+            self.handle(&key, Event::Drain);
+        }
+    }
+
     fn apply_kills(&mut self) {
         if self.options.restart_at == Some(self.now) {
             let all: Vec<_> = self.members.keys().cloned().collect();
@@ -422,6 +464,11 @@
             body: 0,
         };
         let key = (choice.home, choice.cell);
+        if self.stopping.contains_key(&key.0) && !self.homes.contains_key(&key) {
+            let draining = refusal::Refusal::not_run(refusal::Cause::Draining, Some(Millis::ZERO));
+            self.refuse(&key, ticket, draining);
+            return;
+        }
         let home_view = self.view(&key.0);
         let is_first = homes::rank(&key.1, &home_view).first() == Some(&key.0.as_str());
         if !self.homes.contains_key(&key) {
