--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -28,6 +28,7 @@
 pub mod registry;
 pub mod reply_time;
 pub mod retry;
+pub mod route_changes;
 pub mod scarcity;
 pub mod shutdown;
 pub mod statements;
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync;
 
+use crate::coordination::route_changes;
 use crate::protocol::source::{Batch, Change, Item, ServiceTarget, Topic};
 use crate::state::{bundle, clock};
 
@@ -139,6 +140,8 @@
 pub struct Registry {
     rules: Option<bundle::Bundle>,
     rules_revision: u64,
+    /// When the routes of the rules changed.
+    routes: route_changes::RouteHistory,
     targets: BTreeMap<String, Record>,
     /// The revision up to which each topic is known.
     revisions: BTreeMap<Topic, u64>,
@@ -196,6 +199,37 @@
         self.rules.as_ref().map_or(0, |r| r.version)
     }
 
+    /// Returns the revision of the rules that are held, 0 while there are none.
+    pub fn rules_revision(&self) -> u64 {
+        self.rules_revision
+    }
+
+    /// Leaves out of a batch for a peer the routes that are in the rules of the revision `base`, which the peer holds.
+    /// Returns what else the peer needs; absent if the batch has no rules, or all routes have to stay.
+    pub fn reduce_rules(&self, base: u64, batch: &mut Batch) -> Option<route_changes::RulesChange> {
+        let rules = batch.changes.iter_mut().find_map(|c| match &mut c.item {
+            Some(Item::Rules(rules)) => Some(rules),
+            _ => None,
+        });
+        self.routes.reduce(base, rules?)
+    }
+
+    /// Completes the rules of a batch that a peer has reduced, and returns whether the rules of their base are held.
+    pub fn complete_rules(&self, change: &route_changes::RulesChange, batch: &mut Batch) -> bool {
+        let Some(held) = &self.rules else {
+            return false;
+        };
+        if change.base != self.rules_revision {
+            return false;
+        }
+        for item in batch.changes.iter_mut().filter_map(|c| c.item.as_mut()) {
+            if let Item::Rules(rules) = item {
+                change.complete(held, rules);
+            }
+        }
+        true
+    }
+
     /// Applies a batch of one topic from the platform, and returns whether the rules or targets changed.
     pub fn apply(&mut self, now: clock::Millis, topic: Topic, batch: &Batch) -> bool {
         self.apply_batch(now, topic, batch, false)
@@ -337,6 +371,8 @@
         }
         self.rules_revision = self.rules_revision.max(change.revision);
         let changed = self.rules.as_ref() != Some(rules);
+        self.routes
+            .record(self.rules.as_ref(), rules, self.rules_revision);
         self.rules = Some((**rules).clone());
         changed
     }
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -79,10 +79,11 @@
 }
 
 impl peer::ControlSender for ControlLinks {
-    fn send<'a>(
+    fn send_counted<'a>(
         &'a self,
         to: &'a str,
         message: peer::ControlMessage,
+        arrived: &'a peer::Arrived,
     ) -> future::BoxFuture<'a, Result<peer::ControlMessage, peer::NoReply>> {
         Box::pin(async move {
             let no_reply = |reason: String| peer::NoReply {
@@ -91,10 +92,25 @@
             };
             let address = self.view.borrow().members.get(to).map(|m| m.peer);
             let address = address.ok_or_else(|| no_reply("it is not a live daemon".to_owned()))?;
-            let replied = self.request_reply(to, address, &message);
+            let replied = self.request_reply(to, address, &message, arrived);
+            replied.await.map_err(no_reply)
+        })
+    }
+
+    fn send<'a>(
+        &'a self,
+        to: &'a str,
+        message: peer::ControlMessage,
+    ) -> future::BoxFuture<'a, Result<peer::ControlMessage, peer::NoReply>> {
+        Box::pin(async move {
+            let arrived = peer::Arrived::default();
+            let replied = self.send_counted(to, message, &arrived);
             match time::timeout(CONTROL_TIMEOUT.span(), replied).await {
-                Ok(reply) => reply.map_err(no_reply),
-                Err(_) => Err(no_reply(format!("no reply within {CONTROL_TIMEOUT}"))),
+                Ok(reply) => reply,
+                Err(_) => {
+                    let reason = format!("no reply within {CONTROL_TIMEOUT}");
+                    peer::NoReplySnafu { to, reason }.fail()
+                }
             }
         })
     }
@@ -133,6 +149,7 @@
         to: &str,
         address: net::SocketAddr,
         message: &peer::ControlMessage,
+        arrived: &peer::Arrived,
     ) -> Result<peer::ControlMessage, String> {
         let opened = self.peers.open(to, address, peer::Purpose::Control).await;
         let (mut send, mut recv) = opened.map_err(|e| e.to_string())?;
@@ -140,7 +157,7 @@
         frame::send_extended(&mut send, message, &extension)
             .await
             .map_err(|e| e.to_string())?;
-        let received = frame::receive_extended(&mut recv).await;
+        let received = frame::receive_counted(&mut recv, arrived).await;
         let (mut reply, extension): (peer::ControlMessage, _) =
             received.map_err(|e| e.to_string())?;
         reply.extend(&extension).map_err(|e| e.to_string())?;
--- a/src/daemon/registry/mod.rs
+++ b/src/daemon/registry/mod.rs
@@ -167,11 +167,16 @@
                 targets,
                 wait,
                 through_outage,
+                held_rules,
             } = message
             else {
                 return peer::ControlMessage::Ack;
             };
-            let revisions = Revisions { rules, targets };
+            let revisions = Revisions {
+                rules,
+                targets,
+                held_rules,
+            };
             let begin = time::Instant::now();
             let end = begin + wait.min(readers::PEER_POLL).span();
             let mut reply = self
--- a/src/daemon/registry/poll.rs
+++ b/src/daemon/registry/poll.rs
@@ -1,17 +1,29 @@
 //! The polls of the registry: a task for each topic, and one for the polls beside them.
 
+use std::io::{Read, Write};
+use std::pin;
 use std::sync;
 
+use flate2::{read, write};
 use ractor::ActorRef;
 use tokio::{sync as tokio_sync, time};
 
 use super::Message;
+use crate::coordination::route_changes;
 use crate::protocol::source::{self, Batch, Topic};
 use crate::protocol::{peer, version};
 use crate::state::clock;
 
 /// How long a peer's reply may take beyond the time of the long poll: several round trips between failure domains.
 const REPLY_TIMEOUT: clock::Millis = clock::Millis(300);
+/// How long no part of a reply may arrive once it has begun to: a transfer shares its link with others.
+const PART_TIMEOUT: clock::Millis = clock::Millis(700);
+/// The longest time that a reply may take to arrive, so that a peer that sends a little at a time is given up.
+const TRANSFER_TIMEOUT: clock::Millis = clock::Millis(6_000);
+/// The size from which updates are compressed for peers, in bytes.
+const MIN_COMPRESSED_BYTES: usize = 1_024;
+/// The largest size of updates after decompression, in bytes.
+const MAX_UPDATE_BYTES: u64 = 64 * 1_024 * 1_024;
 /// The pause after a poll of a peer that returned changes, so that one reply contains all further changes of the same
 /// series. It is a small part of the time within which changes must be in force.
 const PEER_PAUSE: clock::Millis = clock::Millis(100);
@@ -21,6 +33,9 @@
 pub(super) struct PeerUpdates {
     pub(super) rules: Batch,
     pub(super) targets: Batch,
+    /// What the rules of the batch lack that the receiver has; absent if they are complete.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) rules_change: Option<route_changes::RulesChange>,
     /// The version of the protocol that the sender speaks.
     #[serde(default)]
     pub(super) version: version::Version,
@@ -79,6 +94,8 @@
 pub(super) struct Revisions {
     pub(super) rules: u64,
     pub(super) targets: u64,
+    /// The revision of the rules that are held; absent if the peer does not take parts of rules.
+    pub(super) held_rules: Option<u64>,
 }
 
 /// The next poll of a topic.
@@ -162,6 +179,7 @@
                     targets: revisions.targets,
                     wait,
                     through_outage,
+                    held_rules: revisions.held_rules,
                 };
                 let reply = poll_peer(self.peers.as_ref(), &name, request, wait).await;
                 PollResult::Peer(name, reply)
@@ -243,13 +261,22 @@
     request: peer::ControlMessage,
     wait: clock::Millis,
 ) -> Option<PeerReply> {
-    let polled = peers.send(name, request);
-    let Ok(replied) = time::timeout((wait + REPLY_TIMEOUT).span(), polled).await else {
-        log::info!(peer = name; "no reply from a peer in time");
+    let arrived = peer::Arrived::default();
+    let polled = peers.send_counted(name, request, &arrived);
+    let Some(replied) = with_progress(polled, &arrived, wait + REPLY_TIMEOUT).await else {
+        log::info!(peer = name, received_bytes = arrived.bytes(); "no reply from a peer in time");
         return None;
     };
     let (age, held, changes) = match replied {
-        Ok(peer::ControlMessage::Updates { age, held, changes }) => (age, held, changes),
+        Ok(peer::ControlMessage::Updates {
+            age,
+            held,
+            changes,
+            compressed: false,
+        }) => (age, held, changes),
+        Ok(peer::ControlMessage::Updates {
+            age, held, changes, ..
+        }) => (age, held, decompress(name, &changes)?),
         Ok(_) => return None,
         Err(e) => {
             log::info!(peer = name, reason = e.to_string(); "no updates from a peer");
@@ -263,6 +290,55 @@
     Some(PeerReply { age, held, updates })
 }
 
+/// Awaits a reply that must begin to arrive within `timeout`, and then arrive in parts until it is complete.
+async fn with_progress<F: Future>(
+    reply: F,
+    arrived: &peer::Arrived,
+    timeout: clock::Millis,
+) -> Option<F::Output> {
+    let mut reply = pin::pin!(reply);
+    let end = time::Instant::now() + (timeout + TRANSFER_TIMEOUT).span();
+    let mut wait = timeout;
+    let mut before = 0;
+    loop {
+        let part = time::timeout(wait.span(), &mut reply).await;
+        if let Ok(reply) = part {
+            return Some(reply);
+        }
+        let bytes = arrived.bytes();
+        if bytes == before || time::Instant::now() >= end {
+            return None;
+        }
+        (before, wait) = (bytes, PART_TIMEOUT);
+    }
+}
+
+/// Compresses updates for a peer, if that is worth it.
+pub(super) fn compress(updates: &[u8]) -> Option<Vec<u8>> {
+    if updates.len() < MIN_COMPRESSED_BYTES {
+        return None;
+    }
+    let mut encoder = write::DeflateEncoder::new(Vec::new(), flate2::Compression::fast());
+    let written = encoder
+        .write_all(updates)
+        .and_then(|()| encoder.finish())
+        .inspect_err(|e| log::error!("failed to compress the updates for a peer: {e}"));
+    written.ok()
+}
+
+/// Decompresses the updates of a peer; returns nothing if that fails.
+fn decompress(name: &str, compressed: &[u8]) -> Option<Vec<u8>> {
+    let mut updates = Vec::new();
+    let decoder = read::DeflateDecoder::new(compressed);
+    match decoder.take(MAX_UPDATE_BYTES).read_to_end(&mut updates) {
+        Ok(_) => Some(updates),
+        Err(e) => {
+            log::warn!(peer = name; "failed to decompress the updates of a peer: {e}");
+            None
+        }
+    }
+}
+
 /// Decodes the updates of a peer; returns nothing if they cannot be used.
 fn decode_updates(name: &str, changes: &[u8]) -> Option<PeerUpdates> {
     match serde_json::from_slice(changes) {
--- a/src/daemon/registry/state.rs
+++ b/src/daemon/registry/state.rs
@@ -6,7 +6,9 @@
 use ractor::ActorRef;
 use tokio::{sync as tokio_sync, time};
 
-use super::poll::{EscalationReply, NextPoll, PeerReply, PeerUpdates, Poll, PollResult, Revisions};
+use super::poll::{
+    EscalationReply, NextPoll, PeerReply, PeerUpdates, Poll, PollResult, Revisions, compress,
+};
 use super::{Message, Options, Progress};
 use crate::coordination;
 use crate::coordination::{escalation, homes, member, readers, reply_time};
@@ -83,6 +85,7 @@
     revisions: Revisions,
     version: version::Version,
     changes: Vec<u8>,
+    compressed: bool,
 }
 
 /// Changes of the rules or targets that are not published yet.
@@ -520,6 +523,7 @@
         Revisions {
             rules: revision(Topic::Rules),
             targets: revision(Topic::Targets),
+            held_rules: Some(self.registry.rules_revision()),
         }
     }
 
@@ -572,7 +576,9 @@
         name: &str,
         reply: PeerReply,
     ) {
-        let PeerReply { age, updates, .. } = reply;
+        let PeerReply {
+            age, mut updates, ..
+        } = reply;
         let answered_before = self.answered_at();
         let is_lost = age.is_none();
         let age = age.map(|age| age + (now - made));
@@ -601,6 +607,13 @@
                 }
             }
         }
+        if let Some(change) = &updates.rules_change
+            && !self.registry.complete_rules(change, &mut updates.rules)
+        {
+            // Another poll has changed the rules meanwhile. The next one states what is held.
+            log::info!(peer = name, base = change.base; "passed over a part of rules that differ");
+            updates.rules = Batch::default();
+        }
         let mut changed = false;
         for (topic, batch) in [
             (Topic::Rules, &updates.rules),
@@ -654,24 +667,31 @@
     ) -> peer::ControlMessage {
         let is_same = |e: &&EncodedUpdates| e.revisions == revisions && e.version == version;
         let encoded = self.encoded.as_ref().filter(is_same);
-        let changes = match encoded {
-            Some(encoded) => encoded.changes.clone(),
+        let (changes, compressed) = match encoded {
+            Some(encoded) => (encoded.changes.clone(), encoded.compressed),
             None => {
                 let changes = self.encode_updates(now, revisions, version);
+                let compressed = revisions.held_rules.and_then(|_| compress(&changes));
+                let (changes, compressed) = match compressed {
+                    Some(compressed) => (compressed, true),
+                    None => (changes, false),
+                };
                 // The rest of the grace periods of targets differs from reply to reply.
                 let is_lasting = self.registry.next_deadline() == clock::Millis::MAX;
                 self.encoded = is_lasting.then(|| EncodedUpdates {
                     revisions,
                     version,
                     changes: changes.clone(),
+                    compressed,
                 });
-                changes
+                (changes, compressed)
             }
         };
         peer::ControlMessage::Updates {
             age: self.age(now),
             changes,
             held: None,
+            compressed,
         }
     }
 
@@ -689,8 +709,12 @@
             targets: self
                 .registry
                 .updates_since(now, Topic::Targets, revisions.targets),
+            rules_change: None,
             version: version::Version::CURRENT,
         };
+        if let Some(base) = revisions.held_rules {
+            updates.rules_change = self.registry.reduce_rules(base, &mut updates.rules);
+        }
         // A peer that knows nothing of a topic has to learn that there is nothing in it.
         let is_new = |known: u64, batch: &Batch| known == 0 && batch.revision > 0;
         let has_new_topic =
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -9,7 +9,7 @@
 use snafu::ResultExt;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
-use crate::protocol::extension;
+use crate::protocol::{extension, peer};
 
 /// The maximum length of a frame's payload, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
@@ -20,6 +20,8 @@
 const KIND_DATA: u8 = 1;
 /// The length of a frame's header: the kind, then the payload's length in 4 bytes, little-endian.
 const HEADER_BYTES: usize = 5;
+/// The bytes of a payload that are read and counted at a time.
+const PART_BYTES: usize = 4 * 1024;
 
 /// A frame of either kind.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -125,14 +127,26 @@
 ///
 /// Returns an error if the stream ends or breaks, or the frame is malformed.
 pub async fn read(from: &mut (dyn AsyncRead + Send + Unpin)) -> Result<Frame, Error> {
+    read_counted(from, &peer::Arrived::default()).await
+}
+
+/// Reads the next frame and counts its bytes as they arrive.
+async fn read_counted(
+    from: &mut (dyn AsyncRead + Send + Unpin),
+    arrived: &peer::Arrived,
+) -> Result<Frame, Error> {
     let mut header = [0; HEADER_BYTES];
     from.read_exact(&mut header).await.context(IoSnafu)?;
     let len = u32::from_le_bytes([header[1], header[2], header[3], header[4]]) as usize;
     if len > MAX_FRAME_BYTES {
         return TooLongSnafu { len }.fail();
     }
+    arrived.add(HEADER_BYTES);
     let mut payload = vec![0; len];
-    from.read_exact(&mut payload).await.context(IoSnafu)?;
+    for part in payload.chunks_mut(PART_BYTES) {
+        from.read_exact(part).await.context(IoSnafu)?;
+        arrived.add(part.len());
+    }
     match header[0] {
         KIND_MESSAGE => Ok(Frame::Message(Bytes::from(payload))),
         KIND_DATA => Ok(Frame::Data(Bytes::from(payload))),
@@ -172,7 +186,19 @@
 pub async fn receive_extended<M: de::DeserializeOwned>(
     from: &mut (dyn AsyncRead + Send + Unpin),
 ) -> Result<(M, extension::Extension), Error> {
-    match read(from).await? {
+    receive_counted(from, &peer::Arrived::default()).await
+}
+
+/// Receives a message and its extension as [`receive_extended`] does, and counts the bytes as they arrive.
+///
+/// # Errors
+///
+/// Returns an error in the cases of [`receive_extended`].
+pub async fn receive_counted<M: de::DeserializeOwned>(
+    from: &mut (dyn AsyncRead + Send + Unpin),
+    arrived: &peer::Arrived,
+) -> Result<(M, extension::Extension), Error> {
+    match read_counted(from, arrived).await? {
         Frame::Message(payload) => extension::Extension::decode_after(&payload).context(CodecSnafu),
         Frame::Data(_) => OutOfOrderSnafu.fail(),
     }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -4,6 +4,8 @@
 //! Only the entry sends the request to the target, so it alone knows whether the request may have run, and the failure
 //! of a home loses no request. All other messages between daemons are [`ControlMessage`]s.
 
+use std::sync::atomic;
+
 use futures_util::future;
 use serde::{Deserialize, Serialize};
 
@@ -359,6 +361,10 @@
         /// in the extension of the message; a receiver that does not know it replies at once.
         #[serde(skip)]
         through_outage: bool,
+        /// The revision of the rules that the sender holds, which accepts compressed changes, and parts of the rules. The
+        /// field is in the extension of the message; a receiver that does not know it sends complete rules.
+        #[serde(skip)]
+        held_rules: Option<u64>,
     },
     /// Carries the platform's changes that the sender knows and that are newer than the requested revisions.
     #[serde(rename = "News")]
@@ -371,6 +377,9 @@
         /// not state it.
         #[serde(skip)]
         held: Option<clock::Millis>,
+        /// Whether the changes are compressed. The field is in the extension of the message.
+        #[serde(skip)]
+        compressed: bool,
     },
     /// Requests tokens of quotas from their holder; only sent to daemons of version 2.
     GetTokens(Box<TokenRequest>),
@@ -386,6 +395,22 @@
     const TAG: u32 = 1;
 }
 
+/// The field `held_rules` of [`ControlMessage::GetUpdates`] in the extension of the message.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct HeldRules(u64);
+
+impl extension::Field for HeldRules {
+    const TAG: u32 = 3;
+}
+
+/// The field `compressed` of [`ControlMessage::Updates`] in the extension of the message.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Compressed(bool);
+
+impl extension::Field for Compressed {
+    const TAG: u32 = 4;
+}
+
 /// The field `held` of [`ControlMessage::Updates`] in the extension of the message.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Held(clock::Millis);
@@ -401,16 +426,33 @@
     ///
     /// Returns an error if the codec fails to encode a field.
     pub fn extension(&self) -> Result<extension::Extension, postcard::Error> {
+        let mut extension = extension::Extension::default();
         match self {
             ControlMessage::GetUpdates {
-                through_outage: true,
+                through_outage,
+                held_rules,
                 ..
-            } => extension::Extension::of(&ThroughOutage(true)),
+            } => {
+                if *through_outage {
+                    extension.set(&ThroughOutage(true))?;
+                }
+                if let Some(revision) = held_rules {
+                    extension.set(&HeldRules(*revision))?;
+                }
+            }
             ControlMessage::Updates {
-                held: Some(held), ..
-            } => extension::Extension::of(&Held(*held)),
-            _ => Ok(extension::Extension::default()),
+                held, compressed, ..
+            } => {
+                if let Some(held) = held {
+                    extension.set(&Held(*held))?;
+                }
+                if *compressed {
+                    extension.set(&Compressed(true))?;
+                }
+            }
+            _ => {}
         }
+        Ok(extension)
     }
 
     /// Adds the fields of an extension to the message that it followed.
@@ -420,13 +462,23 @@
     /// Returns an error if a field cannot be decoded.
     pub fn extend(&mut self, extension: &extension::Extension) -> Result<(), postcard::Error> {
         match self {
-            ControlMessage::GetUpdates { through_outage, .. } => {
+            ControlMessage::GetUpdates {
+                through_outage,
+                held_rules,
+                ..
+            } => {
                 let field: Option<ThroughOutage> = extension.get()?;
                 *through_outage = field.is_some_and(|field| field.0);
+                let field: Option<HeldRules> = extension.get()?;
+                *held_rules = field.map(|field| field.0);
             }
-            ControlMessage::Updates { held, .. } => {
+            ControlMessage::Updates {
+                held, compressed, ..
+            } => {
                 let field: Option<Held> = extension.get()?;
                 *held = field.map(|field| field.0);
+                let field: Option<Compressed> = extension.get()?;
+                *compressed = field.is_some_and(|field| field.0);
             }
             _ => {}
         }
@@ -538,8 +590,36 @@
     ) -> future::BoxFuture<'a, ControlMessage>;
 }
 
+/// The number of bytes of a reply that have arrived, which tells a slow transfer from a peer that is silent.
+#[derive(Debug, Default)]
+pub struct Arrived(atomic::AtomicUsize);
+
+impl Arrived {
+    /// Adds bytes that have arrived.
+    pub fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the number of bytes that have arrived.
+    pub fn bytes(&self) -> usize {
+        self.0.load(atomic::Ordering::Relaxed)
+    }
+}
+
 /// Sends control messages to other daemons.
 pub trait ControlSender: Send + Sync {
+    /// Sends `message` to the daemon named `to`, waits for the reply and counts its bytes as they arrive. The caller sets
+    /// the timeout.
+    fn send_counted<'a>(
+        &'a self,
+        to: &'a str,
+        message: ControlMessage,
+        arrived: &'a Arrived,
+    ) -> future::BoxFuture<'a, Result<ControlMessage, NoReply>> {
+        let _ = arrived;
+        self.send(to, message)
+    }
+
     /// Sends `message` to the daemon named `to` and waits for the reply; the implementation sets the timeout.
     fn send<'a>(
         &'a self,
--- a/src/transport/channel.rs
+++ b/src/transport/channel.rs
@@ -6,7 +6,7 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -29,6 +29,11 @@
 /// The unanswered probes after which the system closes a connection.
 const MAX_PROBES: u32 = 2;
 
+/// How long no part of a response's body may arrive.
+const PART_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// The longest time that a response's body may take.
+const MAX_BODY_TIME: time::Duration = time::Duration::from_secs(8);
+
 type Body = http_body_util::Full<Bytes>;
 type Sender = http1::SendRequest<Body>;
 
@@ -74,17 +79,23 @@
         }
     }
 
-    /// Reads a body to its end.
+    /// Reads a body to its end, also after `deadline` as long as parts of it arrive.
     async fn collect(
         &self,
         deadline: tokio::time::Instant,
         body: Incoming,
     ) -> Result<Bytes, platform::Error> {
-        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let collected = before(deadline, limited.collect()).await;
-        match collected.map_err(|e| self.add_age(e))? {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(e) => lost(&e.to_string()).map_err(|e| self.add_age(e)),
+        let mut limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut collected = BytesMut::new();
+        let end = tokio::time::Instant::now() + MAX_BODY_TIME;
+        loop {
+            let part_deadline = (tokio::time::Instant::now() + PART_TIMEOUT).min(end);
+            let part = before(deadline.max(part_deadline), limited.frame()).await;
+            match part.map_err(|e| self.add_age(e))? {
+                None => return Ok(collected.freeze()),
+                Some(Ok(frame)) => collected.extend(frame.into_data()),
+                Some(Err(e)) => return lost(&e.to_string()).map_err(|e| self.add_age(e)),
+            }
         }
     }
 
@@ -157,7 +168,8 @@
         }
     }
 
-    /// Makes one call, which may take `timeout`.
+    /// Makes one call. The head of the response may take `timeout`, and its body longer as long as parts of it arrive,
+    /// since a large one takes time on a slow link.
     ///
     /// # Errors
     ///
--- a/tests/testsuite/channel.rs
+++ b/tests/testsuite/channel.rs
@@ -87,3 +87,39 @@
     tokio::time::sleep(time::Duration::from_millis(1_100)).await;
     assert!(is_answered(&channel).await);
 }
+
+/// Starts a service whose response has `parts` parts of one byte, 150 ms apart, of which it sends only `sent`.
+async fn start_slow_service(parts: usize, sent: usize) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 4096];
+            let _ = stream.read(&mut buffer).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {parts}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            for _ in 0..sent {
+                tokio::time::sleep(time::Duration::from_millis(150)).await;
+                stream.write_all(b"x").await.unwrap();
+            }
+            tokio::time::sleep(time::Duration::from_secs(30)).await;
+        }
+    });
+    address
+}
+
+// On a slow link, large rules were given up while they arrived, and read again from their beginning.
+#[tokio::test]
+async fn a_response_that_arrives_slowly_is_read_to_its_end() {
+    let channel = Channel::new(start_slow_service(8, 8).await);
+    assert!(is_answered(&channel).await);
+}
+
+// A response that stops in its middle must not keep the daemon from calling again.
+#[tokio::test]
+async fn a_response_that_stops_in_its_middle_is_given_up() {
+    let channel = Channel::new(start_slow_service(8, 2).await);
+    let begin = time::Instant::now();
+    assert!(!is_answered(&channel).await);
+    assert!(begin.elapsed() < time::Duration::from_millis(2_500));
+}
--- a/tests/testsuite/freshness.rs
+++ b/tests/testsuite/freshness.rs
@@ -127,6 +127,7 @@
                 age: self.age(),
                 changes: Vec::new(),
                 held: None,
+                compressed: false,
             })
         })
     }
--- a/tests/testsuite/late_changes/mod.rs
+++ b/tests/testsuite/late_changes/mod.rs
@@ -177,6 +177,7 @@
             targets,
             wait: Millis::ZERO,
             through_outage: false,
+            held_rules: None,
         };
         let reply = handle.handle("d1", version::Version::CURRENT, request);
         match reply.await {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod registry;
 mod relay;
 mod restore;
+mod route_changes;
 mod schedule;
 mod service;
 mod shutdown;
--- a/tests/testsuite/restore.rs
+++ b/tests/testsuite/restore.rs
@@ -491,6 +491,7 @@
             age: Some(Millis::ZERO),
             changes: updates.to_string().into_bytes(),
             held: None,
+            compressed: false,
         };
         Box::pin(async { Ok(reply) })
     }
@@ -604,6 +605,7 @@
                     .concat()
                     .into_bytes(),
                 held: None,
+                compressed: false,
             })
         })
     }
--- a/tests/testsuite/wire_forms.rs
+++ b/tests/testsuite/wire_forms.rs
@@ -137,6 +137,7 @@
         targets: 6,
         wait: Millis(700),
         through_outage: false,
+        held_rules: None,
     };
     assert_eq!(request, request_then);
     let (updates, _) = decode::<peer::ControlMessage>(UPDATES);
@@ -144,6 +145,7 @@
         age: Some(Millis(3)),
         changes: b"{}".to_vec(),
         held: None,
+        compressed: false,
     };
     assert_eq!(updates, updates_then);
 }
@@ -195,11 +197,13 @@
         targets: 6,
         wait: Millis(700),
         through_outage: true,
+        held_rules: Some(5),
     };
     let updates = peer::ControlMessage::Updates {
         age: Some(Millis(3)),
         changes: b"{}".to_vec(),
         held: Some(Millis(40)),
+        compressed: true,
     };
     for (message, older) in [(request, GET_UPDATES), (updates, UPDATES)] {
         let sent = message.extension().unwrap().encode_after(&message).unwrap();
--- a/tests/testsuite/withdrawn.rs
+++ b/tests/testsuite/withdrawn.rs
@@ -164,6 +164,7 @@
                 age,
                 changes: changes.concat().into_bytes(),
                 held: None,
+                compressed: false,
             })
         })
     }
