--- a/tests/testsuite/service/budget.rs
+++ b/tests/testsuite/service/budget.rs
@@ -56,6 +56,7 @@
         budget_windows: true,
         home_kills: Vec::new(),
         home_stops: Vec::new(),
+        silent_homes: None,
         end: 30_000,
     }
 }
--- a/tests/testsuite/service/floor.rs
+++ b/tests/testsuite/service/floor.rs
@@ -49,6 +49,7 @@
         budget_windows: true,
         home_kills: Vec::new(),
         home_stops: Vec::new(),
+        silent_homes: None,
         end,
     }
 }
@@ -196,3 +197,27 @@
         assert_floor(&options, seed);
     }
 }
+
+/// Returns a large service in which homes of one cell answer nobody for 8 s: they are slow, or cut off in one direction.
+fn with_silent_homes(seed: u64, count: usize) -> Options {
+    Options {
+        silent_homes: Some(((12_000, 20_000), 1, count)),
+        ..large_service(seed)
+    }
+}
+
+/// Guards against entries that leave a cell to its first home, which they do not reach.
+#[test]
+fn targets_stay_in_use_while_the_home_of_their_cell_answers_nobody() {
+    for seed in 0..4 {
+        assert_floor(&with_silent_homes(seed, 1), seed);
+    }
+}
+
+/// Guards against entries that act as homes of a cell themselves and all begin with the same targets.
+#[test]
+fn targets_stay_in_use_while_the_two_homes_that_rank_first_answer_nobody() {
+    for seed in 0..4 {
+        assert_floor(&with_silent_homes(seed, 2), seed);
+    }
+}
--- a/tests/testsuite/service/limit.rs
+++ b/tests/testsuite/service/limit.rs
@@ -33,6 +33,7 @@
         budget_windows: true,
         home_kills: Vec::new(),
         home_stops: Vec::new(),
+        silent_homes: None,
         end: 32_000,
     }
 }
--- a/tests/testsuite/service/statements.rs
+++ b/tests/testsuite/service/statements.rs
@@ -25,6 +25,7 @@
         budget_windows: true,
         home_kills: Vec::new(),
         home_stops: Vec::new(),
+        silent_homes: None,
         end: 16_000,
     }
 }
--- a/tests/testsuite/service/world.rs
+++ b/tests/testsuite/service/world.rs
@@ -96,6 +96,9 @@
     pub(crate) home_kills: Vec<u64>,
     /// When the home of a failure domain's cell stops gracefully, and the number of the domain.
     pub(crate) home_stops: Vec<(u64, usize)>,
+    /// The span in which homes of a failure domain's cell answer nobody: the number of the domain, and how many of those
+    /// that rank first do so.
+    pub(crate) silent_homes: Option<((u64, u64), usize, usize)>,
     /// The end of the simulation, in milliseconds.
     pub(crate) end: u64,
 }
@@ -316,6 +319,17 @@
         }
     }
 
+    /// Returns whether a daemon answers nobody, although it counts as alive.
+    fn is_silent(&self, name: &str) -> bool {
+        let Some((span, d, count)) = self.options.silent_homes else {
+            return false;
+        };
+        let cell = ids::CellId::new("s", &domain(d));
+        let view = self.view("");
+        let mut silent = homes::rank(&cell, &view).into_iter().take(count);
+        contains(&[span], self.now) && silent.any(|silent| silent == name)
+    }
+
     /// Stops the home of the cell of each failure domain that is due, and tells the others of those that stop.
     fn apply_stops(&mut self) {
         let stops = self.options.home_stops.iter();
@@ -463,6 +477,10 @@
             origin: ids::DomainId::from_name(&self.members[&entry].domain),
             body: 0,
         };
+        if choice.home != entry && self.is_silent(&choice.home) {
+            self.lose_home(ticket);
+            return;
+        }
         let key = (choice.home, choice.cell);
         if self.stopping.contains_key(&key.0) && !self.homes.contains_key(&key) {
             let draining = refusal::Refusal::not_run(refusal::Cause::Draining, Some(Millis::ZERO));
