--- a/tests/testsuite/late_changes/mod.rs
+++ b/tests/testsuite/late_changes/mod.rs
@@ -1,6 +1,7 @@
 //! Fleets of registries in which sources of changes fail at the moment of a change, or the platform was away before it:
 //! the change is in force in time at every daemon that the platform answers.
 
+mod links;
 mod outage;
 mod world;
 
@@ -31,6 +32,8 @@
         outages: Vec::new(),
         absence: Absence::Refuses,
         latency,
+        routes: (0, 0),
+        link: None,
     }
 }
 
@@ -174,6 +177,7 @@
             targets,
             wait: Millis::ZERO,
             through_outage: false,
+            held_rules: None,
         };
         let reply = handle.handle("d1", version::Version::CURRENT, request);
         match reply.await {
--- a/tests/testsuite/service/budget.rs
+++ b/tests/testsuite/service/budget.rs
@@ -55,6 +55,8 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
+        silent_homes: None,
         end: 30_000,
     }
 }
--- a/tests/testsuite/service/limit.rs
+++ b/tests/testsuite/service/limit.rs
@@ -32,6 +32,8 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
+        silent_homes: None,
         end: 32_000,
     }
 }
--- a/tests/testsuite/service/statements.rs
+++ b/tests/testsuite/service/statements.rs
@@ -24,6 +24,8 @@
         restart_at: None,
         budget_windows: true,
         home_kills: Vec::new(),
+        home_stops: Vec::new(),
+        silent_homes: None,
         end: 16_000,
     }
 }
