homes: a cell whose first home answers nobody is explored at its second home

Cause: an entry that does not reach the first home of a cell left the cell out of the search for idle targets and of the requests that explore cells, although it keeps a second home. The penalty of the second home exceeds that of another failure domain, so no entry selected the cell at all as long as its first home counted as alive.

Evidence: 746 lines 'home lost' beside 1,577 answers in the last seconds that were kept, most of them naming four homes that ran all the time.

Change: the search and the exploration use the home that is reachable. The home that an entry is itself is explored too, and its own view of idle targets attracts no requests.

Its unit test fails before.

Tried and left out: an order of equal targets that differs from home to home.

--- a/src/coordination/homes/mod.rs
+++ b/src/coordination/homes/mod.rs
@@ -100,8 +100,8 @@
 struct Candidate {
     choice: Choice,
     cost: f64,
-    /// Whether the home is the cell's first.
-    at_first: bool,
+    /// Whether the home ranks for the cell, so that other entries select it too.
+    is_ranked: bool,
 }
 
 impl Selector {
@@ -167,7 +167,7 @@
         };
         let has_idle = |c: &Candidate| {
             let cached = self.cells.get(&c.choice.cell);
-            c.at_first && cached.is_some_and(|cached| cached.has_idle_targets(now))
+            c.is_ranked && cached.is_some_and(|cached| cached.has_idle_targets(now))
         };
         let idle = indices(&has_idle);
         if !idle.is_empty() {
@@ -177,9 +177,8 @@
             }
             return Some(index);
         }
-        let reachable = indices(&|c| c.at_first);
-        let explores = !reachable.is_empty() && self.random.below(EXPLORATION_INTERVAL) == 0;
-        explores.then(|| reachable[self.random.index(reachable.len())])
+        let explores = !candidates.is_empty() && self.random.below(EXPLORATION_INTERVAL) == 0;
+        explores.then(|| self.random.index(candidates.len()))
     }
 
     /// Samples two candidates at random; returns all of them if there are no more than two.
@@ -267,7 +266,7 @@
                 home: home.to_owned(),
             },
             cost: home_penalty + domain_penalty + self.load_cost(now, cell),
-            at_first: home_penalty == 0.0,
+            is_ranked: home_penalty < LOCAL_HOME_PENALTY_MS,
         })
     }
 
--- a/tests/testsuite/homes.rs
+++ b/tests/testsuite/homes.rs
@@ -247,3 +247,27 @@
         "requests move from a full cell to the other cell"
     );
 }
+
+/// Guards against a cell whose first home counts as alive and answers nobody: no entry sends it requests, whereas its
+/// second home would serve them.
+#[test]
+fn a_cell_gets_requests_at_its_second_home_while_the_first_one_answers_nobody() {
+    let service = bundle::Service {
+        soundness: true,
+        breadth_pct: 100.0,
+        ..service(&[LAHORE, PINDI])
+    };
+    let view = view();
+    let cell = cell(PINDI);
+    let ranked = homes::rank(&cell, &view);
+    let mut selector = homes::Selector::new("d0", LAHORE);
+    let mut at_second = 0;
+    for now in (0..8_000).step_by(5).map(Millis) {
+        let choice = selector.select(now, &service, &view, &[]).unwrap();
+        if choice.home == ranked[0] {
+            selector.observe(now, &choice.home, Observation::Lost);
+        }
+        at_second += usize::from(choice.cell == cell && choice.home == ranked[1]);
+    }
+    assert!(at_second >= 20, "{at_second} of 1,600 requests");
+}
