--- a/src/daemon/registry/state.rs
+++ b/src/daemon/registry/state.rs
@@ -579,6 +579,14 @@
         let PeerReply {
             age, mut updates, ..
         } = reply;
+        if let Some(change) = &updates.rules_change
+            && !self.registry.complete_rules(change, &mut updates.rules)
+        {
+            // Another poll has changed the rules meanwhile. Without its part of the rules, the reply would confirm rules
+            // that it does not contain; the next poll states what is held.
+            log::info!(peer = name, base = change.base; "passed over a reply with a part of other rules");
+            return;
+        }
         let answered_before = self.answered_at();
         let is_lost = age.is_none();
         let age = age.map(|age| age + (now - made));
@@ -607,13 +615,6 @@
                 }
             }
         }
-        if let Some(change) = &updates.rules_change
-            && !self.registry.complete_rules(change, &mut updates.rules)
-        {
-            // Another poll has changed the rules meanwhile. The next one states what is held.
-            log::info!(peer = name, base = change.base; "passed over a part of rules that differ");
-            updates.rules = Batch::default();
-        }
         let mut changed = false;
         for (topic, batch) in [
             (Topic::Rules, &updates.rules),
