exchange, relay: each try names its connection, what that carried before and the class of the response

A refusal on a connection that has carried the same request before may be a copy of an earlier one. Neither logs nor metrics told such a try from another. The lines "tried" and "relayed" now give the number of the connection, how many requests it carried before, and whether this one was among them; a counter has the tries by class and connection. No logic changes: names_request became correlation_id, which returns the identifier itself.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -670,6 +670,11 @@
         let record_statement = |target: &str, statement: &peer::Statement| {
             self.record_statement(&service.name, target, statement);
         };
+        let record_try = |record: &exchange::TryRecord<'_>| {
+            self.options
+                .metrics
+                .record_try(record.class, record.connection());
+        };
         let usable_target = |target: &str| self.usable_target(&service.name, target);
         let claim = claim::Claim {
             claims: self.options.claims.as_ref(),
@@ -681,6 +686,7 @@
             client: &self.options.client,
             record_summary: &record_summary,
             record_statement: &record_statement,
+            record_try: &record_try,
             usable_target: &usable_target,
             claim: &claim,
             shutdown: &self.options.shutdown,
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -192,6 +192,7 @@
     target: String,
     /// How long the connection may be reused after the response.
     keep: clock::Millis,
+    class: ResponseClass,
 }
 
 /// The result of one try at a target.
@@ -225,6 +226,8 @@
     pub record_summary: &'a (dyn Fn(&peer::CellSummary) + Sync),
     /// Records what each response of a target states.
     pub record_statement: &'a (dyn Fn(&str, &peer::Statement) + Sync),
+    /// Counts each try.
+    pub record_try: &'a (dyn Fn(&TryRecord<'_>) + Sync),
     /// Returns the address of a target that may get a request now, by the rules in force and by what it stated. A
     /// request may wait for its grant while these change.
     pub usable_target: &'a (dyn Fn(&str) -> Option<net::SocketAddr> + Sync),
@@ -377,14 +380,15 @@
     ) -> GrantResult {
         let last = match self.send_to_target(&mut stream, outgoing, target).await {
             TryResult::Response(mut response) => {
-                let class = classify(self.client, outgoing, &response);
+                let class = response.class;
                 if is_refusal(class) {
                     outgoing.refused_by.insert(target.to_owned());
-                    if !self.client.dialect.names_request(&response.head) {
+                    let dialect = &self.client.dialect;
+                    if dialect.correlation_id(&response.head.headers).is_empty() {
                         response.keep = clock::Millis::ZERO;
                     }
                 }
-                let statement = self.record_statement(class, &response);
+                let statement = self.record_statement(&response);
                 stream.report_outcome(outcome_of(class), statement).await;
                 if class == ResponseClass::Answered {
                     return GrantResult::Answered(self.forward(stream, *response, outgoing));
@@ -413,12 +417,8 @@
     }
 
     /// Records and returns what the target states in its response; absent if another target sent the response.
-    fn record_statement(
-        &self,
-        class: ResponseClass,
-        response: &TargetResponse,
-    ) -> Option<peer::Statement> {
-        if class == ResponseClass::Misplaced {
+    fn record_statement(&self, response: &TargetResponse) -> Option<peer::Statement> {
+        if response.class == ResponseClass::Misplaced {
             return None;
         }
         let statement = self.client.dialect.statement(&response.head);
@@ -426,6 +426,18 @@
         Some(statement)
     }
 
+    /// Logs and counts the result of one try.
+    fn log_try(&self, outgoing: &Outgoing, record: &TryRecord<'_>) {
+        (self.record_try)(record);
+        let usage = record.usage.unwrap_or_default();
+        log::info!(
+            request = outgoing.name, id = outgoing.id.to_string(), target = record.target,
+            relay = record.relay, result = record.result, class = record.class, tries = outgoing.tries,
+            connection = usage.connection, before = usage.before, repeated = usage.repeated, took_ms = record.took.0;
+            "tried"
+        );
+    }
+
     /// Returns the final result of a request whose last try was `last`.
     fn final_result(
         &self,
@@ -451,14 +463,10 @@
     ) -> TryResult {
         let client = self.client;
         let began = client.clock.now();
+        let mut record = TryRecord::new(name);
         let Some(address) = (self.usable_target)(name) else {
-            log_try(
-                outgoing,
-                name,
-                None,
-                "slot returned unused",
-                clock::Millis::ZERO,
-            );
+            record.result = "slot returned unused".to_owned();
+            self.log_try(outgoing, &record);
             return TryResult::not_sent(Outcome::Unlisted);
         };
         let to = pool::Destination {
@@ -471,8 +479,8 @@
         let mut connection = match client.pool.acquire(to).await {
             Ok(connection) => connection,
             Err(e) => {
-                let took = client.clock.now() - began;
-                log_try(outgoing, name, None, &e.to_string(), took);
+                record.end(e.to_string(), client.clock.now() - began);
+                self.log_try(outgoing, &record);
                 return match e {
                     pool::Error::NoPath => TryResult::CutOff,
                     pool::Error::Unreachable { .. } => TryResult::not_sent(Outcome::Unreachable),
@@ -485,29 +493,37 @@
             return TryResult::not_sent(Outcome::Withdrawn);
         };
         outgoing.tries += 1;
-        let relay = connection.relay().map(str::to_owned);
-        let relay = relay.as_deref();
+        let id = client.dialect.correlation_id(request.headers()).to_owned();
+        record.relay = connection.relay().unwrap_or_default().to_owned();
+        record.usage = Some(connection.usage(&id));
         let at = client.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span();
         let sending = async {
-            let sent = timers::timeout_at(at.into(), connection.send(request)).await;
+            let sent = timers::timeout_at(at.into(), connection.send(&id, request)).await;
             (sent, connection)
         };
         let (sent, connection) = tokio::select! {
             biased;
             done = sending => done,
             () = stream.wait_for_abandon() => {
-                let took = client.clock.now() - began;
-                log_try(outgoing, name, relay, "abandoned by its home", took);
+                record.class = "abandoned";
+                record.end("abandoned by its home".to_owned(), client.clock.now() - began);
+                self.log_try(outgoing, &record);
                 return TryResult::Abandoned;
             }
         };
         let took = client.clock.now() - began;
         match sent {
             Ok(Ok(response)) => {
-                log_try(outgoing, name, relay, response.status().as_str(), took);
                 let (head, body) = response.into_parts();
+                let class = client
+                    .dialect
+                    .classify(&head, &outgoing.as_try(client, name));
+                record.class = class.as_str();
+                record.end(head.status.as_str().to_owned(), took);
+                self.log_try(outgoing, &record);
                 TryResult::Response(Box::new(TargetResponse {
                     keep: pool::keep_alive_timeout(&head.headers),
+                    class,
                     head,
                     body,
                     connection,
@@ -515,7 +531,9 @@
                 }))
             }
             Ok(Err(e)) => {
-                log_try(outgoing, name, relay, &e.to_string(), took);
+                record.class = if e.never_sent() { "not-sent" } else { "broken" };
+                record.end(e.to_string(), took);
+                self.log_try(outgoing, &record);
                 match e.never_sent() {
                     true => TryResult::not_sent(Outcome::ConnectFailed),
                     // A request that its caller broke off is no evidence against the target.
@@ -526,8 +544,9 @@
                 }
             }
             Err(_) => {
-                let result = "no answer before the deadline";
-                log_try(outgoing, name, relay, result, took);
+                record.class = "timed-out";
+                record.end("no answer before the deadline".to_owned(), took);
+                self.log_try(outgoing, &record);
                 // The target can't answer while its caller has not sent the whole body.
                 let outcome = match outgoing.progress.is_waiting() {
                     true => Outcome::Expired,
@@ -572,28 +591,48 @@
     Failed(LastTry, HomeStream),
 }
 
-/// Logs the result of one try; `relay` is the daemon that relayed it, if one did.
-fn log_try(
-    outgoing: &Outgoing,
-    target: &str,
-    relay: Option<&str>,
-    result: &str,
-    took: clock::Millis,
-) {
-    log::info!(
-        request = outgoing.name, id = outgoing.id.to_string(), target = target,
-        relay = relay.unwrap_or_default(), result = result, tries = outgoing.tries, took_ms = took.0;
-        "tried"
-    );
+/// What the log and the metrics tell of one try.
+pub struct TryRecord<'a> {
+    /// The target's name.
+    pub target: &'a str,
+    /// The daemon that relayed the request; empty for a direct connection.
+    pub relay: String,
+    /// What the connection had carried before; absent if none was used.
+    pub usage: Option<pool::Usage>,
+    /// The status of the response, or why there is none.
+    pub result: String,
+    /// The class of the response, or how the try ended without one.
+    pub class: &'static str,
+    /// How long the try took.
+    pub took: clock::Millis,
 }
 
-fn classify(
-    client: &TargetClient,
-    outgoing: &Outgoing,
-    response: &TargetResponse,
-) -> ResponseClass {
-    let target_try = outgoing.as_try(client, &response.target);
-    client.dialect.classify(&response.head, &target_try)
+impl<'a> TryRecord<'a> {
+    fn new(target: &'a str) -> TryRecord<'a> {
+        TryRecord {
+            target,
+            relay: String::new(),
+            usage: None,
+            result: String::new(),
+            class: "not-sent",
+            took: clock::Millis::ZERO,
+        }
+    }
+
+    fn end(&mut self, result: String, took: clock::Millis) {
+        (self.result, self.took) = (result, took);
+    }
+
+    /// Returns what the connection had carried before, as a label of metrics.
+    pub fn connection(&self) -> &'static str {
+        match self.usage {
+            _ if !self.relay.is_empty() => "relayed",
+            None => "none",
+            Some(usage) if usage.repeated => "repeated",
+            Some(usage) if usage.before > 0 => "reused",
+            Some(_) => "new",
+        }
+    }
 }
 
 /// Returns what the caller gets for a response that is no success if no other try follows.
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -27,6 +27,7 @@
     sources: Counter<u64>,
     escalations: Counter<u64>,
     statements: Counter<u64>,
+    tries: Counter<u64>,
     relayed: Counter<u64>,
     cuts: Counter<u64>,
     platform_calls: Counter<u64>,
@@ -101,6 +102,10 @@
                     "Changes of what targets state about the requests that they accept",
                 )
                 .build(),
+            tries: meter
+                .u64_counter("peridotspread.entry.tries")
+                .with_description("Tries at targets by the class of the response and the connection")
+                .build(),
             relayed: meter
                 .u64_counter("peridotspread.egress.relay_tries")
                 .with_description("Tries to connect to targets through other daemons by result")
@@ -172,6 +177,15 @@
         self.statements.add(1, &labels);
     }
 
+    /// Counts a try at a target, by the class of its response and by what its connection had carried before.
+    pub fn record_try(&self, class: &'static str, connection: &'static str) {
+        let labels = [
+            KeyValue::new("class", class),
+            KeyValue::new("connection", connection),
+        ];
+        self.tries.add(1, &labels);
+    }
+
     /// Counts a try to connect to a target through another daemon.
     pub fn record_relay_try(&self, result: &'static str) {
         self.relayed.add(1, &[KeyValue::new("result", result)]);
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -163,11 +163,17 @@
     async fn send(&self, request: Request<Incoming>, mut link: Link) -> Response<body::Body> {
         let client = self.options.entry.client();
         let name = client.dialect.request_name(request.headers()).to_owned();
+        let id = client.dialect.correlation_id(request.headers()).to_owned();
+        let usage = link.connection.usage(&id);
         let request = request.map(|b| b.map_err(body::Error::from).boxed_unsync());
-        let response = match link.connection.send(request).await {
+        let response = match link.connection.send(&id, request).await {
             Ok(response) => response,
             Err(e) => {
-                log::info!(request = name, target = link.target, result = e.to_string(); "relayed");
+                log::info!(
+                    request = name, target = link.target, result = e.to_string(),
+                    connection = usage.connection, before = usage.before, repeated = usage.repeated;
+                    "relayed"
+                );
                 return failure(match e.never_sent() {
                     true => RelayResult::NotSent,
                     false => RelayResult::Broken,
@@ -175,7 +181,8 @@
             }
         };
         log::info!(
-            request = name, target = link.target, result = response.status().as_str();
+            request = name, target = link.target, result = response.status().as_str(),
+            connection = usage.connection, before = usage.before, repeated = usage.repeated;
             "relayed"
         );
         let (mut head, body) = response.into_parts();
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -71,6 +71,21 @@
     Unusable,
 }
 
+impl ResponseClass {
+    /// Returns the name that is used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResponseClass::Answered => "answered",
+            ResponseClass::Failed => "failed",
+            ResponseClass::Expired => "expired",
+            ResponseClass::Shed => "shed",
+            ResponseClass::NotRun => "not-run",
+            ResponseClass::Misplaced => "misplaced",
+            ResponseClass::Unusable => "unusable",
+        }
+    }
+}
+
 /// Maps requests and responses of one HTTP convention to those of the fleet.
 pub trait Dialect: Send + Sync {
     /// Returns the caller's own identifier of the request; empty if there is none.
@@ -98,10 +113,11 @@
     /// Classifies the response to a try by its head.
     fn classify(&self, response: &Parts, attempt: &Try<'_>) -> ResponseClass;
 
-    /// Returns whether a response states which request it answers.
+    /// Returns the identifier by which a response states which request it answers, from the fields of either; empty if
+    /// there is none.
     ///
-    /// A second copy of a refusal that does not would seem to refuse the next request on its connection.
-    fn names_request(&self, response: &Parts) -> bool;
+    /// A second copy of a refusal without one would seem to refuse the next request on its connection.
+    fn correlation_id<'a>(&self, map: &'a HeaderMap) -> &'a str;
 
     /// Returns what a target states in its response about the requests that it accepts.
     fn statement(&self, response: &Parts) -> peer::Statement;
@@ -154,8 +170,9 @@
             .unwrap_or(ResponseClass::Answered)
     }
 
-    fn names_request(&self, response: &Parts) -> bool {
-        response.headers.contains_key(headers::REQUEST)
+    fn correlation_id<'a>(&self, map: &'a HeaderMap) -> &'a str {
+        let id = map.get(headers::REQUEST).and_then(|id| id.to_str().ok());
+        id.unwrap_or_default()
     }
 
     fn statement(&self, response: &Parts) -> peer::Statement {
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -4,10 +4,10 @@
 //! after its response has been read to the end; one whose request was abandoned is closed. The cell's slots limit the
 //! connections of a home to one target.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net;
-use std::sync;
+use std::sync::{self, atomic};
 
 use futures_util::future;
 use http::{HeaderMap, Request, Response};
@@ -19,7 +19,7 @@
 use tokio::{net as tcp, task, time};
 
 use crate::protocol::relay;
-use crate::state::clock;
+use crate::state::{clock, hash};
 use crate::transport::{body, read_limit, stall};
 
 /// How long a target may take to accept a connection: several round trips between failure domains, and far less than
@@ -202,10 +202,27 @@
     })
 }
 
+/// What a connection has carried before a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// The number of the connection in this daemon.
+    pub connection: u64,
+    /// The requests that it carried before.
+    pub before: usize,
+    /// Whether a request with the same identifier was among them, so that a copy of its response would seem to answer
+    /// this one.
+    pub repeated: bool,
+}
+
 /// A connection to one target, which is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
     address: net::SocketAddr,
+    number: u64,
+    /// The hashes of the identifiers of the requests that were sent.
+    carried: BTreeSet<u64>,
+    /// The requests that were sent.
+    sent: usize,
     /// The daemon that relays the request; absent for a direct connection.
     relay: Option<String>,
     sender: http1::SendRequest<body::Body>,
@@ -228,6 +245,8 @@
     connector: sync::Arc<dyn Connector>,
     /// How long a target may read nothing of a request; absent if there is no limit.
     stall_timeout: Option<clock::Millis>,
+    /// The connections that were opened.
+    opened: atomic::AtomicU64,
     idle: sync::Mutex<BTreeMap<net::SocketAddr, Vec<Idle>>>,
 }
 
@@ -265,6 +284,7 @@
             head_bytes,
             connector,
             stall_timeout: None,
+            opened: atomic::AtomicU64::default(),
             idle: sync::Mutex::default(),
         }
     }
@@ -335,6 +355,9 @@
         });
         Ok(Connection {
             address,
+            number: self.opened.fetch_add(1, atomic::Ordering::Relaxed),
+            carried: BTreeSet::new(),
+            sent: 0,
             relay,
             sender,
             limit,
@@ -405,12 +428,22 @@
         self.relay.as_deref()
     }
 
+    /// Returns what the connection has carried, for a request with the identifier `id`.
+    pub fn usage(&self, id: &str) -> Usage {
+        Usage {
+            connection: self.number,
+            before: self.sent,
+            repeated: self.carried.contains(&hash::hash(&[id])),
+        }
+    }
+
     /// Records that a piece of the response's body was taken, so that as much may be read until the next one.
     pub fn record_piece(&self) {
         self.limit.begin_piece();
     }
 
-    /// Sends a request and returns the response head; the body is read from the connection.
+    /// Sends a request and returns the response head; the body is read from the connection. `id` is the identifier by
+    /// which the target tells whose response it is.
     ///
     /// # Errors
     ///
@@ -418,8 +451,11 @@
     /// whether the target can have received the request.
     pub async fn send(
         &mut self,
+        id: &str,
         request: Request<body::Body>,
     ) -> Result<Response<Incoming>, Error> {
+        self.carried.insert(hash::hash(&[id]));
+        self.sent += 1;
         self.limit.begin_head(self.head_bytes);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
