pool: a connection carries each request identifier once

Callers got 503 for requests that had run, and requests ran twice. A response is matched to its request by the identifier that the target repeats. A target may send a refusal twice; if the request is under way again on the same connection, the copy seems to refuse the new try, which runs.

The exchange remembered the names of the targets that refused a request and asked for a new connection to these, while the pool keeps connections by address. Several targets of one address, which arise where a server starts again under another id or the same one before its former entry is removed, got the request on the connection that carried the refusal.

Now the connection itself remembers the identifiers that it carried, at most 256, and neither is selected for a request with one of these nor sends it, so it does not matter how targets are named or what became of the first try. A request without an identifier gets a new connection.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -4,7 +4,6 @@
 //! Only the entry sends requests to targets, and only with the slots that homes grant it. It therefore knows which
 //! requests may have run, and a lost home can be replaced by another even for a request that must not run twice.
 
-use std::collections::BTreeSet;
 use std::net;
 use std::sync;
 
@@ -518,7 +517,6 @@
             unknown_cause: None,
             kept: lease.kept,
             response: lease.response,
-            refused_by: BTreeSet::new(),
         };
         Ok(ParsedRequest {
             slot_request,
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -4,7 +4,6 @@
 //! [`HomeStream`], sends the request to the target that the home grants and reports the outcome of each try. Only the
 //! entry sends the request, so it knows what may have run, and nothing is lost with a home.
 
-use std::collections::BTreeSet;
 use std::net;
 use std::sync;
 use std::time;
@@ -90,8 +89,6 @@
     pub kept: memory::Part,
     /// The memory of the response.
     pub response: memory::Part,
-    /// The targets that refused the request. A connection that carried such a refusal may carry a second copy of it.
-    pub refused_by: BTreeSet<String>,
 }
 
 impl Outgoing {
@@ -382,7 +379,6 @@
             TryResult::Response(mut response) => {
                 let class = response.class;
                 if is_refusal(class) {
-                    outgoing.refused_by.insert(target.to_owned());
                     let dialect = &self.client.dialect;
                     if dialect.correlation_id(&response.head.headers).is_empty() {
                         response.keep = clock::Millis::ZERO;
@@ -469,12 +465,13 @@
             self.log_try(outgoing, &record);
             return TryResult::not_sent(Outcome::Unlisted);
         };
+        let id = client.dialect.sent_id(&outgoing.identity()).into_owned();
         let to = pool::Destination {
             name,
             address,
             idempotent: outgoing.idempotent,
             direct: false,
-            fresh: outgoing.refused_by.contains(name),
+            request: Some(&id),
         };
         let mut connection = match client.pool.acquire(to).await {
             Ok(connection) => connection,
@@ -493,7 +490,6 @@
             return TryResult::not_sent(Outcome::Withdrawn);
         };
         outgoing.tries += 1;
-        let id = client.dialect.correlation_id(request.headers()).to_owned();
         record.relay = connection.relay().unwrap_or_default().to_owned();
         record.usage = Some(connection.usage(&id));
         let at = client.clock.instant(outgoing.deadline) + DEADLINE_MARGIN.span();
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -111,7 +111,7 @@
             address: target.address,
             idempotent: request.idempotent,
             direct: true,
-            fresh: false,
+            request: None,
         };
         let acquired = self.options.entry.client().pool.acquire(to);
         let connection = match time::timeout(request.timeout.span(), acquired).await {
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -3,6 +3,8 @@
 //! The entry uses a [`Dialect`] to parse the heads of callers' requests, to write refusals, to prepare requests to
 //! targets and to classify their responses. [`Native`] is the default; an adapter to a platform implements its own.
 
+use std::borrow;
+
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 
@@ -113,6 +115,9 @@
     /// Classifies the response to a try by its head.
     fn classify(&self, response: &Parts, attempt: &Try<'_>) -> ResponseClass;
 
+    /// Returns the identifier that a target repeats in its response to a request; empty if there is none.
+    fn sent_id<'a>(&self, request: &RequestIdentity<'a>) -> borrow::Cow<'a, str>;
+
     /// Returns the identifier by which a response states which request it answers, from the fields of either; empty if
     /// there is none.
     ///
@@ -170,6 +175,10 @@
             .unwrap_or(ResponseClass::Answered)
     }
 
+    fn sent_id<'a>(&self, request: &RequestIdentity<'a>) -> borrow::Cow<'a, str> {
+        request.id.to_string().into()
+    }
+
     fn correlation_id<'a>(&self, map: &'a HeaderMap) -> &'a str {
         let id = map.get(headers::REQUEST).and_then(|id| id.to_str().ok());
         id.unwrap_or_default()
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -3,6 +3,9 @@
 //! A [`Connector`] opens the connections, directly or through a relay. A direct connection returns to the [`Pool`] only
 //! after its response has been read to the end; one whose request was abandoned is closed. The cell's slots limit the
 //! connections of a home to one target.
+//!
+//! A target may send a response twice, and the second copy arrives where the next response is due. Its identifier tells
+//! it from that one, unless the same request is under way again. Therefore a connection carries each identifier once.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -34,6 +37,8 @@
 const CLOSE_MARGIN: clock::Millis = clock::Millis(1_000);
 /// How long the rest of a request may take to be sent after its response has ended.
 const RELEASE_TIMEOUT: clock::Millis = clock::Millis(5_000);
+/// The most requests that a connection carries, which bounds the identifiers that it remembers.
+const MAX_CARRIED: usize = 256;
 /// The most idle connections that are kept to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -75,6 +80,11 @@
     /// The connection was closed before the request was sent.
     #[snafu(display("the connection to the target was closed before the request was sent"))]
     NotSent,
+    /// The connection has carried a request with the same identifier; nothing was sent.
+    #[snafu(display(
+        "the connection to the target has carried a request with the same identifier"
+    ))]
+    Carried,
     /// The relay's connection to the target broke, or the relay's response proves nothing.
     #[snafu(display("the relay's connection to the target broke during the request"))]
     RelayBroken,
@@ -104,8 +114,9 @@
     pub idempotent: bool,
     /// Whether the connection must be direct.
     pub direct: bool,
-    /// Whether the connection must be a new one.
-    pub fresh: bool,
+    /// The identifier that the target repeats in its response to the request; absent if it is not known yet. A request
+    /// whose identifier is empty gets a new connection.
+    pub request: Option<&'a str>,
 }
 
 /// A byte stream in both directions.
@@ -221,8 +232,6 @@
     number: u64,
     /// The hashes of the identifiers of the requests that were sent.
     carried: BTreeSet<u64>,
-    /// The requests that were sent.
-    sent: usize,
     /// The daemon that relays the request; absent for a direct connection.
     relay: Option<String>,
     sender: http1::SendRequest<body::Body>,
@@ -300,8 +309,8 @@
     /// Returns an idle connection to a target, or a new one.
     ///
     /// A request that is not idempotent gets a new connection or one that was idle only briefly, because a target may
-    /// close an idle connection while the request is on its way. A request that the target has refused gets a new one,
-    /// because a second copy of the refusal would seem to answer it.
+    /// close an idle connection while the request is on its way. No request gets a connection that has carried its
+    /// identifier.
     ///
     /// # Errors
     ///
@@ -315,25 +324,26 @@
             true => IDLE_TIMEOUT,
             false => NON_IDEMPOTENT_IDLE,
         };
-        if !to.fresh
-            && self.connector.trusts_idle()
-            && let Some(connection) = self.take_idle(to.address, max_idle)
+        if self.connector.trusts_idle()
+            && let Some(connection) = self.take_idle(to, max_idle)
         {
             return Ok(connection);
         }
         self.connect(to).await
     }
 
-    fn take_idle(&self, address: net::SocketAddr, max_idle: clock::Millis) -> Option<Connection> {
+    fn take_idle(&self, to: Destination<'_>, max_idle: clock::Millis) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().expect("no holder panicked");
-        let list = idle.get_mut(&address)?;
+        let list = idle.get_mut(&to.address)?;
         list.retain(|i| i.is_live(now));
-        let last = list.last()?;
-        if now - last.since >= max_idle || !last.connection.sender.is_ready() {
-            return None;
-        }
-        list.pop().map(|i| i.connection)
+        let is_usable = |i: &Idle| {
+            now - i.since < max_idle
+                && i.connection.sender.is_ready()
+                && to.request.is_none_or(|id| i.connection.admits(id))
+        };
+        let at = list.iter().rposition(is_usable)?;
+        Some(list.remove(at).connection)
     }
 
     async fn connect(&self, to: Destination<'_>) -> Result<Connection, Error> {
@@ -357,7 +367,6 @@
             address,
             number: self.opened.fetch_add(1, atomic::Ordering::Relaxed),
             carried: BTreeSet::new(),
-            sent: 0,
             relay,
             sender,
             limit,
@@ -373,7 +382,7 @@
     ///
     /// Panics if a holder of the pool's lock panicked.
     pub async fn release(&self, mut connection: Connection, keep: clock::Millis) {
-        if connection.relay.is_some() {
+        if connection.relay.is_some() || connection.carried.len() >= MAX_CARRIED {
             return;
         }
         // A target may answer before it has read the whole request, and then read nothing more.
@@ -432,11 +441,17 @@
     pub fn usage(&self, id: &str) -> Usage {
         Usage {
             connection: self.number,
-            before: self.sent,
+            before: self.carried.len(),
             repeated: self.carried.contains(&hash::hash(&[id])),
         }
     }
 
+    /// Returns whether a response with the identifier `id` can only be the response to a request that is sent now.
+    fn admits(&self, id: &str) -> bool {
+        let usage = self.usage(id);
+        !usage.repeated && (usage.before == 0 || !id.is_empty())
+    }
+
     /// Records that a piece of the response's body was taken, so that as much may be read until the next one.
     pub fn record_piece(&self) {
         self.limit.begin_piece();
@@ -447,15 +462,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection breaks before the response head is complete; [`Error::never_sent`] states
-    /// whether the target can have received the request.
+    /// Returns an error if the connection has carried a request with the same identifier, or breaks before the response
+    /// head is complete; [`Error::never_sent`] states whether the target can have received the request.
     pub async fn send(
         &mut self,
         id: &str,
         request: Request<body::Body>,
     ) -> Result<Response<Incoming>, Error> {
+        snafu::ensure!(self.admits(id), CarriedSnafu);
         self.carried.insert(hash::hash(&[id]));
-        self.sent += 1;
         self.limit.begin_head(self.head_bytes);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -150,7 +150,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         idempotent: false,
         direct: false,
-        fresh: false,
+        request: Some("first"),
     };
     let began = time::Instant::now();
     let failed = pool::Connector::connect(&connector, to).await.err();
