exchange, relay: a response to another request states nothing about its target

Where a target sends a response twice, the second copy arrives with the next request. It was not taken for that request's response, but what it states was recorded as of now: a pause began again although it was over, and the target got no requests that it wanted; a limit or a leaving that a copy states would be taken up likewise. The first copy has been recorded when it arrived.

Such responses have a class of their own, Stray, in both dialects and in the metrics, and their statements are left out, at the entry and at a relay.

The relay's part has no test of its own.

--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -412,9 +412,13 @@
         GrantResult::Failed(last, stream)
     }
 
-    /// Records and returns what the target states in its response; absent if another target sent the response.
+    /// Records and returns what the target states in its response; absent if another target sent the response, or the
+    /// response is an earlier one.
     fn record_statement(&self, response: &TargetResponse) -> Option<peer::Statement> {
-        if response.class == ResponseClass::Misplaced {
+        if matches!(
+            response.class,
+            ResponseClass::Misplaced | ResponseClass::Stray
+        ) {
             return None;
         }
         let statement = self.client.dialect.statement(&response.head);
@@ -657,7 +661,7 @@
             tokio::spawn(discard(*response, client.pool.clone()));
             LastTry::Refusal(Refusal::not_run(Cause::TargetShed, Some(SHED_RETRY_AFTER)))
         }
-        ResponseClass::Unusable => {
+        ResponseClass::Unusable | ResponseClass::Stray => {
             outgoing.unknown_cause = Some(Cause::TargetBroke);
             LastTry::Refusal(Refusal::unknown(Cause::TargetBroke))
         }
@@ -681,7 +685,7 @@
         ResponseClass::Shed => Outcome::Shed,
         ResponseClass::NotRun => Outcome::NotRun,
         ResponseClass::Misplaced => Outcome::Misplaced,
-        ResponseClass::Unusable => Outcome::Broken,
+        ResponseClass::Unusable | ResponseClass::Stray => Outcome::Broken,
     }
 }
 
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -19,7 +19,7 @@
 use crate::daemon::entry::Entry;
 use crate::daemon::{forward, memory};
 use crate::protocol::relay::{RelayReply, RelayRequest, RelayResult};
-use crate::protocol::{dialect, frame, headers};
+use crate::protocol::{frame, headers};
 use crate::state::{bundle, clock, settings};
 use crate::transport::{body, pool};
 
@@ -186,10 +186,13 @@
             "relayed"
         );
         let (mut head, body) = response.into_parts();
-        let statement = dialect::Dialect::statement(client.dialect.as_ref(), &head);
-        self.options
-            .entry
-            .record_statement(&link.service, &link.target, &statement);
+        let answered = client.dialect.correlation_id(&head.headers);
+        if answered.is_empty() || answered == id {
+            let statement = client.dialect.statement(&head);
+            self.options
+                .entry
+                .record_statement(&link.service, &link.target, &statement);
+        }
         // A second copy of a refusal would seem to refuse the next request, which the other daemon may send again.
         let keep_alive = match head.status.is_success() {
             true => pool::keep_alive_timeout(&head.headers),
--- a/src/protocol/dialect.rs
+++ b/src/protocol/dialect.rs
@@ -68,9 +68,11 @@
     NotRun,
     /// The address belongs to another target, which states that the request did not run.
     Misplaced,
-    /// The response must not go to the caller and proves nothing: it answers another request, or the request may have
-    /// run.
+    /// The response must not go to the caller and proves nothing: the request may have run.
     Unusable,
+    /// A response to another request, such as a second copy of an earlier one. It must not go to the caller, proves
+    /// nothing, and what it states may be outdated.
+    Stray,
 }
 
 impl ResponseClass {
@@ -84,6 +86,7 @@
             ResponseClass::NotRun => "not-run",
             ResponseClass::Misplaced => "misplaced",
             ResponseClass::Unusable => "unusable",
+            ResponseClass::Stray => "stray",
         }
     }
 }
@@ -164,7 +167,7 @@
         // Targets need not repeat the identifier.
         let answered = response.headers.get(headers::REQUEST);
         if answered.is_some_and(|id| id.as_bytes() != attempt.request.id.to_string().as_bytes()) {
-            return ResponseClass::Unusable;
+            return ResponseClass::Stray;
         }
         let sheds = response.status == StatusCode::SERVICE_UNAVAILABLE;
         if sheds && response.headers.contains_key(header::RETRY_AFTER) {
