exchange: a response to another request is no crash of its target

Where targets sent responses twice, the request that got the copy counted as one that had crashed its target.

The copy is still evidence against its target, as a failure, and the request may be tried again if it is idempotent.

--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -685,7 +685,9 @@
         ResponseClass::Shed => Outcome::Shed,
         ResponseClass::NotRun => Outcome::NotRun,
         ResponseClass::Misplaced => Outcome::Misplaced,
-        ResponseClass::Unusable | ResponseClass::Stray => Outcome::Broken,
+        ResponseClass::Unusable => Outcome::Broken,
+        // The target lives, so the request has not crashed it.
+        ResponseClass::Stray => Outcome::Failed,
     }
 }
 
