relay: a connection is closed after a stray response, and replaced where it may not carry the request

The relay also selects its connection before it knows the request.

Now a stray response ends the connection, and a new connection is opened before the request is sent where the selected one may not carry it; nothing has been sent by then. What a 421 states is left out, as at an entry. The identifier is hashed once, before the pool is locked.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -164,6 +164,19 @@
         let client = self.options.entry.client();
         let name = client.dialect.request_name(request.headers()).to_owned();
         let id = client.dialect.correlation_id(request.headers()).to_owned();
+        if !link.connection.admits(&id) {
+            let to = pool::Destination {
+                name: &link.target,
+                address: link.connection.address(),
+                idempotent: false,
+                direct: true,
+                request: Some(&id),
+            };
+            match client.pool.acquire(to).await {
+                Ok(connection) => link.connection = connection,
+                Err(_) => return failure(RelayResult::NotSent),
+            }
+        }
         let usage = link.connection.usage(&id);
         let request = request.map(|b| b.map_err(body::Error::from).boxed_unsync());
         let response = match link.connection.send(&id, request).await {
@@ -187,14 +200,18 @@
         );
         let (mut head, body) = response.into_parts();
         let answered = client.dialect.correlation_id(&head.headers);
-        if answered.is_empty() || answered == id {
+        let is_stray = !answered.is_empty() && answered != id;
+        // Another target has the address, which the first one left.
+        let is_misplaced = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if !is_stray && !is_misplaced {
             let statement = client.dialect.statement(&head);
             self.options
                 .entry
                 .record_statement(&link.service, &link.target, &statement);
         }
-        // A second copy of a refusal would seem to refuse the next request, which the other daemon may send again.
-        let keep_alive = match head.status.is_success() {
+        // A second copy of a refusal would seem to refuse the next request, which the other daemon may send again. After a
+        // stray response, each further one on the connection would arrive a request late.
+        let keep_alive = match head.status.is_success() && !is_stray {
             true => pool::keep_alive_timeout(&head.headers),
             false => clock::Millis::ZERO,
         };
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -334,13 +334,14 @@
 
     fn take_idle(&self, to: Destination<'_>, max_idle: clock::Millis) -> Option<Connection> {
         let now = self.clock.now();
+        let key = to.request.map(key_of);
         let mut idle = self.idle.lock().expect("no holder panicked");
         let list = idle.get_mut(&to.address)?;
         list.retain(|i| i.is_live(now));
         let is_usable = |i: &Idle| {
             now - i.since < max_idle
                 && i.connection.sender.is_ready()
-                && to.request.is_none_or(|id| i.connection.admits(id))
+                && key.is_none_or(|k| i.connection.admits_key(k))
         };
         let at = list.iter().rposition(is_usable)?;
         Some(list.remove(at).connection)
@@ -432,6 +433,11 @@
 pub const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 impl Connection {
+    /// Returns the target's address.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
     /// Returns the daemon that relays the request; absent for a direct connection.
     pub fn relay(&self) -> Option<&str> {
         self.relay.as_deref()
@@ -442,14 +448,20 @@
         Usage {
             connection: self.number,
             before: self.carried.len(),
-            repeated: self.carried.contains(&hash::hash(&[id])),
+            repeated: self.carried.contains(&key_of(id).unwrap_or_default()),
         }
     }
 
     /// Returns whether a response with the identifier `id` can only be the response to a request that is sent now.
-    fn admits(&self, id: &str) -> bool {
-        let usage = self.usage(id);
-        !usage.repeated && (usage.before == 0 || !id.is_empty())
+    pub fn admits(&self, id: &str) -> bool {
+        self.admits_key(key_of(id))
+    }
+
+    fn admits_key(&self, key: Option<u64>) -> bool {
+        match key {
+            Some(key) => !self.carried.contains(&key),
+            None => self.carried.is_empty(),
+        }
     }
 
     /// Records that a piece of the response's body was taken, so that as much may be read until the next one.
@@ -470,7 +482,7 @@
         request: Request<body::Body>,
     ) -> Result<Response<Incoming>, Error> {
         snafu::ensure!(self.admits(id), CarriedSnafu);
-        self.carried.insert(hash::hash(&[id]));
+        self.carried.insert(key_of(id).unwrap_or_default());
         self.limit.begin_head(self.head_bytes);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
@@ -488,6 +500,11 @@
     }
 }
 
+/// Returns what a connection remembers of an identifier; absent if the identifier is empty.
+fn key_of(id: &str) -> Option<u64> {
+    (!id.is_empty()).then(|| hash::hash(&[id]))
+}
+
 /// Returns the target's response in the response of a relay.
 fn check_relayed(mut response: Response<Incoming>) -> Result<Response<Incoming>, Error> {
     match relay::RelayResult::take(response.headers_mut()) {
