--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod authority;
 pub mod beats;
+pub mod ended;
 pub mod parts;
 pub mod pipeline;
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -38,6 +38,7 @@
         "parts" => cases::parts::run(&scene),
         "authority" => cases::authority::run(&scene),
         "beats" => cases::beats::run(&scene),
+        "ended" => cases::ended::run(&scene),
         "pipeline" => cases::pipeline::run(&scene),
         other => {
             eprintln!("no case {other}");
