--- a/review/standins-2/src/cases/beats.rs
+++ b/review/standins-2/src/cases/beats.rs
@@ -13,20 +13,22 @@
 use crate::store::Store;
 
 const ROUTES: [Route; 1] = [Route {
-    prefix: "/payout/",
+    prefix: "/booking/",
     kind: "unsafe",
-    service: "payout",
+    service: "odbiory",
 }];
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const FIRST_BEAT: Duration = Duration::from_millis(2_000);
 /// The beat whose answer is lost, and which is performed late; it is due 3.5 s after the start.
 const LOST_SEQ: u32 = 3;
 /// When the upstream reports that it drains: longer than `contact_ms` after the store lost an answer.
-const DRAINING_AT: Duration = Duration::from_millis(6_900);
-/// When the lost write is performed: 5 s after it was sent.
-const LATE_AT: Duration = Duration::from_millis(8_500);
+const DRAINING_AT: Duration = Duration::from_millis(7_200);
+/// When the lost write is performed: 5.8 s after it was sent.
+const LATE_AT: Duration = Duration::from_millis(9_300);
 /// When the upstream's process ends: `drain_ms` after the report and a little longer.
-const LEFT_AT: Duration = Duration::from_millis(9_900);
+const LEFT_AT: Duration = Duration::from_millis(9_600);
+/// The pause of each of the four clients: with the work, 4.3 requests a second in all, as the sheet has it.
+const PAUSE: Duration = Duration::from_millis(740);
 const END: Duration = Duration::from_millis(12_000);
 
 /// An upstream's entry, which changes when more than `seq` changes.
@@ -40,7 +42,7 @@
     fn apply(&mut self, state: &'static str, seq: u32) {
         if self.state != state {
             self.state = state;
-            let entry = self.server.entry("payout", state, seq);
+            let entry = self.server.entry("odbiory", state, seq);
             self.store.put("servers", "", &self.server.id, &entry);
         }
     }
@@ -49,9 +51,9 @@
 pub fn run(scene: &Scene) -> Verdict {
     let record = &scene.record;
     let store = Store::start();
-    let work = Duration::from_millis(120);
-    let servers: Vec<_> = (0..3)
-        .map(|n| Server::start(&format!("i-payout-{n}"), work, record))
+    let work = Duration::from_millis(180);
+    let servers: Vec<_> = (0..6)
+        .map(|n| Server::start(&format!("i-odbiory-{n}"), work, record))
         .collect();
     let leaving = &servers[0];
     for server in &servers[1..] {
@@ -59,7 +61,7 @@
             "servers",
             "",
             &server.id,
-            &server.entry("payout", "ready", 1),
+            &server.entry("odbiory", "ready", 1),
         );
     }
     let mut entry = Entry {
@@ -68,7 +70,7 @@
         state: "",
     };
     entry.apply("ready", 1);
-    store.put("op", "", "config", &config(1, &ROUTES, &["payout"]));
+    store.put("op", "", "config", &config(1, &ROUTES, &["odbiory"]));
     let Some(daemons) = scene.start_daemons(2, &store) else {
         return Verdict::CouldNotRun;
     };
@@ -76,7 +78,7 @@
     let cut = Arc::new(AtomicUsize::new(0));
     let mut clients = Vec::new();
     for daemon in &daemons {
-        for n in 0..3 {
+        for n in 0..2 {
             let (front, name) = (daemon.front, daemon.name.clone());
             let (record, has_ended, cut) = (record.clone(), has_ended.clone(), cut.clone());
             clients.push(thread::spawn(move || {
@@ -84,10 +86,10 @@
                 while !has_ended.load(Ordering::SeqCst) {
                     sent += 1;
                     let id = format!("{name}-{n}-{sent}");
-                    let request = client::post(&id, "/payout/order", 2_000);
+                    let request = client::post(&id, "/booking/van", 2_000);
                     let (status, _) = client::send(&record, front, &id, &request);
                     cut.fetch_add(usize::from(status == 502), Ordering::SeqCst);
-                    thread::sleep(Duration::from_millis(50));
+                    thread::sleep(PAUSE);
                 }
             }));
         }
@@ -143,6 +145,7 @@
     }
     scene.wait_until(DRAINING_AT);
     seq += 1;
+    entry.server.begin_leaving();
     entry.apply("draining", seq);
     record.say(&format!(
         "beat {seq}: draining; the store has acknowledged it"
--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -11,7 +11,6 @@
 
 pub mod authority;
 pub mod beats;
-pub mod ended;
 pub mod parts;
 
 /// The figures of the pages for a small deployment.
--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The project's daemon as a process, started by the command of the deploy file with a settings file of the platform.
 
 use std::fs;
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 #[allow(clippy::disallowed_types)] // The scripts start the daemons by this program.
@@ -98,8 +99,12 @@
             .stdout(log.try_clone().expect("a log"))
             .stderr(log)
             .spawn();
-        self.child =
-            Some(started.expect("the daemon's program; build it as deploy/system.toml says"));
+        let child = started.expect("the daemon's program; build it as deploy/system.toml says");
+        // The script ends the daemons by this list if this program is killed.
+        let list = self.settings.with_file_name("pids");
+        let list = fs::OpenOptions::new().create(true).append(true).open(list);
+        let _ = list.and_then(|mut list| writeln!(list, "{}", child.id()));
+        self.child = Some(child);
     }
 
     /// Waits until the daemon reports that it is ready.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -38,7 +38,6 @@
         "parts" => cases::parts::run(&scene),
         "authority" => cases::authority::run(&scene),
         "beats" => cases::beats::run(&scene),
-        "ended" => cases::ended::run(&scene),
         other => {
             eprintln!("no case {other}");
             Verdict::CouldNotRun
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -30,6 +30,8 @@
     record: Record,
     /// The `Server-Limit` that it names in its answers.
     limit: Arc<Mutex<Option<u32>>>,
+    /// Whether it says in its answers that it leaves.
+    is_leaving: Arc<AtomicBool>,
     has_left: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     runs: Arc<Mutex<Vec<Run>>>,
@@ -44,6 +46,7 @@
             work,
             record: record.clone(),
             limit: Arc::default(),
+            is_leaving: Arc::default(),
             has_left: Arc::default(),
             connections: Arc::default(),
             runs: Arc::default(),
@@ -76,6 +79,11 @@
         *self.limit.lock().unwrap() = Some(limit);
     }
 
+    /// Has it say in all its answers from now on that it leaves.
+    pub fn begin_leaving(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Ends the process of the server: its connections break, and it accepts no others.
     pub fn leave(&self) {
         self.has_left.store(true, Ordering::SeqCst);
@@ -137,9 +145,13 @@
             return None;
         }
         let limit = limit.map_or(String::new(), |l| format!("Server-Limit: {l}\r\n"));
+        let leaving = match self.is_leaving.load(Ordering::SeqCst) {
+            true => "Server-Leaving: 1\r\n",
+            false => "",
+        };
         let body = format!("{} ran {id}", self.id);
         Some(format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}.{id}\r\n{limit}Content-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}.{id}\r\n{limit}{leaving}Content-Length: {}\r\n\r\n{body}",
             self.id,
             body.len()
         ))
